--- a/Makefile
+++ b/Makefile
@@ -18,10 +18,10 @@
 	src/confwatch.c src/adminpage.c \
 	src/linux/clock.c src/linux/sock.c
 LIB_OBJ = $(patsubst src/%.c,$(BUILD)/%.o,$(LIB_SRC)) $(BUILD)/tomlshim.o
-BINS = lwnode lwctl lwburn lwload lwstub-config lwstub-backend
+BINS = lwnode lwctl lwburn lwload lwstub-config lwstub-backend lwstub-relay
 BIN_PATHS = $(addprefix $(BUILD)/,$(BINS))
 
-.PHONY: all deps demo check unit scripts e2e lint format bench fuzz clean
+.PHONY: all deps demo check lint format bench fuzz clean
 
 all: $(BIN_PATHS) $(BUILD)/lwtest
 
@@ -53,6 +53,9 @@
 $(BUILD)/lwstub-backend: $(BUILD)/lwstub_backend.o $(BUILD)/liblw.a
 	$(CC) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/lwstub-relay: $(BUILD)/lwstub_relay.o $(BUILD)/liblw.a
+	$(CC) -o $@ $^ $(LDLIBS)
+
 $(BUILD)/lwburn.o: src/lwburn.c src/*.h
 	@mkdir -p $(BUILD)
 	$(CC) $(CFLAGS) $(shell pkg-config --cflags cairo) -c $< -o $@
@@ -68,6 +71,7 @@
 	$(MAKE) lint
 	$(BUILD)/lwtest tests/scripts
 	sh tests/e2e.sh
+	sh tests/faults.sh
 
 lint:
 	@sh tools/lint.sh
--- a/src/httpc.c
+++ b/src/httpc.c
@@ -13,6 +13,8 @@
 #include "settings.h"
 #include "xalloc.h"
 
+#define COMMAND_TIMEOUT_MS 3000
+
 struct lw_httpc {
 	ne_session *sess;
 	int read_timeout_s;
@@ -124,3 +126,29 @@
 	if (out->fail)
 		ne_close_connection(c->sess);
 }
+
+/*
+ * lw_httpc_command() - send one request for a command-line client called
+ * @prog and print the answer's body. Returns the exit status: 0, 1 when the
+ * server is not there or refuses, 2 when @addr is malformed.
+ */
+int lw_httpc_command(const char *prog, const char *addr, const char *method, const char *path,
+		     lw_str_t body)
+{
+	lw_httpc_t *c = lw_httpc_new(addr);
+	lw_http_reply_t r;
+
+	if (!c) {
+		fprintf(stderr, "%s: '%s' is not ip:port; write e.g. 127.0.0.1:7102\n", prog, addr);
+		return 2;
+	}
+	lw_httpc_call(c, method, path, NULL, 0, body, COMMAND_TIMEOUT_MS, true, &r);
+	lw_httpc_free(c);
+	if (r.fail) {
+		fprintf(stderr, "%s: no answer from %s; is it running there?\n", prog, addr);
+		return 1;
+	}
+	fwrite(r.body ? r.body : "", 1, r.len, stdout);
+	free(r.body);
+	return r.status < 300 ? 0 : 1;
+}
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -43,5 +43,7 @@
 void lw_httpc_call(lw_httpc_t *c, const char *method, const char *path, const lw_http_hdr_t *hdrs,
 		   size_t nhdr, lw_str_t body, int timeout_ms, bool idempotent,
 		   lw_http_reply_t *out);
+int lw_httpc_command(const char *prog, const char *addr, const char *method, const char *path,
+		     lw_str_t body);
 
 #endif
--- a/src/httpd.c
+++ b/src/httpd.c
@@ -76,7 +76,7 @@
 		req = (lw_http_req_t){ method, url, { up->buf, up->len }, conn };
 		h->fn(h->ctx, &req, &resp);
 	}
-	return send_resp(conn, &resp);
+	return resp.drop ? MHD_NO : send_resp(conn, &resp);
 }
 
 static void on_done(void *cls, struct MHD_Connection *conn, void **con_cls,
--- a/src/httpd.h
+++ b/src/httpd.h
@@ -5,6 +5,7 @@
 #ifndef LW_HTTPD_H
 #define LW_HTTPD_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 #include "lwstr.h"
@@ -26,6 +27,7 @@
 	const char *ctype;
 	char hdr[LW_HTTP_HDRS_MAX][2][64];
 	int nhdr;
+	bool drop; /* close the connection without an answer (stand-ins) */
 } lw_http_resp_t;
 
 typedef void (*lw_http_handler_fn)(void *ctx, const lw_http_req_t *req, lw_http_resp_t *resp);
--- a/src/lwctl.c
+++ b/src/lwctl.c
@@ -69,23 +69,7 @@
 
 static int cmd_http(const char *admin, const char *method, const char *path)
 {
-	lw_httpc_t *c = lw_httpc_new(admin);
-	lw_http_reply_t r;
-
-	if (!c) {
-		fprintf(stderr, "lwctl: '%s' is not ip:port; give the node's admin address\n",
-			admin);
-		return 2;
-	}
-	lw_httpc_call(c, method, path, NULL, 0, (lw_str_t){ NULL, 0 }, 3000, true, &r);
-	lw_httpc_free(c);
-	if (r.fail) {
-		fprintf(stderr, "lwctl: no answer from %s; is the node running there?\n", admin);
-		return 1;
-	}
-	fwrite(r.body ? r.body : "", 1, r.len, stdout);
-	free(r.body);
-	return r.status < 300 ? 0 : 1;
+	return lw_httpc_command("lwctl", admin, method, path, (lw_str_t){ NULL, 0 });
 }
 
 int main(int argc, char **argv)
--- a/src/lwload.c
+++ b/src/lwload.c
@@ -5,7 +5,9 @@
  * It prints per route "N done, N not_run, N unknown", goodput, latency
  * percentiles and the recovery time, and can write a history file:
  *   invoke ID ROUTE KEY T_MS
- *   complete ID OUTCOME STATUS T_MS ATTEMPTS
+ *   complete ID OUTCOME STATUS T_MS ATTEMPTS REASON
+ * Latency and deadline count from the time a request was due, not from when
+ * a free client took it up: a saturated client must not hide the wait.
  */
 #include <argtable2.h>
 #include <math.h>
@@ -45,6 +47,13 @@
 	char addr[LW_NAME_MAX];
 } target_t;
 
+/* one finished request */
+typedef struct sample {
+	uint16_t second; /* it was due in */
+	bool good;
+	uint32_t lat_us;
+} sample_t;
+
 typedef struct job {
 	uint64_t id;
 	int route;
@@ -69,9 +78,8 @@
 	size_t qhead, qlen, qcap;
 	bool done_generating;
 	uint64_t t0;
-	uint32_t *lat_us;
-	size_t nlat, caplat;
-	uint64_t sec_total[SECONDS_MAX], sec_good[SECONDS_MAX];
+	sample_t *samples;
+	size_t nsamples, capsamples;
 	uint64_t dropped;
 	uint64_t attempts;
 	uint64_t crossed; /* answers that were not this caller's */
@@ -194,32 +202,37 @@
 	return cache[t];
 }
 
-static void record(const job_t *j, int outcome, int status, uint64_t start_us, int attempts)
+/* the final answer of a request */
+typedef struct verdict {
+	int outcome;
+	int status;
+	int attempts;
+	char reason[24];
+} verdict_t;
+
+static void record(const job_t *j, const verdict_t *v)
 {
 	route_t *r = &ld.routes[j->route];
 	uint64_t end_us = lw_now_us();
-	uint64_t lat = end_us - start_us;
-	bool good = outcome == 0 && status < 500 && lat / 1000 <= ld.deadline_ms;
-	size_t sec = (size_t)((j->due_ms - ld.t0) / 1000);
+	uint64_t lat = end_us - j->due_ms * 1000;
+	bool good = v->outcome == LW_DONE && v->status < 500 && lat / 1000 <= ld.deadline_ms;
 
 	pthread_mutex_lock(&ld.lock);
-	r->n[outcome]++;
-	if (good)
-		r->good++;
-	if (sec < SECONDS_MAX) {
-		ld.sec_total[sec]++;
-		ld.sec_good[sec] += good;
-	}
-	if (ld.nlat == ld.caplat) {
-		ld.caplat = ld.caplat ? ld.caplat * 2 : 4096;
-		ld.lat_us = xrealloc(ld.lat_us, ld.caplat * sizeof(*ld.lat_us));
+	r->n[v->outcome]++;
+	r->good += good;
+	if (ld.nsamples == ld.capsamples) {
+		ld.capsamples = ld.capsamples ? ld.capsamples * 2 : 4096;
+		ld.samples = xrealloc(ld.samples, ld.capsamples * sizeof(*ld.samples));
 	}
-	ld.lat_us[ld.nlat++] = (uint32_t)lat;
-	ld.attempts += (uint64_t)attempts;
+	ld.samples[ld.nsamples++] = (sample_t){ .second = (uint16_t)((j->due_ms - ld.t0) / 1000),
+						.good = good,
+						.lat_us = (uint32_t)lat };
+	ld.attempts += (uint64_t)v->attempts;
 	if (ld.history)
-		fprintf(ld.history, "complete u%s-%llu %s %d %llu %d\n", ld.run,
-			(unsigned long long)j->id, lw_outcome_name((lw_outcome_t)outcome), status,
-			(unsigned long long)(end_us / 1000 - ld.t0), attempts);
+		fprintf(ld.history, "complete u%s-%llu %s %d %llu %d %s\n", ld.run,
+			(unsigned long long)j->id, lw_outcome_name((lw_outcome_t)v->outcome),
+			v->status, (unsigned long long)(end_us / 1000 - ld.t0), v->attempts,
+			v->reason[0] ? v->reason : "-");
 	pthread_mutex_unlock(&ld.lock);
 }
 
@@ -236,60 +249,76 @@
 	return LW_DONE;
 }
 
+static void job_path(const route_t *r, char *path, size_t len)
+{
+	if (ld.path_mode == PATH_DIRECT)
+		snprintf(path, len, "/%s", r->name);
+	else if (ld.path_mode == PATH_OUT)
+		snprintf(path, len, "/v1/out/%s/%s", r->service, r->name);
+	else
+		snprintf(path, len, "/v1/call/%s", r->name);
+}
+
+static void check_own_answer(const lw_http_reply_t *rep, const char *user_id)
+{
+	/* the stand-in echoes the request id */
+	if (rep->body && strstr(rep->body, user_id))
+		return;
+	pthread_mutex_lock(&ld.lock);
+	ld.crossed++;
+	pthread_mutex_unlock(&ld.lock);
+}
+
 static void run_job(lw_httpc_t **cache, const job_t *j)
 {
 	route_t *r = &ld.routes[j->route];
-	lw_http_hdr_t h[3] = { { "X-LW-Deadline-Ms", "" },
+	lw_http_hdr_t h[4] = { { "X-LW-Deadline-Ms", "" },
 			       { "X-LW-Request-Id", "" },
+			       { "X-LW-Repeat", "0" },
 			       { "X-LW-Idempotency-Key", "" } };
-	char path[LW_NAME_MAX + 16];
-	uint64_t start = lw_now_us();
-	uint64_t deadline_at = start / 1000 + ld.deadline_ms;
-	int outcome = LW_NOT_RUN, status = 0, attempts = 0;
+	char path[LW_NAME_MAX * 2 + 16];
+	uint64_t deadline_at = j->due_ms + ld.deadline_ms;
+	verdict_t v = { .outcome = LW_NOT_RUN };
 
 	/* keys must not repeat across runs, or a node replays an earlier run's answer */
 	snprintf(h[1].value, sizeof(h[1].value), "u%s-%llu", ld.run, (unsigned long long)j->id);
-	snprintf(h[2].value, sizeof(h[2].value), "k%s-%llu", ld.run, (unsigned long long)j->id);
-	if (ld.path_mode == PATH_DIRECT)
-		snprintf(path, sizeof(path), "/%s", r->name);
-	else if (ld.path_mode == PATH_OUT)
-		snprintf(path, sizeof(path), "/v1/out/%s/%s", r->service, r->name);
-	else
-		snprintf(path, sizeof(path), "/v1/call/%s", r->name);
+	snprintf(h[3].value, sizeof(h[3].value), "k%s-%llu", ld.run, (unsigned long long)j->id);
+	job_path(r, path, sizeof(path));
 	if (ld.history) {
 		pthread_mutex_lock(&ld.lock);
 		fprintf(ld.history, "invoke %s %s/%s %s %llu\n", h[1].value, r->service, r->name,
-			r->keyed ? h[2].value : "-", (unsigned long long)(start / 1000 - ld.t0));
+			r->keyed ? h[3].value : "-", (unsigned long long)(j->due_ms - ld.t0));
 		pthread_mutex_unlock(&ld.lock);
 	}
-	for (;;) {
-		lw_httpc_t *c = client_for(cache, r->service, j->id + (uint64_t)attempts);
-		uint64_t now = lw_now_us() / 1000;
+	/* a hard-retrying client: it ignores Retry-After, as the brief's clients do */
+	while (v.attempts <= ld.client_retries) {
+		lw_httpc_t *c = client_for(cache, r->service, j->id + (uint64_t)v.attempts);
+		uint64_t now = lw_now_ms();
 		lw_http_reply_t rep;
 
 		if (!c || now >= deadline_at)
 			break;
 		snprintf(h[0].value, sizeof(h[0].value), "%llu",
 			 (unsigned long long)(deadline_at - now));
-		attempts++;
-		lw_httpc_call(c, "POST", path, h, r->keyed ? 3 : 2, (lw_str_t){ "x", 1 },
+		v.attempts++;
+		lw_httpc_call(c, "POST", path, h, r->keyed ? 4 : 2, (lw_str_t){ "x", 1 },
 			      (int)(deadline_at - now), !r->keyed, &rep);
-		outcome = outcome_of(&rep);
-		status = rep.status;
-		/* each caller must get its own answer: the stand-in echoes the request id */
-		if (outcome == LW_DONE && (!rep.body || !strstr(rep.body, h[1].value))) {
-			pthread_mutex_lock(&ld.lock);
-			ld.crossed++;
-			pthread_mutex_unlock(&ld.lock);
-		}
+		v.outcome = outcome_of(&rep);
+		v.status = rep.status;
+		snprintf(v.reason, sizeof(v.reason), "%s", rep.fail ? "no_answer" : rep.reason);
+		if (v.outcome == LW_DONE)
+			check_own_answer(&rep, h[1].value);
+		/* it may have run: from here on it is a repeat, and says so */
+		if (v.outcome == LW_UNKNOWN)
+			snprintf(h[2].value, sizeof(h[2].value), "1");
 		free(rep.body);
-		/* a hard-retrying client: it ignores Retry-After, as the brief's clients do */
-		if (outcome == LW_DONE || attempts > ld.client_retries)
+		if (v.outcome == LW_DONE)
 			break;
-		if (outcome == LW_UNKNOWN && r->keyed && !rep.fail)
-			continue; /* the key makes a repeat safe: the node replays or refuses */
 	}
-	record(j, outcome, status, start, attempts);
+	/* refused in the end, but an earlier attempt may have run */
+	if (v.outcome == LW_NOT_RUN && h[2].value[0] == '1')
+		v.outcome = LW_UNKNOWN;
+	record(j, &v);
 }
 
 static void *worker(void *arg)
@@ -318,34 +347,65 @@
 	return NULL;
 }
 
-static int cmp_u32(const void *a, const void *b)
+static int cmp_latency(const void *a, const void *b)
 {
-	uint32_t x = *(const uint32_t *)a, y = *(const uint32_t *)b;
+	uint32_t x = ((const sample_t *)a)->lat_us, y = ((const sample_t *)b)->lat_us;
 
 	return x < y ? -1 : x > y;
 }
 
+static int cmp_second(const void *a, const void *b)
+{
+	const sample_t *x = a, *y = b;
+
+	return x->second != y->second ? (int)x->second - (int)y->second : cmp_latency(a, b);
+}
+
+/* what a stretch of seconds looked like */
+typedef struct stretch {
+	double success; /* share of good answers */
+	double p99_ms;
+} stretch_t;
+
+/* of the seconds @from up to @to; samples are sorted by second */
+static stretch_t stretch_of(size_t from, size_t to)
+{
+	size_t first = 0, n = 0, good = 0;
+	sample_t *part;
+	stretch_t s = { 1, 0 };
+
+	while (first < ld.nsamples && ld.samples[first].second < from)
+		first++;
+	while (first + n < ld.nsamples && ld.samples[first + n].second < to)
+		good += ld.samples[first + n++].good;
+	if (n == 0)
+		return s;
+	part = xcalloc(n, sizeof(*part));
+	memcpy(part, &ld.samples[first], n * sizeof(*part));
+	qsort(part, n, sizeof(*part), cmp_latency);
+	s.success = (double)good / (double)n;
+	s.p99_ms = part[n * 99 / 100].lat_us / 1000.0;
+	free(part);
+	return s;
+}
+
 /*
  * Recovery time: from the end of the surge until the first second whose
- * success ratio is back within 10% of the ratio before the surge.
+ * success ratio and p99 are both back within 10% (or 10 ms) of before it;
+ * -1 when that does not come within the run.
  */
-static double recovery_s(void)
+static int recovery_s(void)
 {
-	size_t from = (size_t)ld.surge_from, to = (size_t)ld.surge_to, end = (size_t)ld.seconds;
-	uint64_t good = 0, total = 0;
+	size_t to = (size_t)ld.surge_to;
+	stretch_t before = stretch_of(0, (size_t)ld.surge_from);
 
-	if (ld.surge_mult <= 1 || from == 0)
-		return 0;
-	for (size_t s = 0; s < from && s < SECONDS_MAX; s++) {
-		good += ld.sec_good[s];
-		total += ld.sec_total[s];
-	}
-	double before = total ? (double)good / (double)total : 1;
+	for (size_t s = to; s < (size_t)ld.seconds; s++) {
+		stretch_t now = stretch_of(s, s + 1);
 
-	for (size_t s = to; s < end && s < SECONDS_MAX; s++)
-		if (ld.sec_total[s] &&
-		    (double)ld.sec_good[s] / (double)ld.sec_total[s] >= before * 0.9)
-			return (double)(s - to);
+		if (now.success >= before.success * 0.9 &&
+		    (now.p99_ms <= before.p99_ms * 1.1 || now.p99_ms <= before.p99_ms + 10))
+			return (int)(s - to);
+	}
 	return -1;
 }
 
@@ -370,12 +430,13 @@
 	printf("goodput %llu of %llu (%.1f%%), %.1f/s\n", (unsigned long long)good,
 	       (unsigned long long)all, 100.0 * (double)good / (double)(all ? all : 1),
 	       (double)good / ld.seconds);
-	if (ld.nlat) {
-		size_t p50 = ld.nlat / 2, p99 = ld.nlat * 99 / 100;
+	if (ld.nsamples) {
+		size_t n = ld.nsamples;
 
-		qsort(ld.lat_us, ld.nlat, sizeof(*ld.lat_us), cmp_u32);
-		printf("latency_ms p50 %.2f p99 %.2f max %.2f\n", ld.lat_us[p50] / 1000.0,
-		       ld.lat_us[p99] / 1000.0, ld.lat_us[ld.nlat - 1] / 1000.0);
+		qsort(ld.samples, n, sizeof(*ld.samples), cmp_latency);
+		printf("latency_ms p50 %.2f p99 %.2f max %.2f\n", ld.samples[n / 2].lat_us / 1000.0,
+		       ld.samples[n * 99 / 100].lat_us / 1000.0, ld.samples[n - 1].lat_us / 1000.0);
+		qsort(ld.samples, n, sizeof(*ld.samples), cmp_second);
 	}
 	printf("attempts %llu client_dropped %llu crossed %llu\n", (unsigned long long)ld.attempts,
 	       (unsigned long long)ld.dropped, (unsigned long long)ld.crossed);
@@ -383,7 +444,7 @@
 		printf("goodput_route %s/%s %llu\n", ld.routes[i].service, ld.routes[i].name,
 		       (unsigned long long)ld.routes[i].good);
 	if (ld.surge_mult > 1)
-		printf("recovery_s %.0f\n", recovery_s());
+		printf("recovery_s %d\n", recovery_s());
 }
 
 int main(int argc, char **argv)
--- a/src/lwstub_backend.c
+++ b/src/lwstub_backend.c
@@ -4,7 +4,8 @@
  * takes a service time, is slower while cold, honours the deadline it is
  * given (it gives up before its commit point, so it can say "not run"),
  * calls other services through its node, drains, and can be made slow.
- * Every committed execution is written to its log for the history checker:
+ * Once a downstream call that is no read ("?") has run, it no longer says
+ * "not run". Every committed execution is written to its log for the history checker:
  *   exec SERVICE ROUTE KEY REQUEST_ID
  */
 #include <argtable2.h>
@@ -29,6 +30,7 @@
 typedef struct downstream {
 	char route[LW_NAME_MAX]; /* this server's route */
 	char target[LW_NAME_MAX]; /* "service/name" it calls */
+	bool read; /* idempotent: calling it leaves nothing behind */
 } downstream_t;
 
 static struct {
@@ -42,6 +44,8 @@
 	unsigned extra_ms; /* injected slowness */
 	bool draining;
 	bool health_lies;
+	unsigned lose_percent; /* run, then close without an answer */
+	unsigned fail_percent; /* run, then answer 500 */
 	downstream_t calls[CALLS_MAX];
 	int ncalls;
 	FILE *log;
@@ -100,7 +104,7 @@
 
 /* Call the downstream services of @route in order; false stops the request. */
 static bool call_downstream(const lw_http_req_t *req, const char *route, uint64_t deadline_at,
-			    lw_http_resp_t *resp, unsigned *retries)
+			    lw_http_resp_t *resp, unsigned *retries, bool *acted)
 {
 	const char *key = lw_http_header(req, "X-LW-Idempotency-Key");
 	const char *uid = lw_http_header(req, "X-LW-Request-Id");
@@ -135,7 +139,10 @@
 		*retries += r.retries_used;
 		if (r.fail || strcmp(r.outcome, "done") || r.status >= 500) {
 			/* we have not committed: pass on what the callee said of itself */
-			const char *o = r.fail ? "unknown" : r.outcome[0] ? r.outcome : "unknown";
+			const char *o = r.fail || *acted || !r.outcome[0] ||
+							strcmp(r.outcome, "done") == 0 ?
+						"unknown" :
+						r.outcome;
 
 			lw_http_set_header(resp, "X-LW-Outcome", "%s", o);
 			lw_http_set_header(resp, "X-LW-Reason", "%s",
@@ -145,6 +152,7 @@
 			free(r.body);
 			return false;
 		}
+		*acted |= !be.calls[i].read;
 		free(r.body);
 	}
 	return true;
@@ -159,12 +167,13 @@
 	uint64_t start = lw_now_ms();
 	uint64_t deadline_at = start + (dl ? strtoul(dl, NULL, 10) : 2000);
 	unsigned retries = 0, t;
+	bool acted = false;
 
 	if (!slot_take()) {
 		answer_not_run(resp, be.draining ? "draining" : "overloaded");
 		return;
 	}
-	if (!call_downstream(req, route, deadline_at, resp, &retries)) {
+	if (!call_downstream(req, route, deadline_at, resp, &retries, &acted)) {
 		slot_give();
 		return;
 	}
@@ -176,7 +185,13 @@
 		if (deadline_at > now)
 			usleep((useconds_t)(deadline_at - now) * 1000);
 		slot_give();
-		answer_not_run(resp, "deadline");
+		if (!acted) {
+			answer_not_run(resp, "deadline");
+			return;
+		}
+		lw_http_set_header(resp, "X-LW-Outcome", "unknown");
+		lw_http_set_header(resp, "X-LW-Reason", "deadline");
+		lw_http_replyf(resp, 504, "unknown deadline\n");
 		return;
 	}
 	usleep(t * 1000);
@@ -189,16 +204,31 @@
 	}
 	pthread_mutex_unlock(&be.lock);
 	slot_give();
+	if (erand48(tl_rng) * 100 < __atomic_load_n(&be.lose_percent, __ATOMIC_RELAXED)) {
+		resp->drop = true;
+		return;
+	}
 	lw_http_set_header(resp, "X-LW-Outcome", "done");
 	lw_http_set_header(resp, "X-LW-Retries-Used", "%u", retries);
+	if (erand48(tl_rng) * 100 < __atomic_load_n(&be.fail_percent, __ATOMIC_RELAXED)) {
+		lw_http_replyf(resp, 500, "failed %s %s\n", be.service, uid ? uid : "-");
+		return;
+	}
 	lw_http_replyf(resp, 200, "ok %s %s %s\n", be.service, route, uid ? uid : "-");
 	(void)start;
 }
 
-static void on_request(void *ctx, const lw_http_req_t *req, lw_http_resp_t *resp)
+/* a fault's strength, set while running; no value turns it off */
+static void set_knob(unsigned *knob, const char *value, lw_http_resp_t *resp)
 {
-	const char *ms = lw_http_arg(req, "ms");
+	unsigned v = value ? (unsigned)strtoul(value, NULL, 10) : 0;
 
+	__atomic_store_n(knob, v, __ATOMIC_RELAXED);
+	lw_http_replyf(resp, 200, "%u\n", v);
+}
+
+static void on_request(void *ctx, const lw_http_req_t *req, lw_http_resp_t *resp)
+{
 	(void)ctx;
 	if (strcmp(req->url, "/health") == 0) {
 		pthread_mutex_lock(&be.lock);
@@ -212,9 +242,11 @@
 			       (unsigned long long)be.execs);
 		pthread_mutex_unlock(&be.lock);
 	} else if (strcmp(req->url, "/ctl/slow") == 0) {
-		__atomic_store_n(&be.extra_ms, ms ? (unsigned)strtoul(ms, NULL, 10) : 0,
-				 __ATOMIC_RELAXED);
-		lw_http_replyf(resp, 200, "slow %s\n", ms ? ms : "0");
+		set_knob(&be.extra_ms, lw_http_arg(req, "ms"), resp);
+	} else if (strcmp(req->url, "/ctl/lose") == 0) {
+		set_knob(&be.lose_percent, lw_http_arg(req, "percent"), resp);
+	} else if (strcmp(req->url, "/ctl/fail") == 0) {
+		set_knob(&be.fail_percent, lw_http_arg(req, "percent"), resp);
 	} else if (strcmp(req->url, "/ctl/drain") == 0) {
 		pthread_mutex_lock(&be.lock);
 		be.draining = true;
@@ -230,7 +262,7 @@
 
 static int parse_calls(const char *spec)
 {
-	/* ROUTE=svc/name,svc/name */
+	/* ROUTE=svc/name?,svc/name ; ? = a read */
 	const char *eq = strchr(spec, '=');
 	char *list, *tok, *save;
 
@@ -242,6 +274,9 @@
 		downstream_t *d = &be.calls[be.ncalls++];
 
 		snprintf(d->route, sizeof(d->route), "%.*s", (int)(eq - spec), spec);
+		d->read = tok[strlen(tok) - 1] == '?';
+		if (d->read)
+			tok[strlen(tok) - 1] = '\0';
 		snprintf(d->target, sizeof(d->target), "%s", tok);
 	}
 	free(list);
@@ -252,19 +287,24 @@
 {
 	struct arg_lit *help = arg_lit0("h", "help", "print this help and exit");
 	struct arg_lit *version = arg_lit0(NULL, "version", "print the version and exit");
-	struct arg_str *listen = arg_str1(NULL, "listen", "IP:PORT", "address to serve");
-	struct arg_str *service = arg_str1(NULL, "service", "NAME", "service name");
+	struct arg_str *listen = arg_str0(NULL, "listen", "IP:PORT", "address to serve");
+	struct arg_str *service = arg_str0(NULL, "service", "NAME", "service name");
 	struct arg_str *node = arg_str0(NULL, "node", "IP:PORT", "its lwnode, for outbound calls");
 	struct arg_int *slots = arg_int0(NULL, "slots", "N", "requests served at once (default 8)");
 	struct arg_dbl *ms = arg_dbl0(NULL, "service-ms", "MS", "mean service time (default 5)");
 	struct arg_int *cold = arg_int0(NULL, "cold-ms", "MS", "slower for this long after start");
 	struct arg_str *calls =
-		arg_strn(NULL, "calls", "ROUTE=SVC/NAME,..", 0, 8, "downstream calls");
+		arg_strn(NULL, "calls", "ROUTE=SVC/NAME[?],..", 0, 8, "downstream calls; ? reads");
 	struct arg_file *logf = arg_file0(NULL, "log", "FILE", "execution log for history checks");
 	struct arg_int *extra = arg_int0(NULL, "extra-ms", "MS", "added to every service time");
+	struct arg_str *to = arg_str0(NULL, "to", "IP:PORT", "client mode: the running stand-in");
+	struct arg_str *ctl =
+		arg_str0(NULL, "ctl", "FAULT",
+			 "client mode: slow?ms=N, lose?percent=N, fail?percent=N, drain, lie");
 	struct arg_end *end = arg_end(5);
-	void *table[] = { help, version, listen, service, node,	 slots,
-			  ms,	cold,	 calls,	 logf,	  extra, end };
+	void *table[] = { help, version, listen, service, node, slots, ms,
+			  cold, calls,	 logf,	 extra,	  to,	ctl,   end };
+	char path[128];
 	lw_httpd_t *h;
 	sigset_t set;
 	int sig;
@@ -284,6 +324,15 @@
 		printf("lwstub-backend %s\n", LW_VERSION);
 		return 0;
 	}
+	if (to->count && ctl->count) {
+		snprintf(path, sizeof(path), "/ctl/%s", ctl->sval[0]);
+		return lw_httpc_command("lwstub-backend", to->sval[0], "POST", path,
+					(lw_str_t){ NULL, 0 });
+	}
+	if (!listen->count || !service->count) {
+		fprintf(stderr, "lwstub-backend: give --listen and --service; see --help\n");
+		return 2;
+	}
 	snprintf(be.service, sizeof(be.service), "%s", service->sval[0]);
 	snprintf(be.node, sizeof(be.node), "%s", node->count ? node->sval[0] : "127.0.0.1:7100");
 	be.slots = slots->count ? (unsigned)slots->ival[0] : 8;
--- a/src/lwstub_config.c
+++ b/src/lwstub_config.c
@@ -220,15 +220,10 @@
  */
 static int client(const char *to, const char *method, const char *path, const char *file)
 {
-	lw_httpc_t *c = lw_httpc_new(to);
-	lw_http_reply_t r;
 	char *buf = NULL;
 	size_t n = 0;
+	int rc;
 
-	if (!c) {
-		fprintf(stderr, "lwstub-config: --to wants ip:port\n");
-		return 2;
-	}
 	if (file) {
 		FILE *f = fopen(file, "rb");
 
@@ -240,18 +235,9 @@
 		n = fread(buf, 1, VALUE_MAX + 1, f);
 		fclose(f);
 	}
-	lw_httpc_call(c, method, path, NULL, 0, (lw_str_t){ buf, n }, 3000, true, &r);
-	lw_httpc_free(c);
+	rc = lw_httpc_command("lwstub-config", to, method, path, (lw_str_t){ buf, n });
 	free(buf);
-	if (r.fail || r.status != 200) {
-		fprintf(stderr, "lwstub-config: %s %s failed (status %d)\n", method, path,
-			r.status);
-		free(r.body);
-		return 1;
-	}
-	fwrite(r.body ? r.body : "", 1, r.len, stdout);
-	free(r.body);
-	return 0;
+	return rc;
 }
 
 int main(int argc, char **argv)
--- /dev/null
+++ b/src/lwstub_relay.c
@@ -0,0 +1,191 @@
+/*
+ * lwstub-relay: a stand-in of the network between two nodes, for failure
+ * tests. It forwards TCP connections, and on a signal misbehaves as networks
+ * do without telling either end:
+ *   SIGUSR1  the open connections go silent for good; new ones work
+ *   SIGUSR2  cut, or heal: while cut nothing passes, connections are taken
+ *            and stay silent; what was open at the cut stays silent after it
+ */
+#include <argtable2.h>
+#include <poll.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "linux/sock.h"
+#include "log.h"
+#include "version.h"
+#include "xalloc.h"
+
+#define RELAY_STACK	 (128 * 1024)
+#define RELAY_POLL_MS	 50
+#define RELAY_CONNECT_MS 500
+
+typedef struct link {
+	int near, far;
+	unsigned epoch; /* silent once the relay's epoch has moved on */
+} link_t;
+
+static unsigned relay_epoch;
+static unsigned relay_cut; /* 0 or 1 */
+static const char *relay_to;
+
+/* move what is there from @in to @out; false when @in ended */
+static bool forward(int in, int out)
+{
+	char buf[16384];
+	ssize_t n = read(in, buf, sizeof(buf));
+	char *p = buf;
+
+	if (n <= 0)
+		return false;
+	while (n > 0) {
+		ssize_t w = write(out, p, (size_t)n);
+
+		if (w <= 0)
+			return false;
+		p += w;
+		n -= w;
+	}
+	return true;
+}
+
+static bool silent(const link_t *l)
+{
+	return l->epoch != __atomic_load_n(&relay_epoch, __ATOMIC_RELAXED);
+}
+
+static void *link_main(void *arg)
+{
+	link_t *l = arg;
+	bool open = true;
+
+	while (open) {
+		struct pollfd p[2] = { { .fd = l->near, .events = POLLIN },
+				       { .fd = l->far, .events = POLLIN } };
+
+		if (silent(l)) {
+			/* neither end is told: both sockets stay open and unread */
+			pause();
+			continue;
+		}
+		if (poll(p, 2, RELAY_POLL_MS) <= 0 || silent(l))
+			continue;
+		if (p[0].revents)
+			open = forward(l->near, l->far);
+		if (open && p[1].revents)
+			open = forward(l->far, l->near);
+	}
+	close(l->near);
+	close(l->far);
+	free(l);
+	return NULL;
+}
+
+static void take(int near)
+{
+	link_t *l = xcalloc(1, sizeof(*l));
+	pthread_attr_t attr;
+	pthread_t t;
+
+	l->near = near;
+	l->epoch = __atomic_load_n(&relay_epoch, __ATOMIC_RELAXED);
+	l->far = -1;
+	if (__atomic_load_n(&relay_cut, __ATOMIC_RELAXED)) {
+		free(l); /* taken by the kernel, never answered: as behind a partition */
+		return;
+	}
+	if (lw_sock_connect(relay_to, RELAY_CONNECT_MS, &l->far)) {
+		close(near);
+		free(l);
+		return;
+	}
+	pthread_attr_init(&attr);
+	pthread_attr_setstacksize(&attr, RELAY_STACK);
+	pthread_attr_setdetachstate(&attr, PTHREAD_CREATE_DETACHED);
+	if (pthread_create(&t, &attr, link_main, l)) {
+		close(l->near);
+		close(l->far);
+		free(l);
+	}
+	pthread_attr_destroy(&attr);
+}
+
+static void *accept_main(void *arg)
+{
+	int fd = *(int *)arg;
+
+	for (;;) {
+		int c = accept4(fd, NULL, NULL, SOCK_CLOEXEC);
+
+		if (c >= 0)
+			take(c);
+	}
+	return NULL;
+}
+
+static void serve_signals(const sigset_t *set)
+{
+	int sig;
+
+	while (sigwait(set, &sig) == 0) {
+		if (sig != SIGUSR1 && sig != SIGUSR2)
+			return;
+		if (sig == SIGUSR2)
+			__atomic_xor_fetch(&relay_cut, 1, __ATOMIC_RELAXED);
+		__atomic_add_fetch(&relay_epoch, 1, __ATOMIC_RELAXED);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "print this help and exit");
+	struct arg_lit *version = arg_lit0(NULL, "version", "print the version and exit");
+	struct arg_str *listen = arg_str0(NULL, "listen", "IP:PORT", "address to take connections");
+	struct arg_str *to = arg_str0(NULL, "to", "IP:PORT", "address to forward them to");
+	struct arg_end *end = arg_end(5);
+	void *table[] = { help, version, listen, to, end };
+	pthread_t t;
+	sigset_t set;
+	int fd;
+
+	lw_log_init("lwstub-relay", LOG_INFO);
+	if (arg_parse(argc, argv, table) > 0) {
+		arg_print_errors(stderr, end, "lwstub-relay");
+		return 2;
+	}
+	if (help->count) {
+		printf("Usage: lwstub-relay");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-24s %s\n");
+		return 0;
+	}
+	if (version->count) {
+		printf("lwstub-relay %s\n", LW_VERSION);
+		return 0;
+	}
+	if (!listen->count || !to->count) {
+		fprintf(stderr, "lwstub-relay: give --listen and --to; see --help\n");
+		return 2;
+	}
+	relay_to = to->sval[0];
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGUSR1);
+	sigaddset(&set, SIGUSR2);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	if (lw_sock_listen(listen->sval[0], &fd)) {
+		fprintf(stderr, "lwstub-relay: %s\n", lw_error_last());
+		return 1;
+	}
+	pthread_create(&t, NULL, accept_main, &fd);
+	lw_log(LW_LOG_started, "listen=%s to=%s", listen->sval[0], relay_to);
+	serve_signals(&set);
+	return 0;
+}
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -25,7 +25,8 @@
 	bad e2e_mixed_load_served
 fi
 if grep -q 'crossed 0$' "$DIR/load.txt"; then ok e2e_each_caller_own_answer; else bad e2e_each_caller_own_answer; fi
-if python3 tests/histcheck.py "$DIR/history.txt" "$DIR/exec.log" --budget 2 --client-retries 2 >"$DIR/check.txt"; then
+if python3 tests/histcheck.py "$DIR/history.txt" "$DIR"/exec-*.log --budget 2 --client-retries 2 \
+	--reads zone-svc/availability --calls register=3 >"$DIR/check.txt"; then
 	ok e2e_history_check
 else
 	bad e2e_history_check
@@ -39,7 +40,7 @@
 # Cause: the node rightly replayed the stored answer of the first run's
 #   k1; the load tool's keys were not unique across runs. They now carry
 #   a per-run nonce.
-for pid in $(sed -n '14p;16p' "$DIR/pids"); do kill -TERM "$pid"; done
+kill -TERM "$(pid_of backend-3-0)" "$(pid_of backend-3-1)"
 sleep 0.3
 # shellcheck disable=SC2046
 $BIN/lwload --mix 'billing-svc/renew:1!' $(cluster_nodes) --rate 20 --seconds 1 --deadline-ms 500 \
--- a/tests/histcheck.py
+++ b/tests/histcheck.py
@@ -1,56 +1,95 @@
 #!/usr/bin/env python3
 """History checker: verifies the brief's promises on a concurrent run.
 
-Inputs: the lwload history (invoke/complete lines) and the backend
-stand-ins' execution log (exec SERVICE ROUTE KEY REQUEST_ID). Checks:
-  at_most_once   a keyed (non-idempotent) user request ran at most once
-                 at each service it reached
-  not_run_honest a request answered not_run ran nowhere
+Usage: histcheck.py HISTORY EXECLOG... [--budget N] [--client-retries N]
+                    [--reads SVC/ROUTE,..] [--calls ROUTE=N,..]
+Inputs: lwload's history (invoke/complete lines) and the backend stand-ins'
+execution logs (exec SERVICE ROUTE KEY REQUEST_ID).
+  --reads  routes that are idempotent: calls of them may run for a request
+           that is itself answered not_run
+  --calls  how many calls a request of a route makes in all, itself included
+Checks:
+  completed      every request got an answer
+  at_most_once   a keyed (non-idempotent) user request, and each keyed call
+                 it made, ran at most once over all servers
+  not_run_honest a request answered not_run ran nowhere, nor did any of its
+                 calls but idempotent ones
   done_complete  a request answered done ran at its entry service
-  retry_bound    executions per user request stay within the bound the
-                 whole-chain budget and the client's retries allow
+  retry_bound    executions per user request stay within its calls plus the
+                 whole-chain budget, for each attempt of the client
 Exit 0 when all hold; prints each violation otherwise.
 """
+import argparse
 import collections
 import sys
 
 
-def main(argv):
-    hist, execlog = argv[1], argv[2]
-    budget = int(argv[argv.index("--budget") + 1]) if "--budget" in argv else 2
-    client = int(argv[argv.index("--client-retries") + 1]) if "--client-retries" in argv else 0
+def parse_args(argv):
+    p = argparse.ArgumentParser()
+    p.add_argument("history")
+    p.add_argument("execlogs", nargs="+")
+    p.add_argument("--budget", type=int, default=2)
+    p.add_argument("--client-retries", type=int, default=0)
+    p.add_argument("--reads", default="")
+    p.add_argument("--calls", default="")
+    a = p.parse_args(argv)
+    a.reads = {tuple(r.split("/")) for r in a.reads.split(",") if r}
+    a.calls = {c.split("=")[0]: int(c.split("=")[1]) for c in a.calls.split(",") if c}
+    return a
+
+
+def read_history(path):
     invoked, completed = {}, {}
-    for line in open(hist):
-        f = line.split()
-        if f[0] == "invoke":
-            invoked[f[1]] = (f[2], f[3])
-        elif f[0] == "complete":
-            completed[f[1]] = f[2]
+    with open(path, encoding="ascii") as f:
+        for line in f:
+            w = line.split()
+            if w[0] == "invoke":
+                invoked[w[1]] = (w[2], w[3])
+            elif w[0] == "complete":
+                completed[w[1]] = w[2]
+    return invoked, completed
+
+
+def read_executions(paths):
+    """Request id -> list of (service, route, key)."""
     runs = collections.defaultdict(list)
-    for line in open(execlog):
-        f = line.split()
-        if len(f) == 5 and f[0] == "exec":
-            runs[f[4]].append((f[1], f[2], f[3]))
+    for path in paths:
+        with open(path, encoding="ascii") as f:
+            for line in f:
+                w = line.split()
+                # a killed server may leave a cut last line: it did not commit
+                if len(w) == 5 and w[0] == "exec" and line.endswith("\n"):
+                    runs[w[4]].append((w[1], w[2], w[3]))
+    return runs
+
+
+def check_request(uid, route, key, outcome, execs, a):
+    service, name = route.split("/")
+    if outcome is None:
+        yield f"completed: {uid} was invoked and never answered"
+        return
+    if key != "-":
+        counts = collections.Counter((s, r) for s, r, k in execs if k != "-")
+        for (s, r), n in counts.items():
+            if n > 1 and (s, r) not in a.reads:
+                yield f"at_most_once: {uid} ran {n} times at {s}/{r}"
+    acted = [e for e in execs if e[:2] not in a.reads or e[:2] == (service, name)]
+    if outcome == "not_run" and acted:
+        yield f"not_run_honest: {uid} answered not_run but ran {acted}"
+    if outcome == "done" and not any(s == service for s, _, _ in execs):
+        yield f"done_complete: {uid} answered done but never ran at {service}"
+    bound = (a.calls.get(name, 1) + a.budget) * (1 + a.client_retries)
+    if len(execs) > bound:
+        yield f"retry_bound: {uid} ran {len(execs)} times, bound {bound}"
+
+
+def main(argv):
+    a = parse_args(argv)
+    invoked, completed = read_history(a.history)
+    runs = read_executions(a.execlogs)
     bad = []
     for uid, (route, key) in invoked.items():
-        outcome = completed.get(uid)
-        if outcome is None:
-            bad.append(f"{uid}: invoked, never completed")
-            continue
-        execs = runs.get(uid, [])
-        if key != "-":
-            per = collections.Counter((svc, r) for svc, r, _ in execs)
-            for (svc, r), n in per.items():
-                if n > 1:
-                    bad.append(f"at_most_once: {uid} ran {n} times at {svc}/{r}")
-        if outcome == "not_run" and execs:
-            bad.append(f"not_run_honest: {uid} answered not_run but ran {execs}")
-        entry = route.split("/")[0]
-        if outcome == "done" and not any(svc == entry for svc, _, _ in execs):
-            bad.append(f"done_complete: {uid} answered done but never ran at {entry}")
-        limit = (1 + budget) * (1 + client) * 3
-        if len(execs) > limit:
-            bad.append(f"retry_bound: {uid} ran {len(execs)} times, bound {limit}")
+        bad.extend(check_request(uid, route, key, completed.get(uid), runs.get(uid, []), a))
     for b in bad[:50]:
         print(b)
     print(f"checked {len(invoked)} requests, {sum(len(v) for v in runs.values())} executions, "
@@ -59,4 +98,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(sys.argv))
+    sys.exit(main(sys.argv[1:]))
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -11,16 +11,15 @@
 calc() { awk "BEGIN { printf \"%.3f\", $1 }"; }
 
 cpu_ticks() {
-	# user+system ticks of the pids on lines $@ of $DIR/pids
+	# user+system ticks of all nodes
 	t=0
-	for n in "$@"; do
-		pid=$(sed -n "${n}p" "$DIR/pids")
+	for pid in $(node_pids); do
 		set -- $(cut -d' ' -f14,15 "/proc/$pid/stat")
 		t=$((t + $1 + $2))
 	done
 	echo $t
 }
-NODE_LINES="3 5 7 9 11 13 15 17"
+rss_kb() { awk '/^VmRSS/ { print $2 }' "/proc/$1/status"; }
 p99() { sed -n 's/^latency_ms p50 \([0-9.]*\) p99 \([0-9.]*\).*/\1 \2/p' "$1"; }
 
 if [ "${BENCH_ONLY:-}" != surge ]; then
@@ -31,9 +30,9 @@
 RN=127.0.0.1:$(port_of 1 0 0)
 $BIN/lwload --mix 'whois-svc/lookup:1' --node "whois-svc=$WB" --via direct --rate 300 --seconds 5 --workers 8 >"$DIR/direct.txt"
 $BIN/lwload --mix 'whois-svc/lookup:1' --node "whois-svc=$WN" --rate 300 --seconds 5 --workers 8 >"$DIR/call.txt"
-c0=$(cpu_ticks $NODE_LINES)
+c0=$(cpu_ticks)
 $BIN/lwload --mix 'whois-svc/lookup:1' --node "whois-svc=$RN" --via out --rate 300 --seconds 5 --workers 8 >"$DIR/out.txt"
-c1=$(cpu_ticks $NODE_LINES)
+c1=$(cpu_ticks)
 set -- $(p99 "$DIR/direct.txt"); d50=$1; d99=$2
 set -- $(p99 "$DIR/call.txt"); c50=$1; c99=$2
 set -- $(p99 "$DIR/out.txt"); o50=$1; o99=$2
@@ -45,13 +44,12 @@
 reqs=$(sed -n 's/^total *\([0-9]*\) done.*/\1/p' "$DIR/out.txt")
 out cpu_per_call_two_passes "$(calc "($c1 - $c0) * 1000000 / $HZ / $reqs")" us
 echo "== control cost at rest (10 s, 8 nodes: ticks, heartbeats, config watch)"
-c0=$(cpu_ticks $NODE_LINES)
+c0=$(cpu_ticks)
 sleep 10
-c1=$(cpu_ticks $NODE_LINES)
+c1=$(cpu_ticks)
 out idle_cpu_per_node "$(calc "($c1 - $c0) * 100 / $HZ / 10 / 8")" percent_of_a_core
-for n in 3 7; do
-	pid=$(sed -n "${n}p" "$DIR/pids")
-	out node_rss_kb "$(awk '/^VmRSS/ { print $2 }' /proc/$pid/status)" kB
+for n in node-0-0 node-1-0; do
+	out node_rss "$(rss_kb "$(pid_of $n)")" kB
 done
 echo "== preset change in force at every node (5 changes)"
 s0=$($BIN/lwstub-config --to "127.0.0.1:$BASE" --stats | sed -n 's/^watches //p')
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -25,7 +25,7 @@
 
 svc_calls() {
 	case $1 in
-	registrar-core) echo "--calls register=zone-svc/availability,billing-svc/charge" ;;
+	registrar-core) echo "--calls register=zone-svc/availability?,billing-svc/charge" ;;
 	*) echo "" ;;
 	esac
 }
@@ -45,15 +45,12 @@
 		i=0
 		for s in $SERVICES; do
 			for k in 0 1; do
-				zone=hala-a
-				[ $k = 1 ] && zone=hala-b
-				[ $i = 2 ] && [ $k = 1 ] && zone=hala-c
 				echo ""
 				echo "[[hosts]]"
 				echo "service = \"$s\""
-				echo "node = \"127.0.0.1:$(port_of $i $k 1)\""
-				echo "zone = \"$zone\""
-				echo "state = \"${LEAVING_STATE:-live}\""
+				echo "node = \"127.0.0.1:$(peer_port_of $i $k)\""
+				echo "zone = \"$(zone_of $i $k)\""
+				echo "state = \"live\""
 			done
 			i=$((i + 1))
 		done
@@ -69,50 +66,102 @@
 	$BIN/lwstub-config --to "127.0.0.1:$BASE" --fault "$1" >/dev/null
 }
 
+zone_of() {
+	# service number, instance
+	if [ "$2" = 0 ]; then echo hala-a; elif [ "$1" = 2 ]; then echo hala-c; else echo hala-b; fi
+}
+
+name_of() {
+	# shellcheck disable=SC2086
+	set -- "$1" $SERVICES
+	shift "$1"
+	echo "$2"
+}
+
+# the address peers use: behind a relay, for the services in $RELAYED
+peer_port_of() {
+	case " ${RELAYED:-} " in
+	*" $1 "*) port_of "$1" "$2" 4 ;;
+	*) port_of "$1" "$2" 1 ;;
+	esac
+}
+
+# what runs: lines "KIND-SERVICE-INSTANCE PID" in $DIR/pids, newest last
+note_pid() { echo "$1 $2" >>"$DIR/pids"; }
+pid_of() { sed -n "s/^$1 //p" "$DIR/pids" | tail -1; }
+all_pids() { cut -d' ' -f2 "$DIR/pids"; }
+node_pids() { sed -n 's/^node-[^ ]* //p' "$DIR/pids"; }
+
+start_backend() {
+	s=$(name_of "$1")
+	# shellcheck disable=SC2046
+	$BIN/lwstub-backend --service "$s" --listen "127.0.0.1:$(port_of "$1" "$2" 3)" \
+		--node "127.0.0.1:$(port_of "$1" "$2" 0)" --slots "$(svc_slots "$s")" \
+		--service-ms "${SERVICE_MS:-3}" $(svc_calls "$s") $(svc_extra "$s") \
+		--log "$DIR/exec-$1-$2.log" 2>>"$DIR/backend.log" &
+	note_pid "backend-$1-$2" $!
+}
+
+start_node() {
+	s=$(name_of "$1")
+	$BIN/lwnode --service "$s" --zone "$(zone_of "$1" "$2")" \
+		--listen "127.0.0.1:$(port_of "$1" "$2" 0)" \
+		--peer-listen "127.0.0.1:$(port_of "$1" "$2" 1)" \
+		--advertise "127.0.0.1:$(peer_port_of "$1" "$2")" \
+		--admin "127.0.0.1:$(port_of "$1" "$2" 2)" \
+		--backend "127.0.0.1:$(port_of "$1" "$2" 3)" --slots "$(svc_slots "$s")" \
+		--config-service "127.0.0.1:$BASE" --policy "$POLICY" \
+		--log-level "${LOG_LEVEL:-notice}" 2>>"$DIR/node-$1-$2.log" &
+	note_pid "node-$1-$2" $!
+}
+
+start_relay() {
+	$BIN/lwstub-relay --listen "127.0.0.1:$(port_of "$1" "$2" 4)" \
+		--to "127.0.0.1:$(port_of "$1" "$2" 1)" 2>>"$DIR/relay.log" &
+	note_pid "relay-$1-$2" $!
+}
+
+start_config() {
+	# $1 = the document it starts with
+	$BIN/lwstub-config --listen "127.0.0.1:$BASE" --load "lavenderward=$1" \
+		2>>"$DIR/config.log" &
+	note_pid config $!
+}
+
+status_of() { $BIN/lwctl status "127.0.0.1:$(port_of "$1" "$2" 2)" 2>/dev/null; }
+
+# nodes that hold configuration version $1 or newer
+nodes_with_config() {
+	n=0
+	for i in 0 1 2 3; do
+		for k in 0 1; do
+			v=$(status_of $i $k | sed -n 's/^config_version //p')
+			[ "${v:-0}" -ge "$1" ] && n=$((n + 1))
+		done
+	done
+	echo $n
+}
+
 cluster_start() {
 	DIR=$1
 	BASE=$2
 	POLICY=${3:-guard}
 	: >"$DIR/pids"
+	rm -f "$DIR"/exec-*.log
 	write_config "$DIR/config.toml" 1 ordinary
-	$BIN/lwstub-config --listen "127.0.0.1:$BASE" --load "lavenderward=$DIR/config.toml" \
-		2>>"$DIR/config.log" &
-	echo $! >>"$DIR/pids"
-	i=0
-	for s in $SERVICES; do
+	start_config "$DIR/config.toml"
+	for i in 0 1 2 3; do
 		for k in 0 1; do
-			zone=hala-a
-			[ $k = 1 ] && zone=hala-b
-			[ $i = 2 ] && [ $k = 1 ] && zone=hala-c
-			# shellcheck disable=SC2046
-			$BIN/lwstub-backend --service "$s" --listen "127.0.0.1:$(port_of $i $k 3)" \
-				--node "127.0.0.1:$(port_of $i $k 0)" --slots "$(svc_slots $s)" \
-				--service-ms "${SERVICE_MS:-3}" $(svc_calls $s) $(svc_extra $s) --log "$DIR/exec.log" \
-				2>>"$DIR/backend.log" &
-			echo $! >>"$DIR/pids"
-			$BIN/lwnode --service "$s" --zone "$zone" --listen "127.0.0.1:$(port_of $i $k 0)" \
-				--peer-listen "127.0.0.1:$(port_of $i $k 1)" \
-				--admin "127.0.0.1:$(port_of $i $k 2)" \
-				--backend "127.0.0.1:$(port_of $i $k 3)" --slots "$(svc_slots $s)" \
-				--config-service "127.0.0.1:$BASE" --policy "$POLICY" \
-				--log-level "${LOG_LEVEL:-notice}" 2>>"$DIR/node.log" &
-			echo $! >>"$DIR/pids"
+			case " ${RELAYED:-} " in *" $i "*) start_relay $i $k ;; esac
+			start_backend $i $k
+			start_node $i $k
 		done
-		i=$((i + 1))
 	done
-	# wait until every node holds the configuration
 	for _ in $(seq 1 100); do
-		ready=0
-		for n in 0 1 2 3 4 5 6 7; do
-			if $BIN/lwctl status "127.0.0.1:$((BASE + 10 + n * 10 + 2))" 2>/dev/null |
-				grep -q '^config_version [1-9]'; then
-				ready=$((ready + 1))
-			fi
-		done
-		[ $ready = 8 ] && return 0
+		[ "$(nodes_with_config 1)" = 8 ] && return 0
 		sleep 0.1
 	done
-	echo "cluster: nodes did not get the configuration; see $DIR/node.log" >&2
+	echo "cluster: nodes did not get the configuration; see $DIR/node-*.log" >&2
 	return 1
 }
 
@@ -133,21 +182,26 @@
 	done
 }
 
+any_alive() {
+	for pid in $(all_pids); do
+		kill -0 "$pid" 2>/dev/null && return 0
+	done
+	return 1
+}
+
 cluster_stop() {
 	[ -f "$DIR/pids" ] || return 0
-	while read -r pid; do
+	for pid in $(all_pids); do
+		kill -CONT "$pid" 2>/dev/null
 		kill -TERM "$pid" 2>/dev/null
-	done <"$DIR/pids"
+	done
 	for _ in $(seq 1 50); do
-		alive=0
-		while read -r pid; do
-			kill -0 "$pid" 2>/dev/null && alive=1
-		done <"$DIR/pids"
-		[ $alive = 0 ] && break
+		any_alive || break
 		sleep 0.1
 	done
-	while read -r pid; do
+	for pid in $(all_pids); do
 		kill -KILL "$pid" 2>/dev/null
-	done <"$DIR/pids"
+	done
+	wait 2>/dev/null
 	: >"$DIR/pids"
 }
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -11,8 +11,7 @@
 $BIN/lwload --mix 'whois-svc/lookup:60~,registrar-core/register:10!,billing-svc/renew:10!,zone-svc/upload:20' \
 	$(cluster_nodes) --rate 150 --seconds 4 --deadline-ms 1000 --history "$DIR/history.txt"
 echo "== a request whose backend server is down gets a typed answer, not a hang"
-# stop both billing backends (the 7th and 9th pid lines are billing's backends)
-for pid in $(sed -n '14p;16p' "$DIR/pids"); do kill -TERM "$pid"; done
+kill -TERM "$(pid_of backend-3-0)" "$(pid_of backend-3-1)"
 sleep 0.2
 # shellcheck disable=SC2046
 $BIN/lwload --mix 'billing-svc/renew:1!' $(cluster_nodes) --rate 5 --seconds 1 --deadline-ms 500
