--- a/src/lwload.c
+++ b/src/lwload.c
@@ -370,7 +370,7 @@
 /* of the seconds @from up to @to; samples are sorted by second */
 static stretch_t stretch_of(size_t from, size_t to)
 {
-	size_t first = 0, n = 0, good = 0;
+	size_t first = 0, n = 0, good = 0, p99;
 	sample_t *part;
 	stretch_t s = { 1, 0 };
 
@@ -384,7 +384,8 @@
 	memcpy(part, &ld.samples[first], n * sizeof(*part));
 	qsort(part, n, sizeof(*part), cmp_latency);
 	s.success = (double)good / (double)n;
-	s.p99_ms = part[n * 99 / 100].lat_us / 1000.0;
+	p99 = n * 99 / 100;
+	s.p99_ms = part[p99].lat_us / 1000.0;
 	free(part);
 	return s;
 }
@@ -431,11 +432,11 @@
 	       (unsigned long long)all, 100.0 * (double)good / (double)(all ? all : 1),
 	       (double)good / ld.seconds);
 	if (ld.nsamples) {
-		size_t n = ld.nsamples;
+		size_t n = ld.nsamples, p99 = n * 99 / 100;
 
 		qsort(ld.samples, n, sizeof(*ld.samples), cmp_latency);
 		printf("latency_ms p50 %.2f p99 %.2f max %.2f\n", ld.samples[n / 2].lat_us / 1000.0,
-		       ld.samples[n * 99 / 100].lat_us / 1000.0, ld.samples[n - 1].lat_us / 1000.0);
+		       ld.samples[p99].lat_us / 1000.0, ld.samples[n - 1].lat_us / 1000.0);
 		qsort(ld.samples, n, sizeof(*ld.samples), cmp_second);
 	}
 	printf("attempts %llu client_dropped %llu crossed %llu\n", (unsigned long long)ld.attempts,
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -1,4 +1,5 @@
 /* Tests of the configuration document and the node settings. */
+#include <malloc.h>
 #include <string.h>
 
 #include "lwtest.h"
@@ -74,6 +75,52 @@
 	CU_ASSERT_PTR_NOT_NULL(strstr(lw_error_last(), "1..65535"));
 }
 
+/*
+ * Symptom (found by make fuzz): a node's memory grows with every broken
+ *   configuration that is published.
+ * Sequence: a document that is not TOML is read again and again.
+ * Cause: the parser threw past the only pointer to its new document.
+ */
+static void broken_document_leaks_nothing(void)
+{
+	static const char broken[] = "version = = 3\n[presets";
+	lw_platconf_t *pc;
+	size_t before = mallinfo2().uordblks;
+
+	for (int i = 0; i < 1000; i++)
+		CU_ASSERT_EQUAL(lw_platconf_parse(broken, strlen(broken), &pc), LW_ERR_CONFIG);
+	CU_ASSERT(mallinfo2().uordblks < before + 32 * 1024);
+}
+
+/*
+ * Symptom (found by make fuzz): one published document ends every node.
+ * Sequence: a document with stray characters in a table's name is read.
+ * Cause: the TOML library asserts on them. Its asserts now throw, and are
+ *   parse errors like any other.
+ */
+static void odd_table_names_refused(void)
+{
+	static const char nul[] = "version = 3\n[\0\0-node]\n";
+	static const char symbol[] = "version = 3\n[ !node]\n";
+	lw_platconf_t *pc;
+
+	CU_ASSERT_EQUAL(lw_platconf_parse(nul, sizeof(nul) - 1, &pc), LW_ERR_CONFIG);
+	CU_ASSERT_EQUAL(lw_platconf_parse(symbol, sizeof(symbol) - 1, &pc), LW_ERR_CONFIG);
+	CU_ASSERT_PTR_NOT_NULL(strstr(lw_error_last(), "not TOML"));
+}
+
+/* Operators write comments in their own language. */
+static void letters_beyond_ascii_allowed(void)
+{
+	static const char doc[] = "# Szczyt: więcej rejestracji, පීක්\n"
+				  "version = 3\npreset = \"szczyt\"\n[presets.szczyt]\n";
+	lw_platconf_t *pc;
+
+	CU_ASSERT_EQUAL_FATAL(lw_platconf_parse(doc, sizeof(doc) - 1, &pc), LW_OK);
+	CU_ASSERT_STRING_EQUAL(pc->in_force->name, "szczyt");
+	lw_platconf_free(pc);
+}
+
 void suite_config(void)
 {
 	CU_pSuite s = CU_add_suite("config", NULL, NULL);
@@ -81,4 +128,7 @@
 	CU_add_test(s, "config_good", config_good);
 	CU_add_test(s, "config_bad_refused_with_remedy", config_bad_refused_with_remedy);
 	CU_add_test(s, "settings_checked", settings_checked);
+	CU_add_test(s, "broken_document_leaks_nothing", broken_document_leaks_nothing);
+	CU_add_test(s, "odd_table_names_refused", odd_table_names_refused);
+	CU_add_test(s, "letters_beyond_ascii_allowed", letters_beyond_ascii_allowed);
 }
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -1,14 +1,18 @@
 /* Failure tests of the HTTP server and the peer connections, over loopback. */
 #include <fcntl.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include "frame.h"
 #include "httpc.h"
 #include "httpd.h"
 #include "lwtest.h"
+#include "request.h"
 
 #define NET_PORT_HTTP "127.0.0.1:26901"
 
@@ -53,9 +57,115 @@
 		close(fds[i]);
 }
 
+typedef struct pipe_end {
+	int fd;
+	const uint8_t *bytes;
+	size_t len;
+	unsigned pause_ms;
+} pipe_end_t;
+
+static void *send_late(void *arg)
+{
+	pipe_end_t *e = arg;
+
+	usleep(e->pause_ms * 1000);
+	CU_ASSERT_EQUAL(write(e->fd, e->bytes, e->len), (ssize_t)e->len);
+	return NULL;
+}
+
+static size_t pong_bytes(uint64_t nonce, uint8_t **buf)
+{
+	Lw__Frame f = LW__FRAME__INIT;
+	Lw__Ping p = LW__PING__INIT;
+
+	p.nonce = nonce;
+	p.sender = "127.0.0.1:7101";
+	f.body_case = LW__FRAME__BODY_PONG;
+	f.pong = &p;
+	return lw_frame_encode(&f, buf);
+}
+
+/*
+ * Symptom: after a slow moment a caller gets an answer made of another's.
+ * Sequence: a peer sends the first half of a frame, is held up past the
+ *   reader's timeout, and sends the rest.
+ * Cause: the reader reported "nothing came" and read on: the rest of the old
+ *   frame was taken for the start of the next. A cut frame is now an error
+ *   that ends the connection; only "no byte at all" may be read again.
+ */
+static void frame_cut_midway_is_an_error(void)
+{
+	uint8_t *buf;
+	size_t n = pong_bytes(7, &buf);
+	Lw__Frame *f;
+	int sv[2];
+
+	CU_ASSERT_EQUAL_FATAL(socketpair(AF_UNIX, SOCK_STREAM, 0, sv), 0);
+	CU_ASSERT_EQUAL(lw_frame_read(sv[0], 20, 20, &f), LW_ERR_TIMEOUT);
+	CU_ASSERT_EQUAL(write(sv[1], buf, n / 2), (ssize_t)(n / 2));
+	CU_ASSERT_EQUAL(lw_frame_read(sv[0], 20, 20, &f), LW_ERR_IO);
+	CU_ASSERT_PTR_NULL(f);
+	close(sv[0]);
+	close(sv[1]);
+	free(buf);
+}
+
+/* A frame that comes in two parts within its time is whole. */
+static void frame_in_parts_is_whole(void)
+{
+	uint8_t *buf;
+	size_t n = pong_bytes(8, &buf);
+	Lw__Frame *f;
+	pthread_t t;
+	int sv[2];
+
+	CU_ASSERT_EQUAL_FATAL(socketpair(AF_UNIX, SOCK_STREAM, 0, sv), 0);
+	CU_ASSERT_EQUAL(write(sv[1], buf, 3), 3);
+	pipe_end_t rest = { sv[1], buf + 3, n - 3, 30 };
+
+	pthread_create(&t, NULL, send_late, &rest);
+	CU_ASSERT_EQUAL(lw_frame_read(sv[0], 1000, 5000, &f), LW_OK);
+	CU_ASSERT_EQUAL(f->pong->nonce, 8);
+	lw_frame_free(f);
+	pthread_join(t, NULL);
+	close(sv[0]);
+	close(sv[1]);
+	free(buf);
+}
+
+/*
+ * Symptom: a caller gets the answer of another caller's request.
+ * Sequence: two callers use the same idempotency key on two routes; or two
+ *   long keys that differ only past their 127th byte.
+ * Cause: the record's key was a hash of the idempotency key alone, cut at
+ *   127 bytes. The route is part of it, and a longer key is refused.
+ */
+static void idem_keys_do_not_cross(void)
+{
+	char longer[200];
+	Lw__Request f = LW__REQUEST__INIT;
+	lw_request_t rq;
+	lw_key_t a = lw_request_idem_key("billing-svc/renew", "k1");
+	lw_key_t b = lw_request_idem_key("registrar-core/register", "k1");
+	lw_key_t same = lw_request_idem_key("billing-svc/renew", "k1");
+
+	CU_ASSERT(a.hi != b.hi && a.lo != b.lo);
+	CU_ASSERT(a.hi == same.hi && a.lo == same.lo);
+	CU_ASSERT_FALSE(lw_key_is_set(lw_request_idem_key("billing-svc/renew", "")));
+	memset(longer, 'k', sizeof(longer) - 1);
+	longer[sizeof(longer) - 1] = '\0';
+	f.route = "billing-svc/renew";
+	f.idempotency_key = longer;
+	CU_ASSERT_EQUAL(lw_request_from_frame(&f, NULL, &rq), LW_ERR_PROTO);
+	CU_ASSERT_PTR_NOT_NULL(strstr(lw_error_last(), "shorten it"));
+}
+
 void suite_net(void)
 {
 	CU_pSuite s = CU_add_suite("net", NULL, NULL);
 
 	CU_add_test(s, "httpd_serves_past_1024_descriptors", httpd_serves_past_1024_descriptors);
+	CU_add_test(s, "frame_cut_midway_is_an_error", frame_cut_midway_is_an_error);
+	CU_add_test(s, "frame_in_parts_is_whole", frame_in_parts_is_whole);
+	CU_add_test(s, "idem_keys_do_not_cross", idem_keys_do_not_cross);
 }
