A starting node takes no request before it has asked its peers

Cause: a node restarted while the configuration service is stale accepted the old version and served requests under it until its first heartbeat (reading the code; up to 0.6 s), though the fleet had a newer one in force: an accepted configuration reverted, on one node, for that long. Ruled out: refusing the service's first answer (a node alone, or a fleet started as a whole, has nothing else). It now exchanges heartbeats with four random peers first, fetches a newer version if one has it, and answers not_run/starting meanwhile, 2 s at most. config_stale_and_down checks the version it joins with: failed with the exchange taken out (joined with version 1), passes with it (version 2).

--- a/src/adminpage.c
+++ b/src/adminpage.c
@@ -50,11 +50,12 @@
 	pthread_mutex_lock(&n->lock);
 	fprintf(f,
 		"service %s\nzone %s\npolicy %s\npreset %s\nconfig_version %" PRIu64 "\n"
-		"draining %s\ninflight %u\nqueued %u\noutbound %u\nlimit %.1f\nrecords %zu\n"
+		"joined %s\ndraining %s\ninflight %u\nqueued %u\noutbound %u\nlimit %.1f\nrecords %zu\n"
 		"record_bytes %zu\npeers %zu\n",
 		n->set.service, n->set.zone, n->policy->ops->name, in->preset, in->config_version,
-		in->draining ? "yes" : "no", in->inflight, in->queued, in->outbound, in->limit,
-		in->records, in->record_bytes, listed_peers(in->peers));
+		lw_node_joined(n) ? "yes" : "no", in->draining ? "yes" : "no", in->inflight,
+		in->queued, in->outbound, in->limit, in->records, in->record_bytes,
+		listed_peers(in->peers));
 	print_peers(f, in->peers, lw_now_ms());
 	pthread_mutex_unlock(&n->lock);
 	fclose(f);
--- a/src/confwatch.c
+++ b/src/confwatch.c
@@ -169,12 +169,27 @@
 			pthread_cond_wait(&n->config_cond, &n->lock);
 		memcpy(addr, n->config_hint, sizeof(addr));
 		n->config_hint[0] = '\0';
+		n->config_fetching = true;
 		pthread_mutex_unlock(&n->lock);
 		fetch_from(n, addr);
+		pthread_mutex_lock(&n->lock);
+		n->config_fetching = false;
+		pthread_mutex_unlock(&n->lock);
 	}
 	return NULL;
 }
 
+/* lw_confwatch_fetching() - true while a newer version is known of and not here yet. */
+bool lw_confwatch_fetching(lw_node_t *n)
+{
+	bool busy;
+
+	pthread_mutex_lock(&n->lock);
+	busy = n->config_hint[0] || n->config_fetching;
+	pthread_mutex_unlock(&n->lock);
+	return busy;
+}
+
 /* lw_confwatch_start() - begin to watch the service and to listen for hints. */
 void lw_confwatch_start(lw_node_t *n)
 {
--- a/src/guard.c
+++ b/src/guard.c
@@ -22,7 +22,7 @@
 #define IDEM_KEEP_MS	  120000 /* repeats are replayed for two minutes */
 #define ATTEMPT_MAX	  16384
 #define ATTEMPT_BYTES_MAX (4u << 20)
-#define ATTEMPT_KEEP_MS	  5000 /* longer than any caller waits before it asks */
+#define ATTEMPT_KEEP_MS	  30000 /* longer than any caller asks after its attempt */
 #define MIN_ATTEMPT_MS	  2 /* less time than this left: do not try */
 #define PROBE_LATENCIES	  4.0 /* silent for so many usual latencies: ask */
 #define PROBE_MIN_MS	  50
--- a/src/heartbeat.c
+++ b/src/heartbeat.c
@@ -20,6 +20,9 @@
 #define WATCHED_MAX    4 /* suspected or draining peers asked in a round */
 #define POOL_IDLE_MS   10000 /* idle connections are closed after this */
 #define CALLER_KEEP_MS 60000 /* callers of the last minute are told of a drain */
+#define JOIN_PEERS     4 /* peers asked before the first request is taken */
+#define JOIN_POLL_MS   5
+#define JOIN_MAX_MS    2000
 #define DRAIN_THREADS  4 /* peers told of a drain at the same time */
 
 /* lw_heartbeat_fill() - this node's state, for a ping or a pong. */
@@ -121,11 +124,45 @@
 	pthread_mutex_unlock(&n->lock);
 }
 
+static bool has_config(const lw_node_t *n)
+{
+	return __atomic_load_n(&n->policy->info.config_version, __ATOMIC_RELAXED) != 0;
+}
+
+/*
+ * Before it takes requests, a node compares its configuration with a few
+ * peers: it may have started while the service serves an old version, and
+ * must not act on what the fleet has left behind. It waits for this no
+ * longer than JOIN_MAX_MS, so that a fleet started as a whole, or without
+ * the service, comes up too.
+ */
+static void join_fleet(lw_node_t *n)
+{
+	uint64_t until = lw_now_ms() + JOIN_MAX_MS;
+
+	while (!has_config(n) && lw_now_ms() < until)
+		usleep(JOIN_POLL_MS * 1000);
+	for (int i = 0; i < JOIN_PEERS && lw_now_ms() < until; i++) {
+		char addr[1][LW_NAME_MAX];
+		size_t turn = 0;
+
+		if (choose(n, addr, 1, &turn))
+			ping_peer(n, addr[0]);
+	}
+	while (lw_confwatch_fetching(n) && lw_now_ms() < until)
+		usleep(JOIN_POLL_MS * 1000);
+	__atomic_store_n(&n->joined, 1, __ATOMIC_RELEASE);
+	lw_log(LW_LOG_joined, "version=%llu",
+	       (unsigned long long)__atomic_load_n(&n->policy->info.config_version,
+						   __ATOMIC_RELAXED));
+}
+
 static void *heartbeat_main(void *arg)
 {
 	lw_node_t *n = arg;
 	size_t turn = 0;
 
+	join_fleet(n);
 	while (!__atomic_load_n(&n->stopping, __ATOMIC_RELAXED)) {
 		char addrs[1 + WATCHED_MAX][LW_NAME_MAX];
 		size_t count = choose(n, addrs, 1 + WATCHED_MAX, &turn);
--- a/src/inbound.c
+++ b/src/inbound.c
@@ -10,6 +10,8 @@
 #include "log.h"
 #include "node_int.h"
 
+#define LW_STARTING_RETRY_MS 500
+
 /* the reducer's word on a repeat that this node has no record of */
 static void look_up(lw_node_t *n, lw_call_t *c, const lw_request_t *rq)
 {
@@ -88,6 +90,12 @@
 	uint64_t deadline_at = lw_now_ms() + rq->deadline_ms;
 	lw_call_t c;
 
+	if (!lw_node_joined(n)) {
+		*res = (lw_result_t){ .outcome = LW_NOT_RUN,
+				      .reason = LW_R_STARTING,
+				      .retry_after_ms = LW_STARTING_RETRY_MS };
+		return;
+	}
 	pthread_mutex_lock(&n->lock);
 	lw_node_call_open(n, &c);
 	ev.id = c.id;
--- a/src/log.h
+++ b/src/log.h
@@ -13,6 +13,8 @@
 	X(1000, started, LOG_INFO, "a process started; fields give its addresses")                 \
 	X(1001, stopping, LOG_NOTICE, "a process was asked to stop and is draining")               \
 	X(1002, stopped, LOG_INFO, "a process finished draining and exits")                        \
+	X(1003, joined, LOG_NOTICE,                                                                \
+	  "the node has compared its configuration with peers and takes requests")                 \
 	X(1100, settings_invalid, LOG_ERR, "settings file rejected; the node does not start")      \
 	X(1101, args_invalid, LOG_ERR, "command line rejected")                                    \
 	X(1200, config_accepted, LOG_NOTICE, "a newer valid configuration is in force")            \
--- a/src/lw.pb-c.c
+++ b/src/lw.pb-c.c
@@ -1342,7 +1342,7 @@
   lw__outcome__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue lw__reason__enum_values_by_number[10] =
+static const ProtobufCEnumValue lw__reason__enum_values_by_number[11] =
 {
   { "REASON_NONE", "LW__REASON__REASON_NONE", 0 },
   { "REASON_OVERLOADED", "LW__REASON__REASON_OVERLOADED", 1 },
@@ -1354,11 +1354,12 @@
   { "REASON_TIMEOUT", "LW__REASON__REASON_TIMEOUT", 7 },
   { "REASON_NOT_RECEIVED", "LW__REASON__REASON_NOT_RECEIVED", 8 },
   { "REASON_NO_RECORD", "LW__REASON__REASON_NO_RECORD", 9 },
+  { "REASON_STARTING", "LW__REASON__REASON_STARTING", 10 },
 };
 static const ProtobufCIntRange lw__reason__value_ranges[] = {
-{0, 0},{0, 10}
+{0, 0},{0, 11}
 };
-static const ProtobufCEnumValueIndex lw__reason__enum_values_by_name[10] =
+static const ProtobufCEnumValueIndex lw__reason__enum_values_by_name[11] =
 {
   { "REASON_BACKEND_ERROR", 6 },
   { "REASON_DEADLINE", 3 },
@@ -1369,6 +1370,7 @@
   { "REASON_NO_BACKEND", 4 },
   { "REASON_NO_RECORD", 9 },
   { "REASON_OVERLOADED", 1 },
+  { "REASON_STARTING", 10 },
   { "REASON_TIMEOUT", 7 },
 };
 const ProtobufCEnumDescriptor lw__reason__descriptor =
@@ -1378,9 +1380,9 @@
   "Reason",
   "Lw__Reason",
   "lw",
-  10,
+  11,
   lw__reason__enum_values_by_number,
-  10,
+  11,
   lw__reason__enum_values_by_name,
   1,
   lw__reason__value_ranges,
--- a/src/lwburn.c
+++ b/src/lwburn.c
@@ -19,7 +19,8 @@
 #include "version.h"
 #include "xalloc.h"
 
-#define ROWS_MAX 128
+#define ROWS_MAX  1024 /* services times classes */
+#define NODES_MAX 2048
 
 typedef struct row {
 	char service[LW_NAME_MAX];
@@ -156,7 +157,8 @@
 {
 	struct arg_lit *help = arg_lit0("h", "help", "print this help and exit");
 	struct arg_lit *version = arg_lit0(NULL, "version", "print the version and exit");
-	struct arg_str *nodes = arg_strn(NULL, "node", "ADMIN", 1, 256, "a node's admin ip:port");
+	struct arg_str *nodes =
+		arg_strn(NULL, "node", "ADMIN", 1, NODES_MAX, "a node's admin ip:port");
 	struct arg_dbl *slo =
 		arg_dbl0(NULL, "slo", "RATIO", "objective, e.g. 0.999 (default 0.99)");
 	struct arg_int *interval =
--- a/src/node.c
+++ b/src/node.c
@@ -208,6 +208,12 @@
 	return (uint32_t)(now - alive);
 }
 
+/* lw_node_joined() - false while requests have to be refused: see heartbeat.c. */
+bool lw_node_joined(const lw_node_t *n)
+{
+	return __atomic_load_n(&n->joined, __ATOMIC_ACQUIRE) != 0;
+}
+
 static void on_alive(void *ctx, uint64_t now)
 {
 	lw_node_t *n = ctx;
--- a/src/node_int.h
+++ b/src/node_int.h
@@ -83,6 +83,7 @@
 	pthread_mutex_t config_lock; /* one writer at a time */
 	pthread_cond_t config_cond;
 	char config_hint[LW_NAME_MAX]; /* a peer that holds a newer version */
+	bool config_fetching;
 	lw_backend_t *backend;
 	lw_pool_t *pool;
 	lw_timer_t *timer;
@@ -93,6 +94,7 @@
 	int serving; /* requests read and not yet answered on the wire */
 	int stopping;
 	bool exit_ready;
+	int joined; /* requests are taken; see heartbeat.c */
 	lw_node_counters_t count;
 };
 
@@ -101,6 +103,7 @@
 void lw_node_call_close(lw_node_t *n, lw_call_t *c);
 uint32_t lw_node_load_permille(const lw_node_t *n);
 uint32_t lw_node_paused_ms(lw_node_t *n);
+bool lw_node_joined(const lw_node_t *n);
 
 void lw_inbound_serve(lw_node_t *n, const lw_request_t *rq, lw_result_t *res);
 void lw_inbound_http(void *ctx, const lw_http_req_t *req, lw_http_resp_t *resp);
@@ -114,6 +117,7 @@
 void lw_heartbeat_heard(lw_node_t *n, const Lw__Ping *ping);
 void lw_heartbeat_tell_callers(lw_node_t *n);
 void lw_confwatch_start(lw_node_t *n);
+bool lw_confwatch_fetching(lw_node_t *n);
 void lw_confwatch_peer_has(lw_node_t *n, const char *addr, uint64_t version);
 void lw_adminpage_http(void *ctx, const lw_http_req_t *req, lw_http_resp_t *resp);
 
--- a/src/policy.c
+++ b/src/policy.c
@@ -44,8 +44,9 @@
 const char *lw_reason_name(lw_reason_t r)
 {
 	static const char *const names[LW_R_COUNT] = {
-		"none",	     "overloaded",    "draining", "deadline",	  "no_backend",
-		"in_flight", "backend_error", "timeout",  "not_received", "no_record",
+		"none",		"overloaded", "draining",      "deadline",
+		"no_backend",	"in_flight",  "backend_error", "timeout",
+		"not_received", "no_record",  "starting",
 	};
 
 	return (unsigned)r < LW_R_COUNT ? names[r] : "?";
--- a/src/policy.h
+++ b/src/policy.h
@@ -33,6 +33,7 @@
 	LW_R_TIMEOUT,
 	LW_R_NOT_RECEIVED, /* the peer never got it, and now refuses it for good */
 	LW_R_NO_RECORD, /* a repeat whose first attempt nobody remembers */
+	LW_R_STARTING, /* the node has not joined the fleet yet */
 	LW_R_COUNT
 } lw_reason_t;
 
--- a/tests/faults.sh
+++ b/tests/faults.sh
@@ -253,6 +253,10 @@
 	kill -KILL "$(pid_of node-2-0)"
 	start_node 2 0
 	expect "the restarted node stays on the stale version" in_force_everywhere 2 8
+	expect "the restarted node read no stale version" grep -q 'E1200.*version=1 ' "$DIR/node-2-0.log"
+	# it must not take requests on the version that the fleet has left
+	expect "it took requests on the stale version" sh -c \
+		"grep 'E1003' '$DIR/node-2-0.log' | tail -1 | grep -q 'version=2'"
 	sleep 2
 	expect "a node went back" [ "$(nodes_with_config 2)" = 8 ]
 	expect "a node took the older version" sh -c "! grep -h 'E1200.*version=1 ' '$DIR'/node-0-0.log | sed 1d | grep -q ."
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -135,8 +135,8 @@
 	n=0
 	for i in 0 1 2 3; do
 		for k in 0 1; do
-			v=$(status_of $i $k | sed -n 's/^config_version //p')
-			[ "${v:-0}" -ge "$1" ] && n=$((n + 1))
+			status_of $i $k | awk -v want="$1" '$1 == "config_version" { v = $2 }
+				$1 == "joined" { j = $2 } END { exit !(v >= want && j == "yes") }' && n=$((n + 1))
 		done
 	done
 	echo $n
