A failed call no longer cuts its caller's limit; deeper work goes first

A registration whose payment call was refused comes back "overloaded", and the node took that for its own backend server's refusal.

With it: of equal class the request deeper in its chain goes first, since more work is lost with it (depth travels in the envelope), and critical work may wait 5 times queue_ms for a slot, default work twice, never so long that less than twice the usual service time is left. deeper_goes_first.

Renewals give way to the payments of registrations.

--- a/src/admission.c
+++ b/src/admission.c
@@ -66,43 +66,73 @@
 }
 
 /*
- * lw_admission_offer() - decide on request @id of class @cls with
- * @deadline_ms left. *@displaced is set to the id of a less critical queued
- * request that has to make room (to be answered not_run), else 0.
+ * How long @o may wait for a slot: more critical work longer, and nothing so
+ * long that the backend server would then have less than twice its usual
+ * time left to answer. 0: not at all.
+ */
+static uint32_t queue_bound(const lw_admission_t *a, const lw_offer_t *o, double service_ms)
+{
+	static const uint32_t patience[LW_CLASS_COUNT] = { 1, 2, 5 };
+	double spare = o->deadline_ms - 2.0 * service_ms;
+	uint32_t bound = a->queue_ms * patience[o->cls];
+
+	if (spare < 1)
+		return 0;
+	return bound < spare ? bound : (uint32_t)spare;
+}
+
+/*
+ * lw_admission_offer() - decide on request @o. *@displaced is set to the id
+ * of a less critical queued request that has to make room (to be answered
+ * not_run), else 0.
  *
  * A deadline below the usual service time is refused early. The service
  * time is learned from finished requests alone, so refusing all of them
  * would keep an old, slow estimate for ever and the node would never
  * recover: an idle backend server's estimate is dropped after a second.
  */
-lw_verdict_t lw_admission_offer(lw_admission_t *a, uint64_t id, lw_class_t cls,
-				uint32_t deadline_ms, uint64_t now_ms, uint64_t *displaced)
+lw_verdict_t lw_admission_offer(lw_admission_t *a, const lw_offer_t *o, uint64_t now_ms,
+				uint64_t *displaced)
 {
+	uint32_t wait_ms;
 	double service_ms;
 
 	*displaced = 0;
-	a->seen[cls] = now_ms + 1;
+	a->seen[o->cls] = now_ms + 1;
 	if (a->inflight == 0 && now_ms - a->limiter.sampled_ms >= ESTIMATE_MS)
 		a->limiter.ewma_ms = 0;
 	service_ms = a->limiter.ewma_ms;
-	if (deadline_ms < service_ms)
+	if (o->deadline_ms < service_ms)
 		return LW_ADMIT_TOO_LATE;
-	if (fits(a, cls, now_ms)) {
+	if (fits(a, o->cls, now_ms)) {
 		a->inflight++;
 		return LW_ADMIT_NOW;
 	}
-	if (a->queue_ms == 0 || deadline_ms <= a->queue_ms + service_ms)
+	wait_ms = queue_bound(a, o, service_ms);
+	if (wait_ms == 0)
 		return LW_ADMIT_OVERLOADED;
-	if (a->nqueue == LW_QUEUE_MAX && !displace(a, cls, displaced))
+	if (a->nqueue == LW_QUEUE_MAX && !displace(a, o->cls, displaced))
 		return LW_ADMIT_OVERLOADED;
-	a->queue[a->nqueue++] =
-		(lw_waiting_t){ .id = id, .cls = cls, .until_ms = now_ms + a->queue_ms };
+	a->queue[a->nqueue++] = (lw_waiting_t){
+		.id = o->id, .cls = o->cls, .depth = o->depth, .until_ms = now_ms + wait_ms
+	};
 	return LW_ADMIT_QUEUED;
 }
 
 /*
- * lw_admission_next() - take the most critical, then oldest, queued request
- * that fits now; false when none does.
+ * Of two waiting requests the more critical goes first, then the one deeper
+ * in its chain (more work is lost with it), then the older.
+ */
+static bool goes_before(const lw_waiting_t *w, const lw_waiting_t *than)
+{
+	if (w->cls != than->cls)
+		return w->cls > than->cls;
+	return w->depth > than->depth;
+}
+
+/*
+ * lw_admission_next() - take the first queued request, in the order of
+ * goes_before(), that fits now; false when none does.
  */
 bool lw_admission_next(lw_admission_t *a, uint64_t now_ms, uint64_t *id)
 {
@@ -110,7 +140,7 @@
 
 	for (size_t i = 0; i < a->nqueue; i++)
 		if (fits(a, a->queue[i].cls, now_ms) &&
-		    (best == a->nqueue || a->queue[i].cls > a->queue[best].cls))
+		    (best == a->nqueue || goes_before(&a->queue[i], &a->queue[best])))
 			best = i;
 	if (best == a->nqueue)
 		return false;
@@ -120,6 +150,17 @@
 	return true;
 }
 
+/* lw_admission_next_expiry() - when the next queued request has waited too long. */
+uint64_t lw_admission_next_expiry(const lw_admission_t *a)
+{
+	uint64_t next = UINT64_MAX;
+
+	for (size_t i = 0; i < a->nqueue; i++)
+		if (a->queue[i].until_ms < next)
+			next = a->queue[i].until_ms;
+	return next;
+}
+
 /* lw_admission_expired() - take a queued request that waited too long, if any. */
 bool lw_admission_expired(lw_admission_t *a, uint64_t now_ms, uint64_t *id)
 {
--- a/src/admission.h
+++ b/src/admission.h
@@ -19,9 +19,18 @@
 typedef struct lw_waiting {
 	uint64_t id;
 	lw_class_t cls;
+	uint32_t depth;
 	uint64_t until_ms; /* answered not_run at this time */
 } lw_waiting_t;
 
+/* a request that asks to be admitted */
+typedef struct lw_offer {
+	uint64_t id;
+	lw_class_t cls;
+	uint32_t depth; /* calls between the user's request and this one */
+	uint32_t deadline_ms; /* left */
+} lw_offer_t;
+
 typedef enum lw_verdict {
 	LW_ADMIT_NOW,
 	LW_ADMIT_QUEUED,
@@ -32,7 +41,7 @@
 typedef struct lw_admission {
 	lw_limiter_t limiter;
 	double share[LW_CLASS_COUNT];
-	uint32_t queue_ms;
+	uint32_t queue_ms; /* longest wait of sheddable work; others wait longer */
 	uint64_t seen[LW_CLASS_COUNT]; /* last arrival of each class, plus one */
 	size_t inflight;
 	size_t nqueue;
@@ -41,8 +50,9 @@
 
 void lw_admission_init(lw_admission_t *a, uint32_t slots);
 void lw_admission_preset(lw_admission_t *a, const lw_preset_t *p);
-lw_verdict_t lw_admission_offer(lw_admission_t *a, uint64_t id, lw_class_t cls,
-				uint32_t deadline_ms, uint64_t now_ms, uint64_t *displaced);
+lw_verdict_t lw_admission_offer(lw_admission_t *a, const lw_offer_t *o, uint64_t now_ms,
+				uint64_t *displaced);
+uint64_t lw_admission_next_expiry(const lw_admission_t *a);
 bool lw_admission_next(lw_admission_t *a, uint64_t now_ms, uint64_t *id);
 bool lw_admission_expired(lw_admission_t *a, uint64_t now_ms, uint64_t *id);
 void lw_admission_done(lw_admission_t *a, uint32_t latency_ms, bool sample, bool overloaded,
--- a/src/guard.c
+++ b/src/guard.c
@@ -34,6 +34,7 @@
 	lw_key_t idem_key, attempt_key;
 	uint32_t deadline_ms;
 	uint32_t budget; /* retries left for the calls it makes */
+	uint32_t depth;
 	bool running; /* at the backend server, not queued */
 	bool child_failed; /* a call it made failed and was retried there */
 	UT_hash_handle hh;
@@ -47,6 +48,7 @@
 	bool maybe_ran; /* an earlier attempt ended unknown: "not run" would be a lie */
 	uint64_t deadline_at;
 	lw_user_budget_t budget;
+	uint32_t depth;
 	uint32_t attempt;
 	int peer;
 	UT_hash_handle hh;
@@ -138,6 +140,7 @@
 	c->attempt_key = ev->attempt_key;
 	c->deadline_ms = ev->deadline_ms;
 	c->budget = ev->retry_budget;
+	c->depth = ev->depth;
 	HASH_ADD(hh, g->in, id, sizeof(c->id), c);
 	return c;
 }
@@ -145,6 +148,9 @@
 static void on_offer(guard_t *g, const lw_event_t *ev, lw_effects_t *out)
 {
 	in_call_t *c = in_new(g, ev);
+	lw_offer_t offer = {
+		.id = c->id, .cls = c->cls, .depth = c->depth, .deadline_ms = c->deadline_ms
+	};
 	in_call_t *loser;
 	uint64_t displaced;
 
@@ -152,16 +158,16 @@
 		in_refuse(g, c, LW_R_OVERLOADED, out);
 		return;
 	}
-	switch (lw_admission_offer(&g->admission, c->id, c->cls, c->deadline_ms, ev->now_ms,
-				   &displaced)) {
+	switch (lw_admission_offer(&g->admission, &offer, ev->now_ms, &displaced)) {
 	case LW_ADMIT_NOW:
 		in_admit(g, c, out);
 		return;
 	case LW_ADMIT_QUEUED:
 		g->base.stats.queued[c->cls]++;
 		lw_effects_push(out, &(lw_effect_t){ .kind = LW_FX_QUEUE, .id = c->id });
-		lw_effects_push(out, &(lw_effect_t){ .kind = LW_FX_ARM,
-						     .at_ms = ev->now_ms + g->admission.queue_ms });
+		lw_effects_push(out,
+				&(lw_effect_t){ .kind = LW_FX_ARM,
+						.at_ms = lw_admission_next_expiry(&g->admission) });
 		loser = displaced ? in_find(g, displaced) : NULL;
 		if (loser) {
 			lw_effects_log(out, 1300, loser->cls, (int64_t)g->admission.inflight);
@@ -293,8 +299,9 @@
 									  &g->admission, c->cls),
 					.no_retry = ev->outcome != LW_DONE && c->child_failed });
 	settle_records(g, c, ev, out);
+	/* "overloaded" of a call it made says nothing about this backend server */
 	lw_admission_done(&g->admission, ev->latency_ms, ev->outcome != LW_NOT_RUN,
-			  ev->reason == LW_R_OVERLOADED, ev->now_ms);
+			  ev->reason == LW_R_OVERLOADED && !c->child_failed, ev->now_ms);
 	in_forget(g, c);
 	admit_from_queue(g, ev->now_ms, out);
 	check_drained(g, out);
@@ -379,6 +386,7 @@
 				.id = c->id,
 				.peer = peer,
 				.attempt = c->attempt,
+				.depth = c->depth,
 				.timeout_ms = timeout,
 				.probe_ms = probe_after(lw_peerset_get(g->peers, peer), timeout),
 				.retry_budget = lw_user_budget_grant(&c->budget, c->idempotent) });
@@ -401,9 +409,11 @@
 	c->deadline_at = ev->now_ms + ev->deadline_ms;
 	c->budget.total = ev->retry_budget;
 	c->peer = -1;
+	c->depth = 1;
 	if (parent) {
 		/* borrow all of it: two calls of one request must not spend it twice */
 		c->parent = ev->parent;
+		c->depth = parent->depth + 1;
 		c->budget.total = parent->budget;
 		parent->budget = 0;
 	}
@@ -498,6 +508,10 @@
 		lw_effects_log(out, 1307, (int64_t)id, c->cls);
 		in_refuse(g, c, LW_R_OVERLOADED, out);
 	}
+	if (g->admission.nqueue)
+		lw_effects_push(out,
+				&(lw_effect_t){ .kind = LW_FX_ARM,
+						.at_ms = lw_admission_next_expiry(&g->admission) });
 	lw_records_expire(g->by_idem_key, ev->now_ms, release, out);
 	lw_records_expire(g->by_attempt, ev->now_ms, release, out);
 	check_drained(g, out);
--- a/src/inbound.c
+++ b/src/inbound.c
@@ -103,6 +103,7 @@
 	ev.deadline_ms = rq->deadline_ms;
 	ev.retry_budget = rq->retry_budget;
 	ev.repeat = rq->repeat;
+	ev.depth = rq->depth;
 	ev.idem_key = lw_request_idem_key(rq->route, rq->idem_key);
 	ev.attempt_key = rq->attempt_key;
 	lw_node_step(n, &ev);
--- a/src/lw.pb-c.c
+++ b/src/lw.pb-c.c
@@ -367,7 +367,7 @@
   assert(message->base.descriptor == &lw__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lw__request__field_descriptors[13] =
+static const ProtobufCFieldDescriptor lw__request__field_descriptors[14] =
 {
   {
     "request_id",
@@ -525,6 +525,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "depth",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Request, depth),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__request__field_indices_by_name[] = {
   4,   /* field[4] = attempt */
@@ -532,6 +544,7 @@
   2,   /* field[2] = class */
   6,   /* field[6] = config_version */
   1,   /* field[1] = deadline_ms */
+  13,   /* field[13] = depth */
   5,   /* field[5] = idempotency_key */
   10,   /* field[10] = repeat */
   0,   /* field[0] = request_id */
@@ -544,7 +557,7 @@
 static const ProtobufCIntRange lw__request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor lw__request__descriptor =
 {
@@ -554,7 +567,7 @@
   "Lw__Request",
   "lw",
   sizeof(Lw__Request),
-  13,
+  14,
   lw__request__field_descriptors,
   lw__request__field_indices_by_name,
   1,  lw__request__number_ranges,
--- a/src/lw.pb-c.h
+++ b/src/lw.pb-c.h
@@ -92,10 +92,14 @@
    * its start; with request_id names the attempt
    */
   uint64_t sender_incarnation;
+  /*
+   * calls between the user's request and this one
+   */
+  uint32_t depth;
 };
 #define LW__REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__request__descriptor) \
-    , 0, 0, LW__CLASS__CLASS_SHEDDABLE, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, LW__CLASS__CLASS_SHEDDABLE, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Lw__Reply
--- a/src/node.c
+++ b/src/node.c
@@ -87,6 +87,7 @@
 	c->attempt = e->attempt;
 	c->timeout_ms = e->timeout_ms;
 	c->probe_ms = e->probe_ms;
+	c->depth = e->depth;
 	c->retry_budget = e->retry_budget;
 }
 
--- a/src/node_int.h
+++ b/src/node_int.h
@@ -48,7 +48,7 @@
 	pthread_cond_t cond;
 	lw_result_t res;
 	int peer;
-	uint32_t attempt, timeout_ms, probe_ms, retry_budget;
+	uint32_t attempt, timeout_ms, probe_ms, retry_budget, depth;
 	UT_hash_handle hh;
 } lw_call_t;
 
--- a/src/outbound.c
+++ b/src/outbound.c
@@ -75,6 +75,7 @@
 	r.route = (char *)rq->route;
 	r.trace_id = (char *)rq->user_id;
 	r.repeat = rq->repeat;
+	r.depth = c->depth;
 	r.sender = n->set.advertise;
 	r.sender_incarnation = n->incarnation;
 	r.config_version = __atomic_load_n(&n->policy->info.config_version, __ATOMIC_RELAXED);
--- a/src/policy.h
+++ b/src/policy.h
@@ -62,6 +62,7 @@
 	lw_key_t attempt_key; /* of the sender and its attempt; QUERY: what is asked */
 	bool repeat; /* an earlier attempt with this key ended unknown */
 	bool idempotent;
+	uint32_t depth; /* IN_REQUEST: calls between the user's request and it */
 	uint64_t parent; /* OUT_REQUEST: the inbound request it is part of, or 0 */
 	uint32_t service; /* OUT_REQUEST: index of the target service */
 	int peer; /* OUT_REPLY, PEER_STATE: index into the peer set */
@@ -108,6 +109,7 @@
 	uint32_t timeout_ms;
 	uint32_t probe_ms; /* SEND: silent for so long, ask the peer what became of it */
 	uint32_t retry_budget; /* SEND, ADMIT: budget left for what it calls */
+	uint32_t depth; /* SEND */
 	lw_record_state_t record;
 	uint64_t at_ms;
 	void *answer;
--- a/src/request.c
+++ b/src/request.c
@@ -129,6 +129,7 @@
 	rq->deadline_ms = f->deadline_ms < LW_DEADLINE_MAX_MS ? f->deadline_ms : LW_DEADLINE_MAX_MS;
 	rq->retry_budget = f->retry_budget < LW_BUDGET_MAX ? f->retry_budget : LW_BUDGET_MAX;
 	rq->repeat = f->repeat;
+	rq->depth = f->depth;
 	rq->attempt_key = lw_request_attempt_key(f->sender_incarnation, f->request_id);
 	rq->body = (lw_str_t){ (const char *)f->body.data, f->body.len };
 	return LW_OK;
--- a/src/request.h
+++ b/src/request.h
@@ -30,6 +30,7 @@
 	uint32_t retry_budget;
 	char idem_key[LW_IDEM_MAX]; /* empty: none */
 	char user_id[LW_NAME_MAX]; /* the user request's id, for tracing */
+	uint32_t depth; /* calls between the user's request and this one */
 	uint64_t parent; /* inbound request it is part of, 0 if none */
 	lw_key_t attempt_key; /* frames: of the sender and its attempt */
 	lw_str_t body; /* borrowed from the connection */
--- a/tests/script.c
+++ b/tests/script.c
@@ -33,8 +33,8 @@
 			 lw_outcome_name(e->outcome), lw_reason_name(e->reason));
 		break;
 	case LW_FX_SEND:
-		snprintf(buf, len, "send id=%llu peer=%d attempt=%u budget=%u",
-			 (unsigned long long)e->id, e->peer, e->attempt, e->retry_budget);
+		snprintf(buf, len, "send id=%llu peer=%d attempt=%u budget=%u depth=%u",
+			 (unsigned long long)e->id, e->peer, e->attempt, e->retry_budget, e->depth);
 		break;
 	case LW_FX_RECORD:
 		snprintf(buf, len, "record id=%llu state=%s", (unsigned long long)e->id,
@@ -102,6 +102,7 @@
 	ev->attempt_key.lo = (uint64_t)kv(line, "attempt", 0);
 	ev->repeat = kv(line, "repeat", 0) != 0;
 	ev->refuse = kv(line, "refuse", 0) != 0;
+	ev->depth = (uint32_t)kv(line, "depth", 0);
 	ev->parent = (uint64_t)kv(line, "parent", 0);
 	ev->incarnation = (uint64_t)kv(line, "incarnation", 1);
 	ev->retries_used = (uint32_t)kv(line, "used", 0);
