--- a/src/lwstub_backend.c
+++ b/src/lwstub_backend.c
@@ -38,6 +38,8 @@
 	char node[LW_NAME_MAX];
 	unsigned slots;
 	unsigned busy;
+	unsigned queue, waiting; /* requests beyond the slots that may wait */
+	pthread_cond_t slot_free;
 	double service_ms;
 	unsigned cold_ms;
 	uint64_t started_ms;
@@ -63,11 +65,18 @@
 	lw_http_replyf(resp, 503, "not_run %s\n", reason);
 }
 
-static bool slot_take(void)
+/* a slot, waited for in a queue of be.queue places until @deadline_at */
+static bool slot_take(uint64_t deadline_at)
 {
 	bool ok;
 
 	pthread_mutex_lock(&be.lock);
+	if (!be.draining && be.busy >= be.slots && be.waiting < be.queue) {
+		be.waiting++;
+		while (be.busy >= be.slots && lw_now_ms() < deadline_at)
+			lw_cond_wait_until(&be.slot_free, &be.lock, deadline_at);
+		be.waiting--;
+	}
 	ok = !be.draining && be.busy < be.slots;
 	if (ok)
 		be.busy++;
@@ -79,6 +88,7 @@
 {
 	pthread_mutex_lock(&be.lock);
 	be.busy--;
+	pthread_cond_signal(&be.slot_free);
 	pthread_mutex_unlock(&be.lock);
 }
 
@@ -169,7 +179,7 @@
 	unsigned retries = 0, t;
 	bool acted = false;
 
-	if (!slot_take()) {
+	if (!slot_take(deadline_at)) {
 		answer_not_run(resp, be.draining ? "draining" : "overloaded");
 		return;
 	}
@@ -297,12 +307,14 @@
 		arg_strn(NULL, "calls", "ROUTE=SVC/NAME[?],..", 0, 8, "downstream calls; ? reads");
 	struct arg_file *logf = arg_file0(NULL, "log", "FILE", "execution log for history checks");
 	struct arg_int *extra = arg_int0(NULL, "extra-ms", "MS", "added to every service time");
+	struct arg_int *queue =
+		arg_int0(NULL, "queue", "N", "requests that may wait for a slot (default 0)");
 	struct arg_str *to = arg_str0(NULL, "to", "IP:PORT", "client mode: the running stand-in");
 	struct arg_str *ctl =
 		arg_str0(NULL, "ctl", "FAULT",
 			 "client mode: slow?ms=N, lose?percent=N, fail?percent=N, drain, lie");
 	struct arg_end *end = arg_end(5);
-	void *table[] = { help, version, listen, service, node, slots, ms,
+	void *table[] = { help, version, listen, service, node, slots, ms, queue,
 			  cold, calls,	 logf,	 extra,	  to,	ctl,   end };
 	char path[128];
 	lw_httpd_t *h;
@@ -336,6 +348,8 @@
 	snprintf(be.service, sizeof(be.service), "%s", service->sval[0]);
 	snprintf(be.node, sizeof(be.node), "%s", node->count ? node->sval[0] : "127.0.0.1:7100");
 	be.slots = slots->count ? (unsigned)slots->ival[0] : 8;
+	be.queue = queue->count ? (unsigned)queue->ival[0] : 0;
+	lw_cond_init_monotonic(&be.slot_free);
 	be.service_ms = ms->count ? ms->dval[0] : 5;
 	be.cold_ms = cold->count ? (unsigned)cold->ival[0] : 0;
 	be.started_ms = lw_now_ms();
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -234,6 +234,11 @@
 		echo "== $SITE: 3x surge of browsing for 6 s, payments slowed by 60 ms, hard-retrying clients"
 		surge_run naive naive 16
 		surge_run guard guard 16
+		echo "== $SITE: the same, backend servers that queue up to 500 requests"
+		BACKEND_QUEUE=500
+		surge_run naive naive 16
+		surge_run guard guard 16
+		BACKEND_QUEUE=0
 	done
 	SITE=wierzba
 }
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -97,7 +97,7 @@
 	# shellcheck disable=SC2086
 	$BIN/lwstub-backend --service "$s" --listen "127.0.0.1:$(port_of "$1" "$2" 3)" \
 		--node "127.0.0.1:$(port_of "$1" "$2" 0)" --slots "$(slots_of "$1")" \
-		--service-ms "${SERVICE_MS:-3}" $calls \
+		--service-ms "${SERVICE_MS:-3}" --queue "${BACKEND_QUEUE:-0}" $calls \
 		--log "$DIR/exec-$1-$2.log" 2>>"$DIR/backend.log" &
 	note_pid "backend-$1-$2" $!
 }
