--- a/src/lwburn.c
+++ b/src/lwburn.c
@@ -7,16 +7,15 @@
  * multiwindow burn-rate alert of Google's SRE Workbook, ch. 5).
  * Output: a text table, optional CSV, optional PNG bar chart (cairo).
  */
-#include <argtable2.h>
 #include <cairo.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
+#include "cli.h"
 #include "httpc.h"
 #include "platconf.h"
-#include "version.h"
 #include "xalloc.h"
 
 #define ROWS_MAX  1024 /* services times classes */
@@ -155,8 +154,7 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "print this help and exit");
-	struct arg_lit *version = arg_lit0(NULL, "version", "print the version and exit");
+	lw_cli_t cli = lw_cli_new("lwburn");
 	struct arg_str *nodes =
 		arg_strn(NULL, "node", "ADMIN", 1, NODES_MAX, "a node's admin ip:port");
 	struct arg_dbl *slo =
@@ -166,27 +164,14 @@
 	struct arg_int *samples = arg_int0(NULL, "samples", "N", "reads (default 2)");
 	struct arg_file *csv = arg_file0(NULL, "csv", "FILE", "also write CSV here");
 	struct arg_file *png = arg_file0(NULL, "plot", "FILE", "also draw a PNG bar chart here");
-	struct arg_end *end = arg_end(5);
-	void *table[] = { help, version, nodes, slo, interval, samples, csv, png, end };
+	void *table[] = { cli.help, cli.version, nodes, slo, interval, samples, csv, png, cli.end };
+	int rc = lw_cli_parse(&cli, argc, argv, table);
 	static double acc[ROWS_MAX][3];
 	double objective;
 	int n;
 
-	if (arg_parse(argc, argv, table) > 0 && !help->count && !version->count) {
-		arg_print_errors(stderr, end, "lwburn");
-		fprintf(stderr, "try 'lwburn --help'\n");
-		return 2;
-	}
-	if (help->count) {
-		printf("Usage: lwburn");
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-24s %s\n");
-		return 0;
-	}
-	if (version->count) {
-		printf("lwburn %s\n", LW_VERSION);
-		return 0;
-	}
+	if (rc != LW_CLI_RUN)
+		return rc;
 	objective = slo->count ? slo->dval[0] : 0.99;
 	if (objective <= 0 || objective >= 1) {
 		fprintf(stderr, "lwburn: --slo must be between 0 and 1, e.g. 0.999\n");
--- a/src/lwctl.c
+++ b/src/lwctl.c
@@ -8,16 +8,15 @@
  *   lwctl events                the log event catalogue
  * ADMIN is the node's admin address, ip:port.
  */
-#include <argtable2.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "cli.h"
 #include "httpc.h"
 #include "log.h"
 #include "platconf.h"
 #include "settings.h"
-#include "version.h"
 #include "xalloc.h"
 
 static int read_file(const char *path, char **buf, size_t *len)
@@ -74,31 +73,21 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "print this help and exit");
-	struct arg_lit *version = arg_lit0(NULL, "version", "print the version and exit");
+	lw_cli_t cli = lw_cli_new("lwctl");
 	struct arg_str *cmd = arg_str0(NULL, NULL, "COMMAND",
 				       "check, check-settings, status, metrics, drain, events");
 	struct arg_str *what =
 		arg_str0(NULL, NULL, "FILE|ADMIN", "file to check or node admin ip:port");
-	struct arg_end *end = arg_end(5);
-	void *table[] = { help, version, cmd, what, end };
+	void *table[] = { cli.help, cli.version, cmd, what, cli.end };
+	int rc = lw_cli_parse(&cli, argc, argv, table);
 	const char *c, *w;
 
-	if (arg_parse(argc, argv, table) > 0) {
-		arg_print_errors(stderr, end, "lwctl");
-		fprintf(stderr, "try 'lwctl --help'\n");
+	if (rc != LW_CLI_RUN)
+		return rc;
+	if (!cmd->count) {
+		fprintf(stderr, "lwctl: give a command; see 'lwctl --help'\n");
 		return 2;
 	}
-	if (help->count || !cmd->count) {
-		printf("Usage: lwctl");
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-24s %s\n");
-		return help->count ? 0 : 2;
-	}
-	if (version->count) {
-		printf("lwctl %s\n", LW_VERSION);
-		return 0;
-	}
 	c = cmd->sval[0];
 	w = what->count ? what->sval[0] : NULL;
 	if (strcmp(c, "events") == 0) {
--- a/src/lwload.c
+++ b/src/lwload.c
@@ -9,7 +9,6 @@
  * Latency and deadline count from the time a request was due, not from when
  * a free client took it up: a saturated client must not hide the wait.
  */
-#include <argtable2.h>
 #include <math.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -17,11 +16,11 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "cli.h"
 #include "httpc.h"
 #include "linux/clock.h"
 #include "platconf.h"
 #include "policy.h"
-#include "version.h"
 #include "xalloc.h"
 
 #define ROUTES_MAX  16
@@ -450,8 +449,7 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "print this help and exit");
-	struct arg_lit *version = arg_lit0(NULL, "version", "print the version and exit");
+	lw_cli_t cli = lw_cli_new("lwload");
 	struct arg_str *mix =
 		arg_str1(NULL, "mix", "SVC/NAME:W[!][~],..", "routes; ! keyed, ~ sheddable");
 	struct arg_str *nodes =
@@ -469,26 +467,13 @@
 	struct arg_str *via =
 		arg_str0(NULL, "via", "call|out|direct",
 			 "node caller port (default), node outbound port, or backend");
-	struct arg_end *end = arg_end(5);
-	void *table[] = { help, version, mix,	nodes, rate, secs, workers,
-			  dl,	retries, surge, hist,  via,  end };
+	void *table[] = { cli.help, cli.version, mix,	nodes, rate, secs,   workers,
+			  dl,	    retries,	 surge, hist,  via,  cli.end };
+	int rc = lw_cli_parse(&cli, argc, argv, table);
 	pthread_t gen, *ws;
 
-	if (arg_parse(argc, argv, table) > 0 && !help->count && !version->count) {
-		arg_print_errors(stderr, end, "lwload");
-		fprintf(stderr, "try 'lwload --help'\n");
-		return 2;
-	}
-	if (help->count) {
-		printf("Usage: lwload");
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-32s %s\n");
-		return 0;
-	}
-	if (version->count) {
-		printf("lwload %s\n", LW_VERSION);
-		return 0;
-	}
+	if (rc != LW_CLI_RUN)
+		return rc;
 	if (parse_mix(mix->sval[0]))
 		return 2;
 	for (int i = 0; i < nodes->count; i++)
--- a/src/lwnode.c
+++ b/src/lwnode.c
@@ -3,17 +3,16 @@
  * settings file, lets command-line values override it, and runs the node
  * until SIGTERM, when it drains and exits.
  */
-#include <argtable2.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
+#include "cli.h"
 #include "log.h"
 #include "node.h"
 #include "settings.h"
-#include "version.h"
 
 static void override(char *dst, struct arg_str *a)
 {
@@ -42,8 +41,7 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "print this help and exit");
-	struct arg_lit *version = arg_lit0(NULL, "version", "print the version and exit");
+	lw_cli_t cli = lw_cli_new("lwnode");
 	struct arg_lit *events = arg_lit0(NULL, "events", "print the log event catalogue and exit");
 	struct arg_file *config = arg_file0("c", "config", "FILE", "settings file (TOML)");
 	struct arg_str *service =
@@ -62,30 +60,18 @@
 	struct arg_str *policy =
 		arg_str0(NULL, "policy", "guard|naive", "reducer (naive: baseline)");
 	struct arg_str *level = arg_str0(NULL, "log-level", "LEVEL", "error..debug");
-	struct arg_end *end = arg_end(10);
-	void *table[] = { help,	     version, events,  config, service, zone,	listen, peer,
-			  advertise, admin,   backend, slots,  cfgsvc,	policy, level,	end };
+	void *table[] = {
+		cli.help,  cli.version, events,	 config, service, zone,	  listen, peer,
+		advertise, admin,	backend, slots,	 cfgsvc,  policy, level,  cli.end
+	};
+	int rc = lw_cli_parse(&cli, argc, argv, table);
 	lw_settings_t s;
 	lw_node_t *n;
 	sigset_t set;
-	int rc;
 
 	lw_log_init("lwnode", LOG_INFO);
-	if (arg_parse(argc, argv, table) > 0) {
-		arg_print_errors(stderr, end, "lwnode");
-		fprintf(stderr, "try 'lwnode --help'\n");
-		return 2;
-	}
-	if (help->count) {
-		printf("Usage: lwnode");
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-28s %s\n");
-		return 0;
-	}
-	if (version->count) {
-		printf("lwnode %s\n", LW_VERSION);
-		return 0;
-	}
+	if (rc != LW_CLI_RUN)
+		return rc;
 	if (events->count) {
 		lw_log_catalogue();
 		return 0;
--- a/src/lwstub_backend.c
+++ b/src/lwstub_backend.c
@@ -8,7 +8,6 @@
  * "not run". Every committed execution is written to its log for the history checker:
  *   exec SERVICE ROUTE KEY REQUEST_ID
  */
-#include <argtable2.h>
 #include <math.h>
 #include <pthread.h>
 #include <signal.h>
@@ -17,12 +16,12 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "cli.h"
 #include "httpc.h"
 #include "httpd.h"
 #include "linux/clock.h"
 #include "log.h"
 #include "platconf.h"
-#include "version.h"
 #include "xalloc.h"
 
 #define CALLS_MAX 16
@@ -295,8 +294,7 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "print this help and exit");
-	struct arg_lit *version = arg_lit0(NULL, "version", "print the version and exit");
+	lw_cli_t cli = lw_cli_new("lwstub-backend");
 	struct arg_str *listen = arg_str0(NULL, "listen", "IP:PORT", "address to serve");
 	struct arg_str *service = arg_str0(NULL, "service", "NAME", "service name");
 	struct arg_str *node = arg_str0(NULL, "node", "IP:PORT", "its lwnode, for outbound calls");
@@ -313,29 +311,17 @@
 	struct arg_str *ctl =
 		arg_str0(NULL, "ctl", "FAULT",
 			 "client mode: slow?ms=N, lose?percent=N, fail?percent=N, drain, lie");
-	struct arg_end *end = arg_end(5);
-	void *table[] = { help, version, listen, service, node, slots, ms, queue,
-			  cold, calls,	 logf,	 extra,	  to,	ctl,   end };
+	void *table[] = { cli.help, cli.version, listen, service, node, slots, ms,     queue,
+			  cold,	    calls,	 logf,	 extra,	  to,	ctl,   cli.end };
+	int rc = lw_cli_parse(&cli, argc, argv, table);
 	char path[128];
 	lw_httpd_t *h;
 	sigset_t set;
 	int sig;
 
 	lw_log_init("lwstub-backend", LOG_INFO);
-	if (arg_parse(argc, argv, table) > 0 && !help->count && !version->count) {
-		arg_print_errors(stderr, end, "lwstub-backend");
-		return 2;
-	}
-	if (help->count) {
-		printf("Usage: lwstub-backend");
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-28s %s\n");
-		return 0;
-	}
-	if (version->count) {
-		printf("lwstub-backend %s\n", LW_VERSION);
-		return 0;
-	}
+	if (rc != LW_CLI_RUN)
+		return rc;
 	if (to->count && ctl->count) {
 		snprintf(path, sizeof(path), "/ctl/%s", ctl->sval[0]);
 		return lw_httpc_command("lwstub-backend", to->sval[0], "POST", path,
--- a/src/lwstub_config.c
+++ b/src/lwstub_config.c
@@ -5,18 +5,17 @@
  * N or the wait ends). Tests publish with PUT and inject faults with
  * POST /v1/fault?mode=ok|down|stale|slow&ms=N. It counts every call.
  */
-#include <argtable2.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "cli.h"
 #include "httpc.h"
 #include "httpd.h"
 #include "linux/clock.h"
 #include "log.h"
-#include "version.h"
 #include "xalloc.h"
 
 #define KEYS_MAX  64
@@ -242,8 +241,7 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "print this help and exit");
-	struct arg_lit *version = arg_lit0(NULL, "version", "print the version and exit");
+	lw_cli_t cli = lw_cli_new("lwstub-config");
 	struct arg_str *listen =
 		arg_str0(NULL, "listen", "IP:PORT", "address (default 127.0.0.1:7000)");
 	struct arg_str *load =
@@ -255,28 +253,17 @@
 	struct arg_str *fault =
 		arg_str0(NULL, "fault", "MODE[:MS]", "client mode: ok, down, stale, slow:MS");
 	struct arg_lit *stats = arg_lit0(NULL, "stats", "client mode: print the call counts");
-	struct arg_end *end = arg_end(5);
-	void *table[] = { help, version, listen, load, to, key, publish, fault, stats, end };
+	void *table[] = { cli.help, cli.version, listen, load,	to,
+			  key,	    publish,	 fault,	 stats, cli.end };
+	int rc = lw_cli_parse(&cli, argc, argv, table);
 	char path[256];
 	lw_httpd_t *h;
 	sigset_t set;
 	int sig;
 
 	lw_log_init("lwstub-config", LOG_INFO);
-	if (arg_parse(argc, argv, table) > 0) {
-		arg_print_errors(stderr, end, "lwstub-config");
-		return 2;
-	}
-	if (help->count) {
-		printf("Usage: lwstub-config");
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-28s %s\n");
-		return 0;
-	}
-	if (version->count) {
-		printf("lwstub-config %s\n", LW_VERSION);
-		return 0;
-	}
+	if (rc != LW_CLI_RUN)
+		return rc;
 	if (to->count) {
 		if (publish->count) {
 			snprintf(path, sizeof(path), "/v1/kv/%s",
--- a/src/lwstub_relay.c
+++ b/src/lwstub_relay.c
@@ -6,7 +6,6 @@
  *   SIGUSR2  cut, or heal: while cut nothing passes, connections are taken
  *            and stay silent; what was open at the cut stays silent after it
  */
-#include <argtable2.h>
 #include <poll.h>
 #include <pthread.h>
 #include <signal.h>
@@ -16,9 +15,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "cli.h"
 #include "linux/sock.h"
 #include "log.h"
-#include "version.h"
 #include "xalloc.h"
 
 #define RELAY_STACK	 (128 * 1024)
@@ -143,31 +142,18 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "print this help and exit");
-	struct arg_lit *version = arg_lit0(NULL, "version", "print the version and exit");
+	lw_cli_t cli = lw_cli_new("lwstub-relay");
 	struct arg_str *listen = arg_str0(NULL, "listen", "IP:PORT", "address to take connections");
 	struct arg_str *to = arg_str0(NULL, "to", "IP:PORT", "address to forward them to");
-	struct arg_end *end = arg_end(5);
-	void *table[] = { help, version, listen, to, end };
+	void *table[] = { cli.help, cli.version, listen, to, cli.end };
+	int rc = lw_cli_parse(&cli, argc, argv, table);
 	pthread_t t;
 	sigset_t set;
 	int fd;
 
 	lw_log_init("lwstub-relay", LOG_INFO);
-	if (arg_parse(argc, argv, table) > 0) {
-		arg_print_errors(stderr, end, "lwstub-relay");
-		return 2;
-	}
-	if (help->count) {
-		printf("Usage: lwstub-relay");
-		arg_print_syntax(stdout, table, "\n");
-		arg_print_glossary(stdout, table, "  %-24s %s\n");
-		return 0;
-	}
-	if (version->count) {
-		printf("lwstub-relay %s\n", LW_VERSION);
-		return 0;
-	}
+	if (rc != LW_CLI_RUN)
+		return rc;
 	if (!listen->count || !to->count) {
 		fprintf(stderr, "lwstub-relay: give --listen and --to; see --help\n");
 		return 2;
