Scripts end their processes on a broken pipe too

Cause: make demo failed with "nodes did not get the configuration": its ports were held by a fleet of 40 minutes before, whose demo had been piped into head. The shell's EXIT trap does not run when SIGPIPE ends it. Ruled out: the nodes (their logs say "Address already in use").

--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -6,7 +6,9 @@
 set -u
 . tools/cluster.sh
 DIR=$(mktemp -d /tmp/lavenderward-e2e.XXXXXX)
-trap 'cluster_stop' EXIT INT TERM
+trap 'cluster_stop' EXIT
+# a broken pipe too must not leave processes behind
+trap 'exit 130' INT TERM HUP PIPE
 pass=0
 fail=0
 ok() { pass=$((pass + 1)); echo "ok   $1"; }
--- a/tests/faults.sh
+++ b/tests/faults.sh
@@ -12,7 +12,9 @@
 . tools/cluster.sh
 ROOT=$(mktemp -d /tmp/lavenderward-faults.XXXXXX)
 DIR=$ROOT
-trap 'cluster_stop' EXIT INT TERM
+trap 'cluster_stop' EXIT
+# a broken pipe too must not leave processes behind
+trap 'exit 130' INT TERM HUP PIPE
 PORTS=29000
 pass=0
 fail=0
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -10,7 +10,9 @@
 cd "$(dirname "$0")/.." || exit 2
 . tools/cluster.sh
 DIR=$(mktemp -d /tmp/lavenderward-bench.XXXXXX)
-trap 'cluster_stop' EXIT INT TERM
+trap 'cluster_stop' EXIT
+# a broken pipe too must not leave processes behind
+trap 'exit 130' INT TERM HUP PIPE
 HZ=$(getconf CLK_TCK)
 out() { echo "$1 $2 $3"; }
 calc() { awk "BEGIN { printf \"%.3f\", $1 }"; }
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -4,7 +4,9 @@
 set -u
 . tools/cluster.sh
 DIR=$(mktemp -d /tmp/lavenderward-demo.XXXXXX)
-trap 'cluster_stop' EXIT INT TERM
+trap 'cluster_stop' EXIT
+# a broken pipe too must not leave processes behind
+trap 'exit 130' INT TERM HUP PIPE
 cluster_start "$DIR" 27000 guard || exit 1
 echo "== demo: 8 nodes, 8 stand-in backends, 1 config stand-in on loopback"
 # shellcheck disable=SC2046
