Request ids of any length: nested calls were all taken for foreign answers

Cause: ids of nested calls grow by 17 bytes a level; cut at 63 bytes they never matched the echo, so every nested answer counted as broken.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -38,7 +38,7 @@
 	uint64_t sent; /* bytes of the body given to the attempt */
 	uint64_t credit; /* bytes the attempt takes in all */
 	int64_t body_length;
-	char request_id[LW_NAME_MAX];
+	char *request_id; /* of any length: ids of nested calls grow with their depth */
 	char route[LW_NAME_MAX];
 	uint32_t priority;
 	uint32_t target_ms;
@@ -75,6 +75,8 @@
 	x->engine->active--;
 	lw_bytebuf_free(&x->head);
 	lw_bytebuf_free(&x->body);
+	free(x->request_id);
+	x->request_id = NULL;
 	lw_hub_free_later(x->engine->hub, x);
 }
 
@@ -517,8 +519,7 @@
 	x->nested = ask->nested;
 	x->body_length = ask->body_length;
 	x->fin = ask->body_length == 0;
-	lw_str_copy(x->request_id, sizeof(x->request_id),
-		    lw_httphead_find(ask->head, LW_HEADER_REQUEST_ID));
+	x->request_id = lw_str_dup(lw_httphead_find(ask->head, LW_HEADER_REQUEST_ID));
 	ev_timer_init(&x->timer, on_timeout, 0, 0);
 	e->active++;
 	e->stats.requests++;
--- a/src/gate.c
+++ b/src/gate.c
@@ -35,7 +35,7 @@
 	lw_bytebuf_t answer; /* collected up to ANSWER_WHOLE_BYTES */
 	lw_answer_t answer_head;
 	lw_bytebuf_t answer_head_text;
-	char request_id[LW_NAME_MAX];
+	char *request_id; /* of any length: ids of nested calls grow with their depth */
 	char target[LW_NAME_MAX];
 	int64_t body_length;
 	uint64_t deadline_us;
@@ -84,6 +84,8 @@
 	lw_bytebuf_free(&j->body);
 	lw_bytebuf_free(&j->answer);
 	lw_bytebuf_free(&j->answer_head_text);
+	free(j->request_id);
+	j->request_id = NULL;
 	lw_hub_free_later(g->hub, j);
 }
 
@@ -474,7 +476,7 @@
 	j->waiter.priority = ask->priority;
 	j->waiter.nested = ask->nested;
 	lw_bytebuf_append_str(&j->head, ask->head);
-	lw_str_copy(j->request_id, sizeof(j->request_id), ask->request_id);
+	j->request_id = lw_str_dup(ask->request_id);
 	lw_str_copy(j->target, sizeof(j->target), ask->target);
 	ev_timer_init(&j->timer, on_job_timeout, 0, 0);
 	return j;
