--- a/src/call.h
+++ b/src/call.h
@@ -12,6 +12,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "hotpath.h"
 #include "lwstr.h"
 
 /* Bytes of one body under way before the receiver takes some: one window. */
@@ -21,6 +22,7 @@
 typedef enum lw_fail {
 	LW_FAIL_NONE = 0,
 	/* no backend server was given the request */
+	LW_FAIL_PATH_BUSY, /* a service its work leads to could not finish it */
 	LW_FAIL_BUSY, /* the queue in front of the backend server is too long */
 	LW_FAIL_LEAVING, /* the node takes no new work */
 	LW_FAIL_EXPIRED, /* its time ran out while it was queued */
@@ -42,8 +44,8 @@
 	uint32_t queued;
 	uint32_t limit;
 	uint32_t service_us;
-	uint32_t pressure; /* per mille of the busiest service that is called from here */
 	bool leaving;
+	lw_hots_t hots; /* services on the path of the request that refuse some work */
 } lw_load_t;
 
 /* A request as it is handed to a node or a backend server. */
@@ -54,9 +56,9 @@
 	int64_t body_length; /* -1: chunked */
 	uint32_t deadline_ms; /* left now */
 	uint32_t queue_ms; /* longest useful wait before it starts */
-	uint32_t priority; /* 0 is the most urgent */
+	uint32_t rank; /* of the user request it is part of, see level.h */
 	bool nested; /* made on behalf of a request that runs already */
-	bool idempotent;
+	bool repeat; /* it, or a request it is part of, was sent before */
 } lw_ask_t;
 
 /* The head of an answer. */
--- a/src/caller.c
+++ b/src/caller.c
@@ -1,7 +1,6 @@
 /* Connections of callers; see caller.h. */
 #include "caller.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <stdio.h>
 #include <string.h>
@@ -43,7 +42,6 @@
 	uint64_t late_us; /* what is read now arrived so much earlier */
 	uint64_t body_seen;
 	uint32_t uncredited; /* answer bytes in out the exchange waits for */
-	bool nested; /* the backend server on this host */
 	bool ready_only;
 	bool eof;
 	bool closing; /* close once out is empty */
@@ -73,7 +71,6 @@
 	lw_caller_t *conns;
 	lw_listener_t *listeners;
 	uint32_t count;
-	uint32_t own_ip;
 	bool ready;
 	lw_fleet_limits_t limits;
 	lw_callers_stats_t stats;
@@ -420,7 +417,6 @@
 	lw_exchange_ask_t ask = {
 		.head = h,
 		.body_length = h->body_length,
-		.nested = c->nested,
 		.late_us = c->late_us,
 	};
 
@@ -559,7 +555,7 @@
 	c->late_us = 0;
 }
 
-static void caller_new(lw_listener_t *l, int fd, uint32_t ip)
+static void caller_new(lw_listener_t *l, int fd)
 {
 	lw_callers_t *cs = l->set;
 	lw_caller_t *c = xcalloc(1, sizeof(*c));
@@ -568,7 +564,6 @@
 	c->set = cs;
 	c->fd = fd;
 	c->ready_only = l->ready_only;
-	c->nested = ip == cs->own_ip || (ip >> 24) == 127;
 	c->since_us = cs->hub->now_us;
 	ev_io_init(&c->io, on_io, fd, 0);
 	c->io.data = c;
@@ -584,16 +579,15 @@
 static void on_accept(struct ev_loop *loop, ev_io *w, int revents)
 {
 	lw_listener_t *l = w->data;
-	uint32_t ip;
 	int fd;
 
 	(void)loop;
 	(void)revents;
 	while (l->set->count + FDS_RESERVED < l->set->hub->set->max_fds || l->ready_only) {
-		fd = lw_sock_accept(l->fd, &ip);
+		fd = lw_sock_accept(l->fd);
 		if (fd < 0)
 			return;
-		caller_new(l, fd, ip);
+		caller_new(l, fd);
 	}
 	/* as many connections as there are descriptors: the rest wait */
 	ev_io_stop(l->set->hub->loop, &l->io);
@@ -628,7 +622,7 @@
 		check_timeouts(cs, c, now);
 	}
 	for (lw_listener_t *l = cs->listeners; l; l = l->next)
-		if (!ev_is_active(&l->io) && cs->count + FDS_RESERVED < cs->hub->set->max_fds)
+		if (l->fd >= 0 && !ev_is_active(&l->io) && cs->count + FDS_RESERVED < cs->hub->set->max_fds)
 			ev_io_start(cs->hub->loop, &l->io);
 }
 
@@ -664,6 +658,18 @@
 	}
 }
 
+/* lw_callers_close_listeners() - no new connections of callers from now on. */
+void lw_callers_close_listeners(lw_callers_t *cs)
+{
+	for (lw_listener_t *l = cs->listeners; l; l = l->next) {
+		if (l->ready_only || l->fd < 0)
+			continue;
+		ev_io_stop(cs->hub->loop, &l->io);
+		close(l->fd);
+		l->fd = -1;
+	}
+}
+
 /* lw_callers_count() - open connections. */
 uint32_t lw_callers_count(const lw_callers_t *cs)
 {
@@ -702,14 +708,11 @@
 lw_callers_t *lw_callers_new(lw_engine_t *engine)
 {
 	lw_callers_t *cs = xcalloc(1, sizeof(*cs));
-	struct in_addr ip;
 
 	cs->engine = engine;
 	cs->hub = engine->hub;
 	cs->limits = (lw_fleet_limits_t){ HEAD_DEFAULT_BYTES, BODY_DEFAULT_BYTES, HEAD_DEFAULT_MS,
 					  IDLE_DEFAULT_MS };
-	if (inet_pton(AF_INET, cs->hub->set->ip, &ip) == 1)
-		cs->own_ip = ntohl(ip.s_addr);
 	ev_check_init(&cs->wake, on_wake);
 	cs->wake.data = cs;
 	ev_check_start(cs->hub->loop, &cs->wake);
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "comeback.h"
+#include "level.h"
 #include "log.h"
 #include "retryrule.h"
 #include "xalloc.h"
@@ -40,7 +41,8 @@
 	int64_t body_length;
 	char *request_id; /* of any length: ids of nested calls grow with their depth */
 	char route[LW_NAME_MAX];
-	uint32_t priority;
+	lw_str_t parent_id; /* of the request it was made for: part of request_id */
+	uint32_t rank;
 	uint32_t target_ms;
 	uint64_t started_us;
 	uint64_t give_up_us; /* the caller's deadline or the route's timeout */
@@ -50,12 +52,13 @@
 	lw_place_tried_t tried;
 	ev_timer timer;
 	bool nested;
+	bool repeat; /* made by a run that was a repeat */
 	bool fin; /* the body is complete */
 	bool answering; /* the caller has the head of the answer */
 	bool dead;
 };
 
-static void attempt(lw_exchange_t *x);
+static void attempt(lw_exchange_t *x, lw_fail_t last);
 static const lw_sink_ops_t exchange_sink_ops;
 
 static uint32_t left_ms(const lw_exchange_t *x, uint64_t until_us)
@@ -116,7 +119,7 @@
 static void answer_refused(lw_exchange_t *x, lw_fail_t why)
 {
 	uint32_t room = x->room_ms ? x->room_ms : COMEBACK_DEFAULT_MS;
-	uint32_t ms = lw_comeback_ms(room, x->priority, left_ms(x, x->deadline_us),
+	uint32_t ms = lw_comeback_ms(room, x->rank / LW_RANKS_PER_PRIORITY, left_ms(x, x->deadline_us),
 				     lw_hub_random(x->engine->hub, UINT32_MAX));
 
 	x->engine->stats.refused++;
@@ -180,22 +183,34 @@
 	v = lw_retry_verdict(&x->attempts, why);
 	if (v == LW_VERDICT_AGAIN) {
 		x->engine->stats.handed_back++;
-		attempt(x);
+		attempt(x, why);
 	} else if (v == LW_VERDICT_AGAIN_COUNTED && take_retry(x)) {
-		attempt(x);
+		attempt(x, why);
 	} else {
 		answer_verdict(x, lw_retry_final(&x->attempts, why), why);
 	}
 }
 
+/* the node told its load: placement, and the levels along the request's path */
+static void took_load(lw_exchange_t *x, const lw_load_t *load)
+{
+	lw_engine_t *e = x->engine;
+
+	if (x->host)
+		lw_place_told(x->host, load, e->hub->now_us);
+	lw_hotpath_told(e->hotpath, x->route, &load->hots, e->hub->now_us);
+	if (x->parent_id.len)
+		lw_gate_note_hots(&e->gate, x->parent_id, &load->hots);
+}
+
 static void sink_fail(lw_sink_t *s, lw_fail_t why, uint32_t retry_after_ms, const lw_load_t *load)
 {
 	lw_exchange_t *x = (lw_exchange_t *)s;
 
 	if (x->dead)
 		return;
-	if (load && x->host)
-		lw_place_told(x->host, load, x->engine->hub->now_us);
+	if (load)
+		took_load(x, load);
 	if (retry_after_ms && (!x->room_ms || retry_after_ms < x->room_ms))
 		x->room_ms = retry_after_ms;
 	attempt_ended(x, why < LW_FAIL_SHED && why != LW_FAIL_NO_SERVER);
@@ -265,16 +280,16 @@
 
 	if (x->dead)
 		return;
-	if (load && x->host)
-		lw_place_told(x->host, load, x->engine->hub->now_us);
-	if (try_elsewhere(x, a->status)) {
+	if (load)
+		took_load(x, load);
+	if (!(load && load->hots.n) && try_elsewhere(x, a->status)) {
 		x->attempts.given++;
 		x->attempts.maybe_ran = true;
 		if (fin)
 			attempt_ended(x, false);
 		else
 			abandon_call(x);
-		attempt(x);
+		attempt(x, LW_FAIL_BROKEN);
 		return;
 	}
 	x->answering = true;
@@ -318,7 +333,7 @@
 	x->attempts.given++;
 	x->attempts.maybe_ran = true;
 	abandon_call(x);
-	attempt(x);
+	attempt(x, LW_FAIL_BROKEN);
 }
 
 static const lw_sink_ops_t exchange_sink_ops = {
@@ -355,28 +370,27 @@
 	ask->body_length = x->body_length;
 	ask->deadline_ms = left_ms(x, x->give_up_us);
 	ask->queue_ms = x->target_ms * percent / 100;
-	ask->priority = x->priority;
+	ask->rank = x->rank;
 	ask->nested = x->nested;
-	ask->idempotent = x->attempts.idempotent;
+	ask->repeat = x->repeat || x->attempts.given;
 }
 
-/* give the request to the best host that has not had it */
-static void attempt(lw_exchange_t *x)
+/* give the request to the best host that has not had it; @last: why again */
+static void attempt(lw_exchange_t *x, lw_fail_t last)
 {
 	lw_engine_t *e = x->engine;
 	lw_str_t body;
 	lw_ask_t ask;
 	lw_fail_t why = LW_FAIL_UNSENT;
 	uint32_t retry_after_ms = 0;
-	bool last;
+	bool whole;
 
 	x->host = x->tried.n < LW_PLACE_TRIED_MAX ?
 			  lw_place_pick(x->service, &x->tried, e->hub->now_us,
 					lw_hub_random(e->hub, UINT32_MAX)) :
 			  NULL;
 	if (!x->host) {
-		answer_verdict(x, lw_retry_final(&x->attempts, LW_FAIL_NO_SERVER),
-			       LW_FAIL_NO_SERVER);
+		answer_verdict(x, lw_retry_final(&x->attempts, last), last);
 		return;
 	}
 	x->tried.host[x->tried.n++] = x->host;
@@ -385,14 +399,14 @@
 	body = (lw_str_t){ lw_bytebuf_head(&x->body), lw_bytebuf_len(&x->body) };
 	if (body.len > LW_CALL_WINDOW)
 		body.len = LW_CALL_WINDOW;
-	last = x->fin && body.len == lw_bytebuf_len(&x->body);
+	whole = x->fin && body.len == lw_bytebuf_len(&x->body);
 	x->sent = body.len;
 	x->credit = LW_CALL_WINDOW;
 	if (x->host->self)
-		x->call = lw_gate_submit(&e->gate, &x->sink, &ask, body, last, &why,
+		x->call = lw_gate_submit(&e->gate, &x->sink, &ask, body, whole, &why,
 					 &retry_after_ms);
 	else
-		x->call = lw_mesh_call(e->mesh, x->host->node, &x->sink, &ask, body, last);
+		x->call = lw_mesh_call(e->mesh, x->host->node, &x->sink, &ask, body, whole);
 	if (x->call)
 		return;
 	if (x->host->self) {
@@ -494,7 +508,7 @@
 	if (!r || !r->nsplits)
 		return false;
 	lw_str_copy(x->route, sizeof(x->route), lw_str_c(r->name));
-	x->priority = r->priority;
+	x->rank = lw_rank(r->priority, lw_str_c(x->request_id));
 	x->target_ms = r->target_ms;
 	x->attempts.idempotent = r->idempotent;
 	x->attempts.max_given = r->max_attempts;
@@ -503,6 +517,26 @@
 	return true;
 }
 
+/*
+ * A call made by the backend server on this host is part of a request that
+ * runs there. Callers and the backend server share the host's address, so only
+ * the id tells: backend servers build the id of a call from that of the
+ * request it is for, a dot and more. A call whose request is not known, as
+ * this process started after it, ranks by its route.
+ */
+static void find_parent(lw_exchange_t *x)
+{
+	const char *dot = strrchr(x->request_id, '.');
+
+	if (!dot)
+		return;
+	x->parent_id = (lw_str_t){ x->request_id, (size_t)(dot - x->request_id) };
+	x->nested = true;
+	x->engine->stats.nested++;
+	if (!lw_gate_parent(&x->engine->gate, x->parent_id, &x->rank, &x->repeat))
+		x->parent_id.len = 0;
+}
+
 /*
  * lw_exchange_start() - take up a request. Call lw_exchange_send() when what
  * has arrived of its body is given, to find it a server. Returns NULL if the
@@ -516,17 +550,23 @@
 	x->sink.ops = &exchange_sink_ops;
 	x->engine = e;
 	x->reply = reply;
-	x->nested = ask->nested;
 	x->body_length = ask->body_length;
 	x->fin = ask->body_length == 0;
 	x->request_id = lw_str_dup(lw_httphead_find(ask->head, LW_HEADER_REQUEST_ID));
 	ev_timer_init(&x->timer, on_timeout, 0, 0);
 	e->active++;
 	e->stats.requests++;
-	e->stats.nested += ask->nested;
 	if (fc && apply_route(x, ask, fc)) {
+		find_parent(x);
+		if (!x->nested &&
+		    !lw_hotpath_admits(e->hotpath, x->route, x->rank, e->hub->now_us)) {
+			answer_refused(x, LW_FAIL_PATH_BUSY);
+			return NULL;
+		}
 		compose_head(x, ask->head);
 		lw_retrylimit_request(&x->service->retries, &e->place.terms, e->hub->now_us);
+		if (x->repeat)
+			lw_retrylimit_repeat(&x->service->retries, &e->place.terms, e->hub->now_us);
 		return x;
 	}
 	release(x);
@@ -543,5 +583,5 @@
 void lw_exchange_send(lw_exchange_t *x)
 {
 	if (!x->dead)
-		attempt(x);
+		attempt(x, LW_FAIL_NO_SERVER);
 }
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -12,6 +12,7 @@
 #include "fleetconf.h"
 #include "gate.h"
 #include "httphead.h"
+#include "hotpath.h"
 #include "hub.h"
 #include "mesh.h"
 #include "place.h"
@@ -58,6 +59,7 @@
 	lw_place_t place;
 	lw_gate_t gate;
 	lw_mesh_t *mesh;
+	lw_hotpath_t *hotpath;
 	lw_fleetconf_t *conf; /* in force; NULL before the first */
 	uint32_t active;
 	lw_engine_stats_t stats;
@@ -67,7 +69,6 @@
 typedef struct lw_exchange_ask {
 	const lw_httphead_t *head;
 	int64_t body_length; /* -1: chunked */
-	bool nested; /* made by the backend server on this host */
 	uint64_t late_us; /* it lay unread so long while the host was suspended */
 } lw_exchange_ask_t;
 
--- a/src/gate.c
+++ b/src/gate.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <uthash.h>
 
 #include "admit.h"
 #include "xalloc.h"
@@ -25,6 +26,9 @@
 /* an idle connection without an announced limit is used so long, us */
 #define IDLE_DEFAULT_US 4000000
 
+/* steps without work after which the level's timer stops */
+#define QUIET_STEPS 20
+
 typedef struct lw_job {
 	lw_call_t call;
 	lw_waiter_t waiter;
@@ -48,6 +52,10 @@
 	bool head_passed; /* the sink has the head of the answer */
 	bool not_run; /* the backend server says that it did not run it */
 	bool dead;
+	uint32_t rank;
+	bool repeat;
+	lw_hots_t hots; /* told by the answers to its calls */
+	UT_hash_handle hh;
 } lw_job_t;
 
 #define JOB_OF_WAITER(w) ((lw_job_t *)(void *)((char *)(w)-offsetof(lw_job_t, waiter)))
@@ -61,8 +69,17 @@
 	out->queued = (uint32_t)g->queue.len;
 	out->limit = g->limit;
 	out->service_us = (uint32_t)g->service_us;
-	out->pressure = g->pressure;
 	out->leaving = g->leaving || g->hub->leaving;
+	out->hots.n = 0;
+	lw_hots_add(&out->hots, g->hub->set->service, g->level.level);
+}
+
+/* the same, and what the job's own calls were told */
+static void job_load(const lw_job_t *j, lw_load_t *out)
+{
+	lw_gate_load(j->gate, out);
+	for (uint32_t i = 0; i < j->hots.n; i++)
+		lw_hots_add(&out->hots, j->hots.hot[i].service, j->hots.hot[i].level);
 }
 
 static void job_release(lw_job_t *j)
@@ -80,6 +97,7 @@
 		g->queued_bytes -= lw_bytebuf_len(&j->body);
 	}
 	g->ncalls--;
+	HASH_DEL(g->by_id, j);
 	lw_bytebuf_free(&j->head);
 	lw_bytebuf_free(&j->body);
 	lw_bytebuf_free(&j->answer);
@@ -102,8 +120,8 @@
 		lw_bconn_close(j->conn);
 		j->conn = NULL;
 	}
+	job_load(j, &load);
 	job_release(j);
-	lw_gate_load(g, &load);
 	sink->ops->fail(sink, why, lw_admit_retry_after_ms(&load), &load);
 	dispatch(g);
 }
@@ -123,7 +141,7 @@
 
 	if (!j->head_passed) {
 		j->head_passed = true;
-		lw_gate_load(j->gate, &load);
+		job_load(j, &load);
 		if (fin && j->answer_head.body_length < 0)
 			j->answer_head.body_length = (int64_t)body.len;
 		j->answer_head.head = (lw_str_t){ lw_bytebuf_head(&j->answer_head_text),
@@ -473,8 +491,10 @@
 	j->body_length = ask->body_length;
 	j->deadline_us = g->hub->now_us + (uint64_t)ask->deadline_ms * 1000;
 	j->window = LW_CALL_WINDOW;
-	j->waiter.priority = ask->priority;
+	j->waiter.priority = ask->rank / LW_RANKS_PER_PRIORITY;
 	j->waiter.nested = ask->nested;
+	j->rank = ask->rank;
+	j->repeat = ask->repeat;
 	lw_bytebuf_append_str(&j->head, ask->head);
 	j->request_id = lw_str_dup(ask->request_id);
 	lw_str_copy(j->target, sizeof(j->target), ask->target);
@@ -499,10 +519,14 @@
 lw_call_t *lw_gate_submit(lw_gate_t *g, lw_sink_t *sink, const lw_ask_t *ask, lw_str_t body,
 			  bool fin, lw_fail_t *why, uint32_t *retry_after_ms)
 {
-	lw_waiter_t probe = { .priority = ask->priority, .nested = ask->nested };
+	lw_waiter_t probe = { .priority = ask->rank / LW_RANKS_PER_PRIORITY,
+			      .nested = ask->nested };
 	lw_admit_state_t st;
 	lw_job_t *j;
 
+	lw_level_arrival(&g->level, ask->rank);
+	if (!ev_is_active(&g->step))
+		ev_timer_again(g->hub->loop, &g->step);
 	lw_gate_load(g, &st.load);
 	st.ahead = (uint32_t)lw_waitq_ahead(&g->queue, &probe);
 	*retry_after_ms = lw_admit_retry_after_ms(&st.load);
@@ -517,6 +541,7 @@
 	j->fin = fin;
 	lw_bytebuf_append_str(&j->body, body);
 	g->ncalls++;
+	HASH_ADD_KEYPTR(hh, g->by_id, j->request_id, strlen(j->request_id), j);
 	if (g->running < g->limit && !g->queue.first) {
 		start_job(j);
 		return &j->call;
@@ -546,6 +571,53 @@
 		job_fail(JOB_OF_WAITER(w), LW_FAIL_LEAVING);
 }
 
+static lw_job_t *job_by_id(const lw_gate_t *g, lw_str_t id)
+{
+	lw_job_t *j;
+
+	HASH_FIND(hh, g->by_id, id.ptr, id.len, j);
+	return j;
+}
+
+/*
+ * lw_gate_parent() - whether the request with @id runs here, and what a call
+ * made for it takes over: its rank, and that it was sent before.
+ */
+bool lw_gate_parent(const lw_gate_t *g, lw_str_t id, uint32_t *rank, bool *repeat)
+{
+	const lw_job_t *j = job_by_id(g, id);
+
+	if (!j)
+		return false;
+	*rank = j->rank;
+	*repeat = j->repeat;
+	return true;
+}
+
+/* lw_gate_note_hots() - what the answer to a call of request @parent_id told. */
+void lw_gate_note_hots(lw_gate_t *g, lw_str_t parent_id, const lw_hots_t *hots)
+{
+	lw_job_t *j = job_by_id(g, parent_id);
+
+	if (!j)
+		return;
+	for (uint32_t i = 0; i < hots->n; i++)
+		lw_hots_add(&j->hots, hots->hot[i].service, hots->hot[i].level);
+}
+
+static void on_step(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	lw_gate_t *g = w->data;
+	lw_level_input_t in = { (uint32_t)g->queue.len, g->running, g->limit, g->service_us };
+	bool quiet = !g->ncalls && !g->level.arrivals && g->level.level == LW_LEVEL_OPEN;
+
+	(void)revents;
+	g->quiet_steps = quiet ? g->quiet_steps + 1 : 0;
+	lw_level_step(&g->level, &in);
+	if (g->quiet_steps > QUIET_STEPS)
+		ev_timer_stop(loop, &g->step);
+}
+
 /* lw_gate_init() - a gate in front of the backend server of the settings. */
 void lw_gate_init(lw_gate_t *g, lw_hub_t *hub)
 {
@@ -555,5 +627,8 @@
 	g->service_us = SERVICE_FIRST_US;
 	ev_timer_init(&g->expiry, on_expiry, 0, EXPIRY_STEP_S);
 	g->expiry.data = g;
+	lw_level_init(&g->level);
+	ev_timer_init(&g->step, on_step, 0, LW_LEVEL_STEP_MS / 1000.0);
+	g->step.data = g;
 	lw_hub_on_tick(hub, close_old_idle, g);
 }
--- a/src/gate.h
+++ b/src/gate.h
@@ -13,6 +13,7 @@
 #include "bconn.h"
 #include "call.h"
 #include "hub.h"
+#include "level.h"
 #include "waitq.h"
 
 typedef struct lw_gate_stats {
@@ -29,7 +30,6 @@
 	uint32_t limit; /* most requests at the backend server at once */
 	uint32_t running;
 	double service_us; /* moving average of the time a request runs */
-	uint32_t pressure; /* of the services that requests running here call */
 	bool leaving; /* the backend server takes no new work */
 	char server_id[LW_NAME_MAX]; /* of the backend server that is on this host now */
 	lw_waitq_t queue;
@@ -38,6 +38,10 @@
 	uint32_t nidle;
 	uint32_t ncalls; /* running or queued */
 	ev_timer expiry; /* runs while requests wait */
+	ev_timer step; /* of the level; runs while there is work */
+	uint32_t quiet_steps;
+	lw_level_t level;
+	struct lw_job *by_id; /* calls by request id */
 	lw_gate_stats_t stats;
 } lw_gate_t;
 
@@ -46,5 +50,7 @@
 lw_call_t *lw_gate_submit(lw_gate_t *g, lw_sink_t *sink, const lw_ask_t *ask, lw_str_t body,
 			  bool fin, lw_fail_t *why, uint32_t *retry_after_ms);
 void lw_gate_load(const lw_gate_t *g, lw_load_t *out);
+bool lw_gate_parent(const lw_gate_t *g, lw_str_t id, uint32_t *rank, bool *repeat);
+void lw_gate_note_hots(lw_gate_t *g, lw_str_t parent_id, const lw_hots_t *hots);
 
 #endif
--- /dev/null
+++ b/src/hotpath.c
@@ -0,0 +1,174 @@
+/* Levels of services along routes; see hotpath.h. */
+#include "hotpath.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+#include "level.h"
+#include "xalloc.h"
+
+/* weight of one more told level: several servers of a service tell their own */
+#define LEVEL_EWMA 0.2
+/*
+ * Without news a level rises again, so that a route of which nothing is
+ * admitted is tried after a while. Age of news that counts as none, us, and
+ * ranks it rises for each millisecond after that.
+ */
+#define NEWS_OLD_US	300000
+#define RISE_PER_MS	1
+/* a route that was not led to a service for so long does not lead there, us */
+#define ROUTE_FORGETS_US 3000000
+/* routes of which the levels are kept; more are refused by their server only */
+#define ROUTES_MAX 4096
+
+typedef struct lw_hot_service {
+	char name[LW_NAME_MAX];
+	double level;
+	uint64_t told_us;
+	UT_hash_handle hh;
+} lw_hot_service_t;
+
+typedef struct lw_hot_route {
+	char name[LW_NAME_MAX];
+	struct {
+		lw_hot_service_t *service;
+		uint64_t seen_us;
+	} leads_to[LW_HOTS_MAX];
+	UT_hash_handle hh;
+} lw_hot_route_t;
+
+struct lw_hotpath {
+	lw_hot_service_t *services;
+	lw_hot_route_t *routes;
+};
+
+/* lw_hots_add() - note that @service refuses ranks from @level on. */
+void lw_hots_add(lw_hots_t *h, const char *service, uint32_t level)
+{
+	uint32_t highest = 0;
+
+	if (level >= LW_LEVEL_OPEN)
+		return;
+	for (uint32_t i = 0; i < h->n; i++) {
+		if (strcmp(h->hot[i].service, service) == 0) {
+			if (level < h->hot[i].level)
+				h->hot[i].level = level;
+			return;
+		}
+		if (h->hot[i].level > h->hot[highest].level)
+			highest = i;
+	}
+	if (h->n < LW_HOTS_MAX)
+		highest = h->n++;
+	else if (h->hot[highest].level <= level)
+		return;
+	lw_str_copy(h->hot[highest].service, LW_NAME_MAX, lw_str_c(service));
+	h->hot[highest].level = level;
+}
+
+/* lw_hotpath_new() - nothing is refused. */
+lw_hotpath_t *lw_hotpath_new(void)
+{
+	return xcalloc(1, sizeof(lw_hotpath_t));
+}
+
+static lw_hot_service_t *service_of(lw_hotpath_t *p, const char *name, uint32_t level)
+{
+	lw_hot_service_t *s;
+
+	HASH_FIND_STR(p->services, name, s);
+	if (s)
+		return s;
+	s = xcalloc(1, sizeof(*s));
+	lw_str_copy(s->name, sizeof(s->name), lw_str_c(name));
+	s->level = level;
+	HASH_ADD_STR(p->services, name, s);
+	return s;
+}
+
+static lw_hot_route_t *route_of(lw_hotpath_t *p, const char *name)
+{
+	lw_hot_route_t *r;
+
+	HASH_FIND_STR(p->routes, name, r);
+	if (r || HASH_COUNT(p->routes) >= ROUTES_MAX)
+		return r;
+	r = xcalloc(1, sizeof(*r));
+	lw_str_copy(r->name, sizeof(r->name), lw_str_c(name));
+	HASH_ADD_STR(p->routes, name, r);
+	return r;
+}
+
+static void leads_to(lw_hot_route_t *r, lw_hot_service_t *s, uint64_t now_us)
+{
+	int oldest = 0;
+
+	for (int i = 0; i < LW_HOTS_MAX; i++) {
+		if (r->leads_to[i].service == s) {
+			r->leads_to[i].seen_us = now_us;
+			return;
+		}
+		if (r->leads_to[i].seen_us < r->leads_to[oldest].seen_us)
+			oldest = i;
+	}
+	r->leads_to[oldest].service = s;
+	r->leads_to[oldest].seen_us = now_us;
+}
+
+/* the level as it is now: without news it has risen */
+static double level_now(const lw_hot_service_t *s, uint64_t now_us)
+{
+	uint64_t age = now_us - s->told_us;
+	double level = s->level;
+
+	if (age > NEWS_OLD_US)
+		level += (double)((age - NEWS_OLD_US) / 1000) * RISE_PER_MS;
+	return level;
+}
+
+/*
+ * lw_hotpath_told() - an answer on @route came with the levels of the
+ * services its work led to. Services not in @hots that the route led to
+ * lately refuse nothing.
+ */
+void lw_hotpath_told(lw_hotpath_t *p, const char *route, const lw_hots_t *hots, uint64_t now_us)
+{
+	lw_hot_route_t *r = hots->n ? route_of(p, route) : NULL;
+
+	if (!hots->n) {
+		HASH_FIND_STR(p->routes, route, r);
+		if (!r)
+			return;
+	}
+	for (uint32_t i = 0; i < hots->n; i++) {
+		lw_hot_service_t *s = service_of(p, hots->hot[i].service, hots->hot[i].level);
+		double level = level_now(s, now_us);
+
+		s->level = level + LEVEL_EWMA * (hots->hot[i].level - level);
+		s->told_us = now_us;
+		if (r)
+			leads_to(r, s, now_us);
+	}
+}
+
+/*
+ * lw_hotpath_admits() - false if a service that @route leads to could not
+ * finish a request of @rank.
+ */
+bool lw_hotpath_admits(lw_hotpath_t *p, const char *route, uint32_t rank, uint64_t now_us)
+{
+	lw_hot_route_t *r;
+
+	HASH_FIND_STR(p->routes, route, r);
+	if (!r)
+		return true;
+	for (int i = 0; i < LW_HOTS_MAX; i++) {
+		const lw_hot_service_t *s = r->leads_to[i].service;
+
+		if (s && now_us - r->leads_to[i].seen_us < ROUTE_FORGETS_US &&
+		    rank >= level_now(s, now_us))
+			return false;
+	}
+	return true;
+}
--- /dev/null
+++ b/src/hotpath.h
@@ -0,0 +1,36 @@
+/*
+ * What a node knows of the admission levels of services, and which routes
+ * lead to them. A node where requests begin refuses one there that the
+ * services behind it could not finish. No I/O; the time is given.
+ */
+#ifndef LW_HOTPATH_H
+#define LW_HOTPATH_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "lwstr.h"
+#include "platconf.h"
+
+/* A service that refuses some ranks. */
+typedef struct lw_hot {
+	char service[LW_NAME_MAX];
+	uint32_t level;
+} lw_hot_t;
+
+/* More services than these on one path are left out, the highest levels first. */
+#define LW_HOTS_MAX 4
+
+typedef struct lw_hots {
+	lw_hot_t hot[LW_HOTS_MAX];
+	uint32_t n;
+} lw_hots_t;
+
+typedef struct lw_hotpath lw_hotpath_t;
+
+void lw_hots_add(lw_hots_t *h, const char *service, uint32_t level);
+lw_hotpath_t *lw_hotpath_new(void);
+void lw_hotpath_told(lw_hotpath_t *p, const char *route, const lw_hots_t *hots, uint64_t now_us);
+bool lw_hotpath_admits(lw_hotpath_t *p, const char *route, uint32_t rank, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/level.c
@@ -0,0 +1,145 @@
+/* The admission level of a backend server; see level.h. */
+#include "level.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* weight of one more step in the averages: about half a second of memory */
+#define STEP_EWMA 0.25f
+/*
+ * A queue that takes longer than this to start shows that more arrives than
+ * can run. Shorter ones come and go with the chance of arrivals, ms.
+ */
+#define WAIT_HIGH_MS 25.0
+/* below this wait there is room, ms */
+#define WAIT_LOW_MS 8.0
+/* the share of the limit that arrivals may need after a cut */
+#define DEMAND_AFTER_CUT 0.92
+/* one step cuts at most to this part of the arrivals */
+#define CUT_MOST 0.6
+#define CUT_LEAST 0.95
+/*
+ * Steps until a cut shows here: requests that began before it still make
+ * their calls. Cutting again earlier cuts twice for the same queue.
+ */
+#define HOLD_STEPS 4
+/* the lowest level: some of the most urgent still pass and show when room is back */
+#define LEVEL_MIN 100
+
+/* lw_rank() - the rank of a user request; a lower one is refused later. */
+uint32_t lw_rank(uint32_t priority, lw_str_t request_id)
+{
+	uint32_t p = priority < LW_PRIORITIES_MAX ? priority : LW_PRIORITIES_MAX - 1;
+
+	return p * LW_RANKS_PER_PRIORITY +
+	       (uint32_t)(XXH3_64bits(request_id.ptr, request_id.len) % LW_RANKS_PER_PRIORITY);
+}
+
+/* lw_level_init() - nothing is refused. */
+void lw_level_init(lw_level_t *l)
+{
+	memset(l, 0, sizeof(*l));
+	l->level = LW_LEVEL_OPEN;
+}
+
+/* lw_level_arrival() - a request of @rank, or a call made for it, came here. */
+void lw_level_arrival(lw_level_t *l, uint32_t rank)
+{
+	uint32_t bin = rank / LW_LEVEL_BIN;
+
+	l->arrivals++;
+	l->count[bin < LW_LEVEL_BINS ? bin : LW_LEVEL_BINS - 1]++;
+}
+
+static void take_counts(lw_level_t *l, const lw_level_input_t *in)
+{
+	double need = l->arrivals * in->service_us / 1000.0 / LW_LEVEL_STEP_MS;
+
+	for (int i = 0; i < LW_LEVEL_BINS; i++) {
+		l->mass[i] += STEP_EWMA * ((float)l->count[i] - l->mass[i]);
+		l->count[i] = 0;
+	}
+	l->arrivals = 0;
+	l->demand += STEP_EWMA * (need / in->limit - l->demand);
+}
+
+/* the level under which @part of the recent arrivals lie */
+static uint32_t level_for(const lw_level_t *l, double part)
+{
+	double total = 0, sum = 0;
+	uint32_t top = l->level / LW_LEVEL_BIN;
+
+	for (uint32_t i = 0; i < LW_LEVEL_BINS; i++)
+		total += l->mass[i];
+	for (uint32_t i = 0; i < LW_LEVEL_BINS && i < top; i++) {
+		double next = sum + l->mass[i];
+
+		if (next >= total * part && l->mass[i] > 0) {
+			double inside = (total * part - sum) / l->mass[i];
+
+			return (uint32_t)((i + inside) * LW_LEVEL_BIN);
+		}
+		sum = next;
+	}
+	return l->level;
+}
+
+static void cut(lw_level_t *l)
+{
+	double part = l->demand > 1 ? DEMAND_AFTER_CUT / l->demand : CUT_LEAST;
+	uint32_t level;
+
+	if (part < CUT_MOST)
+		part = CUT_MOST;
+	level = level_for(l, part);
+	if (level < LEVEL_MIN)
+		level = LEVEL_MIN;
+	if (level < l->level)
+		l->level = level;
+	l->hold = HOLD_STEPS;
+}
+
+/* ranks to open in one step, by how much room there is */
+static uint32_t raise_by(double demand)
+{
+	if (demand < 0.5)
+		return 150;
+	if (demand < 0.7)
+		return 60;
+	if (demand < 0.85)
+		return 25;
+	return demand < 0.95 ? 10 : 0;
+}
+
+static void raise(lw_level_t *l)
+{
+	uint32_t top = 0;
+
+	if (l->level == LW_LEVEL_OPEN)
+		return;
+	l->level += raise_by(l->demand);
+	for (uint32_t i = 0; i < LW_LEVEL_BINS; i++)
+		if (l->mass[i] > 0.01f)
+			top = (i + 1) * LW_LEVEL_BIN;
+	/* past the least urgent requests there are, nothing is refused any more */
+	if (l->level > top + LW_RANKS_PER_PRIORITY)
+		l->level = LW_LEVEL_OPEN;
+}
+
+/* lw_level_step() - adjust the level; call every LW_LEVEL_STEP_MS. */
+void lw_level_step(lw_level_t *l, const lw_level_input_t *in)
+{
+	double wait_ms = in->limit ? in->queued * in->service_us / in->limit / 1000.0 : 0;
+
+	if (!in->limit)
+		return;
+	take_counts(l, in);
+	if (l->hold)
+		l->hold--;
+	if (wait_ms > WAIT_HIGH_MS) {
+		if (!l->hold)
+			cut(l);
+	} else if (wait_ms < WAIT_LOW_MS) {
+		raise(l);
+	}
+}
--- a/src/linux/sock.c
+++ b/src/linux/sock.c
@@ -89,16 +89,12 @@
  * lw_sock_accept() - a connection waiting on the listening socket @lfd, non-
  * blocking; -1 with errno set if there is none.
  */
-int lw_sock_accept(int lfd, uint32_t *peer_ip)
+int lw_sock_accept(int lfd)
 {
-	struct sockaddr_in sa;
-	socklen_t len = sizeof(sa);
-	int fd = accept4(lfd, (struct sockaddr *)&sa, &len, SOCK_CLOEXEC | SOCK_NONBLOCK);
+	int fd = accept4(lfd, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK);
 
-	if (fd >= 0) {
+	if (fd >= 0)
 		lw_sock_tune(fd);
-		*peer_ip = ntohl(sa.sin_addr.s_addr);
-	}
 	return fd;
 }
 
--- a/src/linux/sock.h
+++ b/src/linux/sock.h
@@ -9,7 +9,7 @@
 
 lw_status_t lw_sock_listen(const char *addr, int *fd);
 lw_status_t lw_sock_connect(const char *addr, int timeout_ms, int *fd);
-int lw_sock_accept(int lfd, uint32_t *peer_ip);
+int lw_sock_accept(int lfd);
 lw_status_t lw_sock_start_connect(const char *addr, int *fd);
 void lw_sock_nonblock(int fd);
 bool lw_sock_connected(int fd);
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -1,7 +1,6 @@
 /* Connections between nodes; see mesh.h. */
 #include "mesh.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -151,24 +150,23 @@
 	}
 }
 
-static void own_load(const lw_mesh_t *m, Lw__Load *out)
+static void fill_load(const lw_mesh_t *m, lw_meshframe_load_t *out, const lw_load_t *load)
 {
-	lw_load_t load;
-
-	lw_gate_load(m->gate, &load);
-	lw_meshframe_load(out, &load);
-	out->config_version = m->ops->config_version(m->ctx);
+	lw_meshframe_load(out, load);
+	out->load.config_version = m->ops->config_version(m->ctx);
 }
 
 static void send_status(lw_link_t *l, bool is_reply)
 {
-	Lw__Load load;
+	lw_load_t own;
+	lw_meshframe_load_t load;
 	Lw__Status status = LW__STATUS__INIT;
 	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
 
-	own_load(l->mesh, &load);
+	lw_gate_load(l->mesh->gate, &own);
+	fill_load(l->mesh, &load, &own);
 	status.is_reply = is_reply;
-	status.load = &load;
+	status.load = &load.load;
 	f.body_case = LW__MESH_FRAME__BODY_STATUS;
 	f.status = &status;
 	send_frame(l, &f);
@@ -274,21 +272,20 @@
 			const lw_load_t *load)
 {
 	lw_stream_t *s = stream_of_sink(sink);
-	Lw__Load l;
+	lw_meshframe_load_t l;
 	Lw__Answer w = LW__ANSWER__INIT;
 	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
 
-	(void)load;
 	if (s->dead)
 		return;
-	own_load(s->link->mesh, &l);
+	fill_load(s->link->mesh, &l, load);
 	w.stream = s->id;
 	w.status = a->status;
 	w.body_length = a->body_length;
 	w.head = lw_meshframe_bytes(a->head);
 	w.body = lw_meshframe_bytes(body);
 	w.fin = fin;
-	w.load = &l;
+	w.load = &l.load;
 	f.body_case = LW__MESH_FRAME__BODY_ANSWER;
 	f.answer = &w;
 	send_frame(s->link, &f);
@@ -307,17 +304,18 @@
 		stream_free(s);
 }
 
-static void send_failed(lw_link_t *l, uint32_t id, lw_fail_t why, uint32_t retry_after_ms)
+static void send_failed(lw_link_t *l, uint32_t id, lw_fail_t why, uint32_t retry_after_ms,
+			const lw_load_t *own)
 {
-	Lw__Load load;
+	lw_meshframe_load_t load;
 	Lw__Failed w = LW__FAILED__INIT;
 	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
 
-	own_load(l->mesh, &load);
+	fill_load(l->mesh, &load, own);
 	w.stream = id;
 	w.reason = why;
 	w.retry_after_ms = retry_after_ms;
-	w.load = &load;
+	w.load = &load.load;
 	f.body_case = LW__MESH_FRAME__BODY_FAILED;
 	f.failed = &w;
 	send_frame(l, &f);
@@ -328,10 +326,9 @@
 {
 	lw_stream_t *s = stream_of_sink(sink);
 
-	(void)load;
 	if (s->dead)
 		return;
-	send_failed(s->link, s->id, why, retry_after_ms);
+	send_failed(s->link, s->id, why, retry_after_ms, load);
 	stream_free(s);
 }
 
@@ -363,9 +360,9 @@
 		.body_length = o->body_length,
 		.deadline_ms = o->deadline_ms > late_ms ? o->deadline_ms - late_ms : 0,
 		.queue_ms = o->queue_ms,
-		.priority = o->priority,
+		.rank = o->rank,
 		.nested = o->nested,
-		.idempotent = o->idempotent,
+		.repeat = o->repeat,
 	};
 	lw_stream_t *s = xcalloc(1, sizeof(*s));
 	lw_fail_t why;
@@ -378,7 +375,10 @@
 	s->job = lw_gate_submit(l->mesh->gate, &s->as_sink, &ask, lw_meshframe_str(o->body), o->fin,
 				&why, &retry_after_ms);
 	if (!s->job) {
-		send_failed(l, s->id, why, retry_after_ms);
+		lw_load_t own;
+
+		lw_gate_load(l->mesh->gate, &own);
+		send_failed(l, s->id, why, retry_after_ms, &own);
 		stream_free(s);
 	}
 }
@@ -687,9 +687,9 @@
 	o.stream = s->id;
 	o.deadline_ms = ask->deadline_ms;
 	o.queue_ms = ask->queue_ms;
-	o.priority = ask->priority;
+	o.rank = ask->rank;
 	o.nested = ask->nested;
-	o.idempotent = ask->idempotent;
+	o.repeat = ask->repeat;
 	o.body_length = ask->body_length;
 	o.head = lw_meshframe_bytes(ask->head);
 	o.request_id = lw_meshframe_bytes(ask->request_id);
@@ -832,12 +832,11 @@
 static void on_accept(struct ev_loop *loop, ev_io *w, int revents)
 {
 	lw_mesh_t *m = w->data;
-	uint32_t ip;
 	int fd;
 
 	(void)loop;
 	(void)revents;
-	while ((fd = lw_sock_accept(m->listen_fd, &ip)) >= 0)
+	while ((fd = lw_sock_accept(m->listen_fd)) >= 0)
 		send_status(link_new(m, fd, false), false);
 }
 
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -7,6 +7,51 @@
 #endif
 
 #include "mesh.pb-c.h"
+void   lw__hot__init
+                     (Lw__Hot         *message)
+{
+  static const Lw__Hot init_value = LW__HOT__INIT;
+  *message = init_value;
+}
+size_t lw__hot__get_packed_size
+                     (const Lw__Hot *message)
+{
+  assert(message->base.descriptor == &lw__hot__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lw__hot__pack
+                     (const Lw__Hot *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lw__hot__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lw__hot__pack_to_buffer
+                     (const Lw__Hot *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lw__hot__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lw__Hot *
+       lw__hot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lw__Hot *)
+     protobuf_c_message_unpack (&lw__hot__descriptor,
+                                allocator, len, data);
+}
+void   lw__hot__free_unpacked
+                     (Lw__Hot *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lw__hot__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lw__load__init
                      (Lw__Load         *message)
 {
@@ -457,6 +502,57 @@
   assert(message->base.descriptor == &lw__mesh_frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+static const ProtobufCFieldDescriptor lw__hot__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Hot, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "level",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Hot, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lw__hot__field_indices_by_name[] = {
+  1,   /* field[1] = level */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange lw__hot__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor lw__hot__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lw.Hot",
+  "Hot",
+  "Lw__Hot",
+  "lw",
+  sizeof(Lw__Hot),
+  2,
+  lw__hot__field_descriptors,
+  lw__hot__field_indices_by_name,
+  1,  lw__hot__number_ranges,
+  (ProtobufCMessageInit) lw__hot__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor lw__load__field_descriptors[7] =
 {
   {
@@ -520,13 +616,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "pressure",
+    "hots",
     6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lw__Load, pressure),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lw__Load, n_hots),
+    offsetof(Lw__Load, hots),
+    &lw__hot__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -546,9 +642,9 @@
 };
 static const unsigned lw__load__field_indices_by_name[] = {
   6,   /* field[6] = config_version */
+  5,   /* field[5] = hots */
   4,   /* field[4] = leaving */
   2,   /* field[2] = limit */
-  5,   /* field[5] = pressure */
   1,   /* field[1] = queued */
   0,   /* field[0] = running */
   3,   /* field[3] = service_us */
@@ -612,12 +708,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "priority",
+    "rank",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Lw__Open, priority),
+    offsetof(Lw__Open, rank),
     NULL,
     NULL,
     0,             /* flags */
@@ -636,12 +732,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "idempotent",
+    "repeat",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Lw__Open, idempotent),
+    offsetof(Lw__Open, repeat),
     NULL,
     NULL,
     0,             /* flags */
@@ -726,10 +822,10 @@
   1,   /* field[1] = deadline_ms */
   11,   /* field[11] = fin */
   7,   /* field[7] = head */
-  5,   /* field[5] = idempotent */
   4,   /* field[4] = nested */
-  3,   /* field[3] = priority */
   2,   /* field[2] = queue_ms */
+  3,   /* field[3] = rank */
+  5,   /* field[5] = repeat */
   8,   /* field[8] = request_id */
   0,   /* field[0] = stream */
   9,   /* field[9] = target */
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -15,6 +15,7 @@
 #endif
 
 
+typedef struct Lw__Hot Lw__Hot;
 typedef struct Lw__Load Lw__Load;
 typedef struct Lw__Open Lw__Open;
 typedef struct Lw__Answer Lw__Answer;
@@ -32,6 +33,20 @@
 
 /* --- messages --- */
 
+/*
+ * A service that refuses user requests from a rank on.
+ */
+struct  Lw__Hot
+{
+  ProtobufCMessage base;
+  char *service;
+  uint32_t level;
+};
+#define LW__HOT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lw__hot__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * What a node tells of the backend server beside it, with every answer.
  */
@@ -59,9 +74,10 @@
    */
   protobuf_c_boolean leaving;
   /*
-   * per mille: busiest service its requests depend on
+   * services on the request's path that refuse some work
    */
-  uint32_t pressure;
+  size_t n_hots;
+  Lw__Hot **hots;
   /*
    * in force at the sender
    */
@@ -69,7 +85,7 @@
 };
 #define LW__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -88,14 +104,17 @@
    */
   uint32_t queue_ms;
   /*
-   * 0 is the most urgent
+   * of the user request it is part of; the lowest is the most urgent
    */
-  uint32_t priority;
+  uint32_t rank;
   /*
    * made by a backend server on behalf of another request
    */
   protobuf_c_boolean nested;
-  protobuf_c_boolean idempotent;
+  /*
+   * it, or a request it is part of, was sent before
+   */
+  protobuf_c_boolean repeat;
   /*
    * -1: chunked
    */
@@ -263,6 +282,25 @@
     , LW__MESH_FRAME__BODY__NOT_SET, {0} }
 
 
+/* Lw__Hot methods */
+void   lw__hot__init
+                     (Lw__Hot         *message);
+size_t lw__hot__get_packed_size
+                     (const Lw__Hot   *message);
+size_t lw__hot__pack
+                     (const Lw__Hot   *message,
+                      uint8_t             *out);
+size_t lw__hot__pack_to_buffer
+                     (const Lw__Hot   *message,
+                      ProtobufCBuffer     *buffer);
+Lw__Hot *
+       lw__hot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lw__hot__free_unpacked
+                     (Lw__Hot *message,
+                      ProtobufCAllocator *allocator);
 /* Lw__Load methods */
 void   lw__load__init
                      (Lw__Load         *message);
@@ -455,6 +493,9 @@
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
+typedef void (*Lw__Hot_Closure)
+                 (const Lw__Hot *message,
+                  void *closure_data);
 typedef void (*Lw__Load_Closure)
                  (const Lw__Load *message,
                   void *closure_data);
@@ -491,6 +532,7 @@
 
 /* --- descriptors --- */
 
+extern const ProtobufCMessageDescriptor lw__hot__descriptor;
 extern const ProtobufCMessageDescriptor lw__load__descriptor;
 extern const ProtobufCMessageDescriptor lw__open__descriptor;
 extern const ProtobufCMessageDescriptor lw__answer__descriptor;
--- a/src/meshframe.c
+++ b/src/meshframe.c
@@ -96,16 +96,26 @@
 	return (lw_str_t){ (const char *)b.data, b.len };
 }
 
-/* lw_meshframe_load() - fill the load part of a frame. */
-void lw_meshframe_load(Lw__Load *out, const lw_load_t *load)
+/*
+ * lw_meshframe_load() - fill the load part of a frame. It points into @load
+ * and @out, which must stay until the frame is encoded.
+ */
+void lw_meshframe_load(lw_meshframe_load_t *out, const lw_load_t *load)
 {
-	lw__load__init(out);
-	out->running = load->running;
-	out->queued = load->queued;
-	out->limit = load->limit;
-	out->service_us = load->service_us;
-	out->leaving = load->leaving;
-	out->pressure = load->pressure;
+	lw__load__init(&out->load);
+	out->load.running = load->running;
+	out->load.queued = load->queued;
+	out->load.limit = load->limit;
+	out->load.service_us = load->service_us;
+	out->load.leaving = load->leaving;
+	out->load.n_hots = load->hots.n;
+	out->load.hots = out->list;
+	for (uint32_t i = 0; i < load->hots.n; i++) {
+		lw__hot__init(&out->hot[i]);
+		out->hot[i].service = (char *)(uintptr_t)load->hots.hot[i].service;
+		out->hot[i].level = load->hots.hot[i].level;
+		out->list[i] = &out->hot[i];
+	}
 }
 
 /* lw_meshframe_read_load() - read it; zeroes if the frame has none. */
@@ -119,5 +129,6 @@
 	out->limit = in->limit;
 	out->service_us = in->service_us;
 	out->leaving = in->leaving;
-	out->pressure = in->pressure;
+	for (size_t i = 0; i < in->n_hots; i++)
+		lw_hots_add(&out->hots, in->hots[i]->service, in->hots[i]->level);
 }
--- a/src/meshframe.h
+++ b/src/meshframe.h
@@ -13,12 +13,19 @@
 #include "call.h"
 #include "mesh.pb-c.h"
 
+/* The load part of a frame with the storage for its parts. */
+typedef struct lw_meshframe_load {
+	Lw__Load load;
+	Lw__Hot hot[LW_HOTS_MAX];
+	Lw__Hot *list[LW_HOTS_MAX];
+} lw_meshframe_load_t;
+
 void lw_meshframe_append(lw_bytebuf_t *out, const Lw__MeshFrame *f);
 ssize_t lw_meshframe_next(const char *data, size_t len, Lw__MeshFrame **out);
 void lw_meshframe_done(Lw__MeshFrame *f);
 ProtobufCBinaryData lw_meshframe_bytes(lw_str_t s);
 lw_str_t lw_meshframe_str(ProtobufCBinaryData b);
-void lw_meshframe_load(Lw__Load *out, const lw_load_t *load);
+void lw_meshframe_load(lw_meshframe_load_t *out, const lw_load_t *load);
 void lw_meshframe_read_load(const Lw__Load *in, lw_load_t *out);
 
 #endif
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -16,10 +16,15 @@
  * questions of the platform, one a second. Only then is it safe to leave.
  */
 #define STOP_CALLERS_US 2300000
+/*
+ * Callers that come all the same are turned away from then on: a request
+ * taken later could be cut off by SIGKILL, us.
+ */
+#define STOP_LISTEN_US 3000000
 /* idle connections of callers are closed from then on, us */
 #define STOP_IDLE_US 1500000
 /* and this much before SIGKILL the process exits whatever is under way, us */
-#define STOP_MARGIN_US 400000
+#define STOP_MARGIN_US 1000000
 
 typedef struct lw_proxy {
 	const lw_proxyset_t *set;
@@ -175,6 +180,8 @@
 		return;
 	if (since > STOP_IDLE_US)
 		lw_callers_close_idle(p->callers);
+	if (since > STOP_LISTEN_US)
+		lw_callers_close_listeners(p->callers);
 	if ((since > STOP_CALLERS_US && !p->engine.active && !p->engine.gate.ncalls) ||
 	    since + STOP_MARGIN_US > grace)
 		ev_break(p->hub.loop, EVBREAK_ALL);
@@ -246,6 +253,7 @@
 	p->engine.hub = &p->hub;
 	lw_place_init(&p->engine.place, set->zone, set->backend, set->mesh_port, terms);
 	lw_gate_init(&p->engine.gate, &p->hub);
+	p->engine.hotpath = lw_hotpath_new();
 	p->engine.mesh = lw_mesh_new(&p->hub, &p->engine.gate, &mesh_ops, p);
 	p->callers = lw_callers_new(&p->engine);
 	watch_signals(p);
--- a/src/retrylimit.c
+++ b/src/retrylimit.c
@@ -4,11 +4,10 @@
 #include <string.h>
 
 /*
- * Part of the fleet's allowance this module uses. A repeated run repeats its
- * calls as well, so a chain of services multiplies what each of them allows:
- * four services in a row that each use a quarter stay within the whole.
+ * Part of the fleet's allowance that is used. The rest is for calls whose
+ * repetition this node cannot tell and for the edges of the window.
  */
-#define USED_PART 0.25
+#define USED_PART 0.7
 
 static void advance(lw_retrylimit_t *l, const lw_retryterms_t *t, uint64_t now_us)
 {
@@ -33,6 +32,17 @@
 	l->requests[l->slice % LW_RETRY_SLICES]++;
 }
 
+/*
+ * lw_retrylimit_repeat() - a first request that counts as a repeat: it was
+ * made by a run that was one itself. It is not refused, but uses up the share,
+ * so that a chain of services does not multiply what each of them allows.
+ */
+void lw_retrylimit_repeat(lw_retrylimit_t *l, const lw_retryterms_t *t, uint64_t now_us)
+{
+	advance(l, t, now_us);
+	l->retries[l->slice % LW_RETRY_SLICES]++;
+}
+
 /*
  * lw_retrylimit_take() - true, and counted, if this node may send one request
  * again in the window that ends now, being one of @nodes that share the extra.
--- a/src/retrylimit.h
+++ b/src/retrylimit.h
@@ -25,6 +25,7 @@
 } lw_retrylimit_t;
 
 void lw_retrylimit_request(lw_retrylimit_t *l, const lw_retryterms_t *t, uint64_t now_us);
+void lw_retrylimit_repeat(lw_retrylimit_t *l, const lw_retryterms_t *t, uint64_t now_us);
 bool lw_retrylimit_take(lw_retrylimit_t *l, const lw_retryterms_t *t, uint32_t nodes,
 			uint64_t now_us);
 
