--- a/src/mesh.c
+++ b/src/mesh.c
@@ -508,14 +508,13 @@
 static void link_lost(lw_link_t *l)
 {
 	lw_stream_t *s;
-	bool never_connected = l->connecting;
 	uint64_t written = l->written_total;
 
 	if (l->closed)
 		return;
 	l->mesh->stats.links_lost++;
 	link_close(l);
-	if (l->outgoing && (never_connected || l->streams))
+	if (l->outgoing && !l->silent)
 		l->mesh->ops->lost(l->mesh->ctx, l->node);
 	while ((s = l->streams) != NULL) {
 		lw_sink_t *sink = s->call.sink;
--- a/src/place.c
+++ b/src/place.c
@@ -27,7 +27,7 @@
 #define FAILURE_EWMA 0.1
 /* first and longest time a host that cannot be reached gets no work, ms */
 #define SUSPECT_MIN_MS 300
-#define SUSPECT_MAX_MS 2000
+#define SUSPECT_MAX_MS 1000
 /* a load that was told longer ago says nothing, us */
 #define LOAD_STALE_US 3000000
 
@@ -166,6 +166,21 @@
 	return cost * (1 + COST_FAILING * h->failures * h->failures);
 }
 
+/* how sure it is that a host takes work; a better tier always goes first */
+typedef enum {
+	TIER_GOOD,
+	TIER_LEAVING, /* its node is stopping, the backend server may still be reached */
+	TIER_SUSPECT,
+	TIER_COUNT
+} tier_t;
+
+static tier_t host_tier(const lw_place_host_t *h, uint64_t now_us)
+{
+	if (now_us < h->suspect_until_us)
+		return TIER_SUSPECT;
+	return h->load.leaving ? TIER_LEAVING : TIER_GOOD;
+}
+
 static double mean_service(const lw_place_service_t *s)
 {
 	double sum = 0;
@@ -182,33 +197,32 @@
 /*
  * lw_place_pick() - the host of @s that is expected to answer soonest, none
  * of @tried; NULL if there is none. @random spreads the choices of the nodes.
- * A suspected host is chosen only if there is no other.
+ * A host in a worse tier is chosen only if there is none in a better one.
  */
 lw_place_host_t *lw_place_pick(lw_place_service_t *s, const lw_place_tried_t *tried,
 			       uint64_t now_us, uint32_t random)
 {
 	double mean = mean_service(s);
-	double best_cost = 0, best_suspect_cost = 0;
-	lw_place_host_t *best = NULL, *suspect = NULL;
+	lw_place_host_t *best[TIER_COUNT] = { NULL };
+	double best_cost[TIER_COUNT] = { 0 };
 
 	for (lw_place_host_t *h = s->hosts; h; h = h->next) {
+		tier_t tier = host_tier(h, now_us);
 		double cost;
 
-		if (!h->listed || h->draining || h->load.leaving || was_tried(tried, h))
+		if (!h->listed || h->draining || was_tried(tried, h))
 			continue;
 		random = random * 1664525u + 1013904223u;
 		cost = host_cost(h, mean, now_us) * (1 + COST_SPREAD * (random >> 8) / 16777216.0);
-		if (now_us < h->suspect_until_us) {
-			if (!suspect || cost < best_suspect_cost) {
-				suspect = h;
-				best_suspect_cost = cost;
-			}
-		} else if (!best || cost < best_cost) {
-			best = h;
-			best_cost = cost;
+		if (!best[tier] || cost < best_cost[tier]) {
+			best[tier] = h;
+			best_cost[tier] = cost;
 		}
 	}
-	return best ? best : suspect;
+	for (int i = 0; i < TIER_COUNT; i++)
+		if (best[i])
+			return best[i];
+	return NULL;
 }
 
 /* lw_place_sent() - a request goes to @h; lw_place_ended() must follow. */
@@ -245,8 +259,11 @@
 {
 	for (lw_place_service_t *s = p->services; s; s = s->next)
 		for (lw_place_host_t *h = s->hosts; h; h = h->next)
-			if (h->listed && !h->draining && strcmp(h->node, node) == 0)
+			if (h->listed && !h->draining && strcmp(h->node, node) == 0) {
 				lw_place_told(h, load, now_us);
+				h->suspect_until_us = 0;
+				h->backoff_ms = 0;
+			}
 }
 
 /*
@@ -267,6 +284,18 @@
 		}
 }
 
+/*
+ * lw_place_each_lost() - call @fn with the node of each suspected host: a
+ * short test by the caller finds out whether it is back before work is risked.
+ */
+void lw_place_each_lost(const lw_place_t *p, lw_place_node_fn fn, void *ctx)
+{
+	for (const lw_place_service_t *s = p->services; s; s = s->next)
+		for (const lw_place_host_t *h = s->hosts; h; h = h->next)
+			if (h->listed && !h->self && h->backoff_ms)
+				fn(ctx, h->node);
+}
+
 /*
  * lw_place_self() - the backend server on this host in the list, the one that
  * is not draining if there are two; NULL if none. @known: the list has one.
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -170,12 +170,21 @@
 	lw_log(LW_LOG_settings_reloaded, "signal=1 change=none");
 }
 
+/* try to reach a node that was lost; its first status clears it */
+static void contact(void *ctx, const char *node)
+{
+	lw_proxy_t *p = ctx;
+
+	lw_mesh_contact(p->engine.mesh, node);
+}
+
 static void on_tick(void *ctx)
 {
 	lw_proxy_t *p = ctx;
 	uint64_t since = p->hub.now_us - p->leaving_us;
 	uint64_t grace = (uint64_t)(p->set->grace_s * 1e6);
 
+	lw_place_each_lost(&p->engine.place, contact, p);
 	if (!p->hub.leaving)
 		return;
 	if (since > STOP_IDLE_US)
