--- a/src/call.h
+++ b/src/call.h
@@ -45,6 +45,7 @@
 	uint32_t limit;
 	uint32_t service_us;
 	bool leaving;
+	bool call_failed; /* a call made for the request failed: so will its repeat */
 	lw_hots_t hots; /* services on the path of the request that refuse some work */
 } lw_load_t;
 
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -102,6 +102,13 @@
 	call->ops->cancel(call);
 }
 
+/* the request this call was made for will fail with it, wherever it runs */
+static void tell_parent(const lw_exchange_t *x)
+{
+	if (x->parent_id.len)
+		lw_gate_note_failure(&x->engine->gate, x->parent_id);
+}
+
 static void answer_own(lw_exchange_t *x, uint32_t status, lw_fail_t why, uint32_t retry_after_ms)
 {
 	lw_reply_t *reply = x->reply;
@@ -111,6 +118,7 @@
 	       x->request_id, x->route, status, lw_fail_name(why), x->attempts.given,
 	       x->attempts.handed_back,
 	       (uint32_t)((x->engine->hub->now_us - x->started_us) / 1000), retry_after_ms);
+	tell_parent(x);
 	release(x);
 	if (reply)
 		reply->ops->own(reply, status, lw_fail_name(why), retry_after_ms);
@@ -148,7 +156,7 @@
 	lw_engine_t *e = x->engine;
 
 	if (lw_retrylimit_take(&x->service->retries, &e->place.terms, e->place.nhosts,
-			       e->hub->now_us)) {
+			       x->rank < LW_RANKS_PER_PRIORITY, e->hub->now_us)) {
 		e->stats.retries++;
 		return true;
 	}
@@ -282,7 +290,7 @@
 		return;
 	if (load)
 		took_load(x, load);
-	if (!(load && load->hots.n) && try_elsewhere(x, a->status)) {
+	if (!(load && load->call_failed) && try_elsewhere(x, a->status)) {
 		x->attempts.given++;
 		x->attempts.maybe_ran = true;
 		if (fin)
@@ -292,6 +300,8 @@
 		attempt(x, LW_FAIL_BROKEN);
 		return;
 	}
+	if (a->status >= 500)
+		tell_parent(x);
 	x->answering = true;
 	x->engine->stats.answered++;
 	if (fin) {
--- a/src/gate.c
+++ b/src/gate.c
@@ -54,6 +54,7 @@
 	bool dead;
 	uint32_t rank;
 	bool repeat;
+	bool call_failed; /* a call made for it failed */
 	lw_hots_t hots; /* told by the answers to its calls */
 	UT_hash_handle hh;
 } lw_job_t;
@@ -70,6 +71,7 @@
 	out->limit = g->limit;
 	out->service_us = (uint32_t)g->service_us;
 	out->leaving = g->leaving || g->hub->leaving;
+	out->call_failed = false;
 	out->hots.n = 0;
 	lw_hots_add(&out->hots, g->hub->set->service, g->level.level);
 }
@@ -78,6 +80,7 @@
 static void job_load(const lw_job_t *j, lw_load_t *out)
 {
 	lw_gate_load(j->gate, out);
+	out->call_failed = j->call_failed;
 	for (uint32_t i = 0; i < j->hots.n; i++)
 		lw_hots_add(&out->hots, j->hots.hot[i].service, j->hots.hot[i].level);
 }
@@ -605,6 +608,15 @@
 		lw_hots_add(&j->hots, hots->hot[i].service, hots->hot[i].level);
 }
 
+/* lw_gate_note_failure() - a call made for request @parent_id failed. */
+void lw_gate_note_failure(lw_gate_t *g, lw_str_t parent_id)
+{
+	lw_job_t *j = job_by_id(g, parent_id);
+
+	if (j)
+		j->call_failed = true;
+}
+
 static void on_step(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	lw_gate_t *g = w->data;
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -553,7 +553,7 @@
   (ProtobufCMessageInit) lw__hot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__load__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lw__load__field_descriptors[8] =
 {
   {
     "running",
@@ -639,8 +639,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "call_failed",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Load, call_failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__load__field_indices_by_name[] = {
+  7,   /* field[7] = call_failed */
   6,   /* field[6] = config_version */
   5,   /* field[5] = hots */
   4,   /* field[4] = leaving */
@@ -652,7 +665,7 @@
 static const ProtobufCIntRange lw__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lw__load__descriptor =
 {
@@ -662,7 +675,7 @@
   "Lw__Load",
   "lw",
   sizeof(Lw__Load),
-  7,
+  8,
   lw__load__field_descriptors,
   lw__load__field_indices_by_name,
   1,  lw__load__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -82,10 +82,14 @@
    * in force at the sender
    */
   uint64_t config_version;
+  /*
+   * a call made for the request failed
+   */
+  protobuf_c_boolean call_failed;
 };
 #define LW__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/src/retrylimit.c
+++ b/src/retrylimit.c
@@ -8,6 +8,13 @@
  * repetition this node cannot tell and for the edges of the window.
  */
 #define USED_PART 0.7
+/*
+ * Part of the allowance that may go to repeats this node decides on, unless
+ * they are for urgent requests. They can
+ * be spent at once when a fault begins; the repeats that follow from repeated
+ * runs further up come a little later and cannot be refused.
+ */
+#define OWN_PART 0.4
 
 static void advance(lw_retrylimit_t *l, const lw_retryterms_t *t, uint64_t now_us)
 {
@@ -16,12 +23,14 @@
 	if (slice - l->slice >= LW_RETRY_SLICES) {
 		memset(l->requests, 0, sizeof(l->requests));
 		memset(l->retries, 0, sizeof(l->retries));
+		memset(l->own, 0, sizeof(l->own));
 		l->slice = slice;
 	}
 	while (l->slice < slice) {
 		l->slice++;
 		l->requests[l->slice % LW_RETRY_SLICES] = 0;
 		l->retries[l->slice % LW_RETRY_SLICES] = 0;
+		l->own[l->slice % LW_RETRY_SLICES] = 0;
 	}
 }
 
@@ -46,21 +55,26 @@
 /*
  * lw_retrylimit_take() - true, and counted, if this node may send one request
  * again in the window that ends now, being one of @nodes that share the extra.
+ * @urgent: of the highest priority; it may use what others must leave.
  */
 bool lw_retrylimit_take(lw_retrylimit_t *l, const lw_retryterms_t *t, uint32_t nodes,
-			uint64_t now_us)
+			bool urgent, uint64_t now_us)
 {
-	uint32_t requests = 0, retries = 0;
+	uint32_t requests = 0, retries = 0, own = 0;
 	double allowed;
 
 	advance(l, t, now_us);
 	for (int i = 0; i < LW_RETRY_SLICES; i++) {
 		requests += l->requests[i];
 		retries += l->retries[i];
+		own += l->own[i];
 	}
-	allowed = USED_PART * (t->ratio * requests + t->extra / (nodes ? nodes : 1));
-	if (retries + 1 > allowed)
+	allowed = t->ratio * requests + t->extra / (nodes ? nodes : 1);
+	if (retries + 1 > allowed * USED_PART)
+		return false;
+	if (!urgent && own + 1 > allowed * OWN_PART)
 		return false;
+	l->own[l->slice % LW_RETRY_SLICES]++;
 	l->retries[l->slice % LW_RETRY_SLICES]++;
 	return true;
 }
--- a/src/retrylimit.h
+++ b/src/retrylimit.h
@@ -21,12 +21,13 @@
 typedef struct lw_retrylimit {
 	uint64_t slice; /* number of the newest slice */
 	uint32_t requests[LW_RETRY_SLICES];
-	uint32_t retries[LW_RETRY_SLICES];
+	uint32_t retries[LW_RETRY_SLICES]; /* all repeats */
+	uint32_t own[LW_RETRY_SLICES]; /* those this node decided on */
 } lw_retrylimit_t;
 
 void lw_retrylimit_request(lw_retrylimit_t *l, const lw_retryterms_t *t, uint64_t now_us);
 void lw_retrylimit_repeat(lw_retrylimit_t *l, const lw_retryterms_t *t, uint64_t now_us);
 bool lw_retrylimit_take(lw_retrylimit_t *l, const lw_retryterms_t *t, uint32_t nodes,
-			uint64_t now_us);
+			bool urgent, uint64_t now_us);
 
 #endif
