--- a/src/exchange.c
+++ b/src/exchange.c
@@ -389,16 +389,16 @@
 static void attempt(lw_exchange_t *x, lw_fail_t last)
 {
 	lw_engine_t *e = x->engine;
+	lw_place_ask_t choice = { e->hub->now_us, x->body_length,
+				  lw_hub_random(e->hub, UINT32_MAX) };
 	lw_str_t body;
 	lw_ask_t ask;
 	lw_fail_t why = LW_FAIL_UNSENT;
 	uint32_t retry_after_ms = 0;
 	bool whole;
 
-	x->host = x->tried.n < LW_PLACE_TRIED_MAX ?
-			  lw_place_pick(x->service, &x->tried, e->hub->now_us,
-					lw_hub_random(e->hub, UINT32_MAX)) :
-			  NULL;
+	if (x->tried.n < LW_PLACE_TRIED_MAX)
+		x->host = lw_place_pick(x->service, &x->tried, &choice);
 	if (!x->host) {
 		answer_verdict(x, lw_retry_final(&x->attempts, last), last);
 		return;
--- a/src/place.c
+++ b/src/place.c
@@ -1,7 +1,6 @@
 /* Choosing a backend server; see place.h. */
 #include "place.h"
 
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,11 +9,21 @@
 #include "xalloc.h"
 
 /*
- * Cost factors. A host in another availability zone must be this much less
- * loaded to be chosen: bytes between zones are paid for, and the extra round
- * trip is small against the time a request runs.
+ * Cost factors. A host in another availability zone must be this much better
+ * to be chosen: bytes between zones are paid for, and the extra round trip is
+ * small against the time a request runs. A large body makes it worse.
  */
-#define COST_OTHER_ZONE 1.35
+#define COST_OTHER_ZONE	    1.3
+#define COST_ZONE_PER_BYTE  (1.0 / 16384)
+#define COST_ZONE_BODY_MOST 4.0
+/*
+ * How much a host slows down towards full use: it costs 1 + 3 u^3 times the
+ * time a request runs there, u being the part of its slots in use. A fast
+ * server is filled to about 70% before one of half its speed gets work.
+ */
+#define COST_FULL 3.0
+/* one choice in so many goes by use alone: a server that was slow is tried again */
+#define EXPLORE_ONE_IN 32
 /* the backend server on this host needs no hop at all */
 #define COST_SELF 0.9
 /* a server that has just started is about half as fast */
@@ -141,28 +150,42 @@
 	return false;
 }
 
-/*
- * Use of a host's slots, told by its node and added to by what this node has
- * sent since; how slow it is counts by its square root, so that a fast server
- * gets somewhat more than its share while there is room for latency to matter.
- */
-static double host_cost(const lw_place_host_t *h, double mean_service_us, uint64_t now_us)
+/* part of a host's slots in use: as its node told, and what was sent since */
+static double host_use(const lw_place_host_t *h, bool known)
 {
-	bool known = h->load_us && now_us - h->load_us < LOAD_STALE_US;
 	uint32_t busy = known ? h->load.running + h->load.queued + h->sent : h->inflight;
-	double cost;
 
 	if (busy < h->inflight)
 		busy = h->inflight;
-	cost = (busy + 1.0) / (h->load.limit ? h->load.limit : 1);
-	if (known && h->load.service_us && mean_service_us > 0)
-		cost *= sqrt(h->load.service_us / mean_service_us);
+	return (busy + 1.0) / (h->load.limit ? h->load.limit : 1);
+}
+
+static double zone_cost(const lw_place_host_t *h, int64_t body_length)
+{
+	double extra = body_length < 0 ? COST_ZONE_BODY_MOST :
+					 (double)body_length * COST_ZONE_PER_BYTE;
+
 	if (h->self)
-		cost *= COST_SELF;
-	else if (!h->same_zone)
-		cost *= COST_OTHER_ZONE;
-	if (now_us < h->cold_until_us)
+		return COST_SELF;
+	if (h->same_zone)
+		return 1;
+	return COST_OTHER_ZONE + (extra < COST_ZONE_BODY_MOST ? extra : COST_ZONE_BODY_MOST);
+}
+
+/* the time a request is expected to take there, against the service's mean */
+static double host_cost(const lw_place_host_t *h, const lw_place_ask_t *ask, double mean_us)
+{
+	bool known = h->load_us && ask->now_us - h->load_us < LOAD_STALE_US;
+	double use = host_use(h, known);
+	double cost = 1 + COST_FULL * use * use * use;
+
+	if (ask->random % EXPLORE_ONE_IN == 0)
+		cost = use;
+	else if (known && h->load.service_us && mean_us > 0)
+		cost *= h->load.service_us / mean_us;
+	if (ask->now_us < h->cold_until_us)
 		cost *= COST_COLD;
+	cost *= zone_cost(h, ask->body_length);
 	return cost * (1 + COST_FAILING * h->failures * h->failures);
 }
 
@@ -196,24 +219,26 @@
 
 /*
  * lw_place_pick() - the host of @s that is expected to answer soonest, none
- * of @tried; NULL if there is none. @random spreads the choices of the nodes.
+ * of @tried; NULL if there is none.
  * A host in a worse tier is chosen only if there is none in a better one.
  */
 lw_place_host_t *lw_place_pick(lw_place_service_t *s, const lw_place_tried_t *tried,
-			       uint64_t now_us, uint32_t random)
+			       const lw_place_ask_t *ask)
 {
+	uint32_t random = ask->random;
 	double mean = mean_service(s);
 	lw_place_host_t *best[TIER_COUNT] = { NULL };
 	double best_cost[TIER_COUNT] = { 0 };
 
 	for (lw_place_host_t *h = s->hosts; h; h = h->next) {
-		tier_t tier = host_tier(h, now_us);
+		tier_t tier = host_tier(h, ask->now_us);
 		double cost;
 
 		if (!h->listed || h->draining || was_tried(tried, h))
 			continue;
 		random = random * 1664525u + 1013904223u;
-		cost = host_cost(h, mean, now_us) * (1 + COST_SPREAD * (random >> 8) / 16777216.0);
+		cost = host_cost(h, ask, mean);
+		cost *= 1 + COST_SPREAD * (random >> 8) / 16777216.0;
 		if (!best[tier] || cost < best_cost[tier]) {
 			best[tier] = h;
 			best_cost[tier] = cost;
--- a/src/place.h
+++ b/src/place.h
@@ -60,12 +60,19 @@
 	size_t n;
 } lw_place_tried_t;
 
+/* What a choice depends on beside the hosts. */
+typedef struct lw_place_ask {
+	uint64_t now_us;
+	int64_t body_length; /* of the request; -1: not known */
+	uint32_t random; /* spreads the choices of the nodes */
+} lw_place_ask_t;
+
 void lw_place_init(lw_place_t *p, const char *zone, const char *backend, uint32_t mesh_port,
 		   lw_retryterms_t terms);
 void lw_place_update(lw_place_t *p, const lw_serverlist_t *sl, uint64_t now_us);
 lw_place_service_t *lw_place_service(lw_place_t *p, const char *name);
 lw_place_host_t *lw_place_pick(lw_place_service_t *s, const lw_place_tried_t *tried,
-			       uint64_t now_us, uint32_t random);
+			       const lw_place_ask_t *ask);
 void lw_place_sent(lw_place_host_t *h);
 void lw_place_ended(lw_place_host_t *h, bool ok, uint64_t now_us);
 void lw_place_told(lw_place_host_t *h, const lw_load_t *load, uint64_t now_us);
