--- a/src/call.h
+++ b/src/call.h
@@ -46,6 +46,7 @@
 	uint32_t service_us;
 	bool leaving;
 	bool call_failed; /* a call made for the request failed: so will its repeat */
+	uint32_t depth; /* levels of calls below the request */
 	lw_hots_t hots; /* services on the path of the request that refuse some work */
 } lw_load_t;
 
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -23,6 +23,14 @@
  */
 #define QUEUE_NEW_PERCENT    35
 #define QUEUE_NESTED_PERCENT 60
+/*
+ * When a service has no reachable server, as when a node restarts beside the
+ * last one, the request waits a little for it to come back, in percent of the
+ * latency objective, and looks again after so many milliseconds.
+ */
+#define HOLD_NEW_PERCENT    12
+#define HOLD_NESTED_PERCENT 40
+#define HOLD_STEP_MS	    40
 /* a refused caller is told to come back after this if no server said better, ms */
 #define COMEBACK_DEFAULT_MS 250
 
@@ -51,8 +59,11 @@
 	lw_attempts_t attempts;
 	lw_place_tried_t tried;
 	ev_timer timer;
+	ev_timer hold; /* until the next look for a host */
+	lw_fail_t held_for;
 	bool nested;
 	bool repeat; /* made by a run that was a repeat */
+	uint32_t above; /* levels of requests above it */
 	bool fin; /* the body is complete */
 	bool answering; /* the caller has the head of the answer */
 	bool dead;
@@ -75,6 +86,7 @@
 	x->dead = true;
 	x->reply = NULL;
 	ev_timer_stop(x->engine->hub->loop, &x->timer);
+	ev_timer_stop(x->engine->hub->loop, &x->hold);
 	x->engine->active--;
 	lw_bytebuf_free(&x->head);
 	lw_bytebuf_free(&x->body);
@@ -154,9 +166,9 @@
 static bool take_retry(lw_exchange_t *x)
 {
 	lw_engine_t *e = x->engine;
+	lw_retryplace_t at = { e->place.nhosts, x->above, lw_hotpath_depth(e->hotpath, x->route) };
 
-	if (lw_retrylimit_take(&x->service->retries, &e->place.terms, e->place.nhosts,
-			       x->rank < LW_RANKS_PER_PRIORITY, e->hub->now_us)) {
+	if (lw_retrylimit_take(&x->service->retries, &e->place.terms, &at, e->hub->now_us)) {
 		e->stats.retries++;
 		return true;
 	}
@@ -206,9 +218,9 @@
 
 	if (x->host)
 		lw_place_told(x->host, load, e->hub->now_us);
-	lw_hotpath_told(e->hotpath, x->route, &load->hots, e->hub->now_us);
+	lw_hotpath_told(e->hotpath, x->route, &load->hots, load->depth, e->hub->now_us);
 	if (x->parent_id.len)
-		lw_gate_note_hots(&e->gate, x->parent_id, &load->hots);
+		lw_gate_note_call(&e->gate, x->parent_id, load);
 }
 
 static void sink_fail(lw_sink_t *s, lw_fail_t why, uint32_t retry_after_ms, const lw_load_t *load)
@@ -385,6 +397,35 @@
 	ask->repeat = x->repeat || x->attempts.given;
 }
 
+static void on_hold_over(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	lw_exchange_t *x = w->data;
+
+	(void)loop;
+	(void)revents;
+	x->tried.n = 0;
+	attempt(x, x->held_for);
+}
+
+/* no host is left: wait for one if there is time and none has had the request */
+static void no_host(lw_exchange_t *x, lw_fail_t last)
+{
+	uint32_t percent = x->nested ? HOLD_NESTED_PERCENT : HOLD_NEW_PERCENT;
+	uint64_t hold_us = (uint64_t)x->target_ms * percent * 10;
+	bool unreached = last == LW_FAIL_NO_SERVER || last == LW_FAIL_UNSENT;
+
+	if (unreached && !x->attempts.given &&
+	    x->engine->hub->now_us - x->started_us + HOLD_STEP_MS * 1000 < hold_us) {
+		x->held_for = last;
+		x->attempts.handed_back = 0;
+		ev_timer_init(&x->hold, on_hold_over, HOLD_STEP_MS / 1000.0, 0);
+		x->hold.data = x;
+		ev_timer_start(x->engine->hub->loop, &x->hold);
+		return;
+	}
+	answer_verdict(x, lw_retry_final(&x->attempts, last), last);
+}
+
 /* give the request to the best host that has not had it; @last: why again */
 static void attempt(lw_exchange_t *x, lw_fail_t last)
 {
@@ -400,7 +441,7 @@
 	if (x->tried.n < LW_PLACE_TRIED_MAX)
 		x->host = lw_place_pick(x->service, &x->tried, &choice);
 	if (!x->host) {
-		answer_verdict(x, lw_retry_final(&x->attempts, last), last);
+		no_host(x, last);
 		return;
 	}
 	x->tried.host[x->tried.n++] = x->host;
@@ -540,6 +581,8 @@
 
 	if (!dot)
 		return;
+	for (const char *p = x->request_id; *p; p++)
+		x->above += *p == '.';
 	x->parent_id = (lw_str_t){ x->request_id, (size_t)(dot - x->request_id) };
 	x->nested = true;
 	x->engine->stats.nested++;
@@ -564,6 +607,7 @@
 	x->fin = ask->body_length == 0;
 	x->request_id = lw_str_dup(lw_httphead_find(ask->head, LW_HEADER_REQUEST_ID));
 	ev_timer_init(&x->timer, on_timeout, 0, 0);
+	ev_timer_init(&x->hold, on_hold_over, 0, 0);
 	e->active++;
 	e->stats.requests++;
 	if (fc && apply_route(x, ask, fc)) {
--- a/src/gate.c
+++ b/src/gate.c
@@ -55,6 +55,7 @@
 	uint32_t rank;
 	bool repeat;
 	bool call_failed; /* a call made for it failed */
+	uint32_t depth; /* levels of calls below it, as far as told */
 	lw_hots_t hots; /* told by the answers to its calls */
 	UT_hash_handle hh;
 } lw_job_t;
@@ -72,6 +73,7 @@
 	out->service_us = (uint32_t)g->service_us;
 	out->leaving = g->leaving || g->hub->leaving;
 	out->call_failed = false;
+	out->depth = 0;
 	out->hots.n = 0;
 	lw_hots_add(&out->hots, g->hub->set->service, g->level.level);
 }
@@ -81,6 +83,7 @@
 {
 	lw_gate_load(j->gate, out);
 	out->call_failed = j->call_failed;
+	out->depth = j->depth;
 	for (uint32_t i = 0; i < j->hots.n; i++)
 		lw_hots_add(&out->hots, j->hots.hot[i].service, j->hots.hot[i].level);
 }
@@ -597,15 +600,17 @@
 	return true;
 }
 
-/* lw_gate_note_hots() - what the answer to a call of request @parent_id told. */
-void lw_gate_note_hots(lw_gate_t *g, lw_str_t parent_id, const lw_hots_t *hots)
+/* lw_gate_note_call() - what the answer to a call of request @parent_id told. */
+void lw_gate_note_call(lw_gate_t *g, lw_str_t parent_id, const lw_load_t *load)
 {
 	lw_job_t *j = job_by_id(g, parent_id);
 
 	if (!j)
 		return;
-	for (uint32_t i = 0; i < hots->n; i++)
-		lw_hots_add(&j->hots, hots->hot[i].service, hots->hot[i].level);
+	if (load->depth + 1 > j->depth)
+		j->depth = load->depth + 1;
+	for (uint32_t i = 0; i < load->hots.n; i++)
+		lw_hots_add(&j->hots, load->hots.hot[i].service, load->hots.hot[i].level);
 }
 
 /* lw_gate_note_failure() - a call made for request @parent_id failed. */
--- a/src/gate.h
+++ b/src/gate.h
@@ -51,7 +51,7 @@
 			  bool fin, lw_fail_t *why, uint32_t *retry_after_ms);
 void lw_gate_load(const lw_gate_t *g, lw_load_t *out);
 bool lw_gate_parent(const lw_gate_t *g, lw_str_t id, uint32_t *rank, bool *repeat);
-void lw_gate_note_hots(lw_gate_t *g, lw_str_t parent_id, const lw_hots_t *hots);
+void lw_gate_note_call(lw_gate_t *g, lw_str_t parent_id, const lw_load_t *load);
 void lw_gate_note_failure(lw_gate_t *g, lw_str_t parent_id);
 
 #endif
--- a/src/hotpath.c
+++ b/src/hotpath.c
@@ -31,6 +31,7 @@
 
 typedef struct lw_hot_route {
 	char name[LW_NAME_MAX];
+	uint32_t depth; /* levels of calls below a request, the most seen */
 	struct {
 		lw_hot_service_t *service;
 		uint64_t seen_us;
@@ -129,18 +130,15 @@
 
 /*
  * lw_hotpath_told() - an answer on @route came with the levels of the
- * services its work led to. Services not in @hots that the route led to
- * lately refuse nothing.
+ * services its work led to, and with the levels of calls below it.
  */
-void lw_hotpath_told(lw_hotpath_t *p, const char *route, const lw_hots_t *hots, uint64_t now_us)
+void lw_hotpath_told(lw_hotpath_t *p, const char *route, const lw_hots_t *hots, uint32_t depth,
+		     uint64_t now_us)
 {
-	lw_hot_route_t *r = hots->n ? route_of(p, route) : NULL;
+	lw_hot_route_t *r = hots->n || depth ? route_of(p, route) : NULL;
 
-	if (!hots->n) {
-		HASH_FIND_STR(p->routes, route, r);
-		if (!r)
-			return;
-	}
+	if (r && depth > r->depth)
+		r->depth = depth;
 	for (uint32_t i = 0; i < hots->n; i++) {
 		lw_hot_service_t *s = service_of(p, hots->hot[i].service, hots->hot[i].level);
 		double level = level_now(s, now_us);
@@ -152,6 +150,15 @@
 	}
 }
 
+/* lw_hotpath_depth() - levels of calls below a request on @route, as far as seen. */
+uint32_t lw_hotpath_depth(const lw_hotpath_t *p, const char *route)
+{
+	const lw_hot_route_t *r;
+
+	HASH_FIND_STR(p->routes, route, r);
+	return r ? r->depth : 0;
+}
+
 /*
  * lw_hotpath_admits() - false if a service that @route leads to could not
  * finish a request of @rank.
--- a/src/hotpath.h
+++ b/src/hotpath.h
@@ -1,6 +1,6 @@
 /*
- * What a node knows of the admission levels of services, and which routes
- * lead to them. A node where requests begin refuses one there that the
+ * What a node knows of the admission levels of services, which routes lead to
+ * them, and how deep a route's calls go. A node where requests begin refuses one there that the
  * services behind it could not finish. No I/O; the time is given.
  */
 #ifndef LW_HOTPATH_H
@@ -30,7 +30,9 @@
 
 void lw_hots_add(lw_hots_t *h, const char *service, uint32_t level);
 lw_hotpath_t *lw_hotpath_new(void);
-void lw_hotpath_told(lw_hotpath_t *p, const char *route, const lw_hots_t *hots, uint64_t now_us);
+void lw_hotpath_told(lw_hotpath_t *p, const char *route, const lw_hots_t *hots, uint32_t depth,
+		     uint64_t now_us);
+uint32_t lw_hotpath_depth(const lw_hotpath_t *p, const char *route);
 bool lw_hotpath_admits(lw_hotpath_t *p, const char *route, uint32_t rank, uint64_t now_us);
 
 #endif
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -553,7 +553,7 @@
   (ProtobufCMessageInit) lw__hot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__load__field_descriptors[8] =
+static const ProtobufCFieldDescriptor lw__load__field_descriptors[9] =
 {
   {
     "running",
@@ -651,10 +651,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "depth",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Load, depth),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__load__field_indices_by_name[] = {
   7,   /* field[7] = call_failed */
   6,   /* field[6] = config_version */
+  8,   /* field[8] = depth */
   5,   /* field[5] = hots */
   4,   /* field[4] = leaving */
   2,   /* field[2] = limit */
@@ -665,7 +678,7 @@
 static const ProtobufCIntRange lw__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor lw__load__descriptor =
 {
@@ -675,7 +688,7 @@
   "Lw__Load",
   "lw",
   sizeof(Lw__Load),
-  8,
+  9,
   lw__load__field_descriptors,
   lw__load__field_indices_by_name,
   1,  lw__load__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -86,10 +86,14 @@
    * a call made for the request failed
    */
   protobuf_c_boolean call_failed;
+  /*
+   * levels of calls below the request
+   */
+  uint32_t depth;
 };
 #define LW__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/src/retrylimit.c
+++ b/src/retrylimit.c
@@ -4,17 +4,17 @@
 #include <string.h>
 
 /*
- * Part of the fleet's allowance that is used. The rest is for calls whose
- * repetition this node cannot tell and for the edges of the window.
+ * Parts of the fleet's allowance that a node decides on. A repeat counts again
+ * at every service its calls lead to, so the parts of all levels of a call
+ * chain together stay below the whole, even if each level has a fault of its
+ * own at the same moment. The last level, where most faults are felt, has the
+ * larger part; the levels above share the rest.
  */
-#define USED_PART 0.7
-/*
- * Part of the allowance that may go to repeats this node decides on, unless
- * they are for urgent requests. They can
- * be spent at once when a fault begins; the repeats that follow from repeated
- * runs further up come a little later and cannot be refused.
- */
-#define OWN_PART 0.4
+#define LAST_PART   0.38
+#define ABOVE_PART  0.54
+#define SINGLE_PART 0.38
+/* all repeats together, those that follow from repeated runs included */
+#define TOTAL_PART 0.9
 
 static void advance(lw_retrylimit_t *l, const lw_retryterms_t *t, uint64_t now_us)
 {
@@ -52,13 +52,21 @@
 	l->retries[l->slice % LW_RETRY_SLICES]++;
 }
 
+static double own_part(const lw_retryplace_t *at)
+{
+	uint32_t levels = at->above + 1 + at->below;
+
+	if (levels == 1)
+		return SINGLE_PART;
+	return at->below ? ABOVE_PART / (levels - 1) : LAST_PART;
+}
+
 /*
- * lw_retrylimit_take() - true, and counted, if this node may send one request
- * again in the window that ends now, being one of @nodes that share the extra.
- * @urgent: of the highest priority; it may use what others must leave.
+ * lw_retrylimit_take() - true, and counted, if this node may send a request
+ * at @at again in the window that ends now.
  */
-bool lw_retrylimit_take(lw_retrylimit_t *l, const lw_retryterms_t *t, uint32_t nodes,
-			bool urgent, uint64_t now_us)
+bool lw_retrylimit_take(lw_retrylimit_t *l, const lw_retryterms_t *t,
+			const lw_retryplace_t *at, uint64_t now_us)
 {
 	uint32_t requests = 0, retries = 0, own = 0;
 	double allowed;
@@ -69,10 +77,8 @@
 		retries += l->retries[i];
 		own += l->own[i];
 	}
-	allowed = t->ratio * requests + t->extra / (nodes ? nodes : 1);
-	if (retries + 1 > allowed * USED_PART)
-		return false;
-	if (!urgent && own + 1 > allowed * OWN_PART)
+	allowed = t->ratio * requests + t->extra / (at->nodes ? at->nodes : 1);
+	if (retries + 1 > allowed * TOTAL_PART || own + 1 > allowed * own_part(at))
 		return false;
 	l->own[l->slice % LW_RETRY_SLICES]++;
 	l->retries[l->slice % LW_RETRY_SLICES]++;
--- a/src/retrylimit.h
+++ b/src/retrylimit.h
@@ -16,6 +16,13 @@
 	double window_s;
 } lw_retryterms_t;
 
+/* Where in the call graph a repeat would happen. */
+typedef struct lw_retryplace {
+	uint32_t nodes; /* that share the extra */
+	uint32_t above; /* levels of requests above this one */
+	uint32_t below; /* levels of calls below it */
+} lw_retryplace_t;
+
 #define LW_RETRY_SLICES 10
 
 typedef struct lw_retrylimit {
@@ -27,7 +34,7 @@
 
 void lw_retrylimit_request(lw_retrylimit_t *l, const lw_retryterms_t *t, uint64_t now_us);
 void lw_retrylimit_repeat(lw_retrylimit_t *l, const lw_retryterms_t *t, uint64_t now_us);
-bool lw_retrylimit_take(lw_retrylimit_t *l, const lw_retryterms_t *t, uint32_t nodes,
-			bool urgent, uint64_t now_us);
+bool lw_retrylimit_take(lw_retrylimit_t *l, const lw_retryterms_t *t,
+			const lw_retryplace_t *at, uint64_t now_us);
 
 #endif
