Two nodes read the store and tell the others; every node reads when news grows old

Cause: every node asked the store 1.4 times a second; calls are priced, and the limit is the fleet's. A node that cannot reach the store hears of changes now.

--- /dev/null
+++ b/src/feed.c
@@ -0,0 +1,51 @@
+/* Control of the thread that reads the store; see feed.h. */
+#include "feed.h"
+
+#include <string.h>
+
+#include "linux/clock.h"
+
+/* lw_feed_init() - the store is wanted at first. */
+void lw_feed_init(lw_feed_t *f, const lw_proxyset_t *set)
+{
+	memset(f, 0, sizeof(*f));
+	f->set = set;
+	f->wanted = 1;
+	pthread_mutex_init(&f->lock, NULL);
+	pthread_cond_init(&f->wake, NULL);
+}
+
+/* lw_feed_want() - from the loop: read the store from now on, or stop. */
+void lw_feed_want(lw_feed_t *f, bool wanted)
+{
+	if (__atomic_load_n(&f->wanted, __ATOMIC_RELAXED) == (uint32_t)wanted)
+		return;
+	pthread_mutex_lock(&f->lock);
+	__atomic_store_n(&f->wanted, wanted, __ATOMIC_RELAXED);
+	pthread_cond_signal(&f->wake);
+	pthread_mutex_unlock(&f->lock);
+}
+
+/* lw_feed_wait_wanted() - from the reader: wait until the store is to be read. */
+void lw_feed_wait_wanted(lw_feed_t *f)
+{
+	if (__atomic_load_n(&f->wanted, __ATOMIC_RELAXED))
+		return;
+	pthread_mutex_lock(&f->lock);
+	while (!f->wanted)
+		pthread_cond_wait(&f->wake, &f->lock);
+	pthread_mutex_unlock(&f->lock);
+}
+
+/* lw_feed_read() - from the reader: the store has answered just now. */
+void lw_feed_read(lw_feed_t *f)
+{
+	__atomic_store_n(&f->read_us, lw_now_boot_us(), __ATOMIC_RELEASE);
+	ev_async_send(f->conf.loop, f->conf.wake);
+}
+
+/* lw_feed_last_read_us() - boot time of the last answer; 0 if there was none. */
+uint64_t lw_feed_last_read_us(const lw_feed_t *f)
+{
+	return __atomic_load_n(&f->read_us, __ATOMIC_ACQUIRE);
+}
--- a/src/feed.h
+++ b/src/feed.h
@@ -5,6 +5,7 @@
 #ifndef LW_FEED_H
 #define LW_FEED_H
 
+#include <pthread.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -24,6 +25,10 @@
 	const lw_proxyset_t *set;
 	lw_mailbox_t conf; /* lw_fleetconf_t */
 	lw_mailbox_t servers; /* lw_serverlist_t */
+	uint32_t wanted; /* the loop wants the store to be read; by lw_feed_want() */
+	uint64_t read_us; /* boot time of the last successful read; atomic */
+	pthread_mutex_t lock;
+	pthread_cond_t wake;
 	lw_feed_stats_t stats; /* written by the reader thread only */
 } lw_feed_t;
 
@@ -38,4 +43,10 @@
 	lw_status_t (*parse_config)(const char *text, size_t len, lw_fleetconf_t **out);
 } lw_platform_t;
 
+void lw_feed_init(lw_feed_t *f, const lw_proxyset_t *set);
+void lw_feed_want(lw_feed_t *f, bool wanted);
+void lw_feed_wait_wanted(lw_feed_t *f);
+void lw_feed_read(lw_feed_t *f);
+uint64_t lw_feed_last_read_us(const lw_feed_t *f);
+
 #endif
--- a/src/fleetconf.h
+++ b/src/fleetconf.h
@@ -64,6 +64,7 @@
 } lw_server_entry_t;
 
 typedef struct lw_serverlist {
+	uint64_t revision; /* of the store when it was read */
 	lw_server_entry_t *servers;
 	size_t nservers;
 } lw_serverlist_t;
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -62,6 +62,8 @@
 	uint64_t late_us; /* what is read now was sent so much earlier */
 	uint64_t peer_version; /* configuration in force at the peer, as far as told */
 	uint64_t pushed_version;
+	uint64_t peer_revision; /* of its list of backend servers, as far as told */
+	uint64_t pushed_revision;
 	lw_link_t *next;
 	lw_link_t *next_dirty;
 };
@@ -99,14 +101,9 @@
 	ev_io_start(l->mesh->hub->loop, &l->io);
 }
 
-/* queue a frame; it is written before the loop waits */
-static void send_frame(lw_link_t *l, const Lw__MeshFrame *f)
+/* a frame was queued; it is written before the loop waits */
+static void frame_queued(lw_link_t *l, size_t before)
 {
-	size_t before = lw_bytebuf_len(&l->out);
-
-	if (l->closed)
-		return;
-	lw_meshframe_append(&l->out, f);
 	l->queued_total += lw_bytebuf_len(&l->out) - before;
 	l->mesh->stats.frames_out++;
 	if (l->dirty)
@@ -116,6 +113,16 @@
 	l->mesh->dirty = l;
 }
 
+static void send_frame(lw_link_t *l, const Lw__MeshFrame *f)
+{
+	size_t before = lw_bytebuf_len(&l->out);
+
+	if (l->closed)
+		return;
+	lw_meshframe_append(&l->out, f);
+	frame_queued(l, before);
+}
+
 static void link_flush(lw_link_t *l)
 {
 	while (!l->connecting && !l->closed && lw_bytebuf_len(&l->out)) {
@@ -156,6 +163,13 @@
 	out->load.config_version = m->ops->config_version(m->ctx);
 }
 
+static uint64_t own_revision(const lw_mesh_t *m)
+{
+	const lw_serverlist_t *sl = m->ops->servers(m->ctx);
+
+	return sl ? sl->revision : 0;
+}
+
 static void send_status(lw_link_t *l, bool is_reply)
 {
 	lw_load_t own;
@@ -167,6 +181,8 @@
 	fill_load(l->mesh, &load, &own);
 	status.is_reply = is_reply;
 	status.load = &load.load;
+	status.news_age_ms = l->mesh->ops->news_age_ms(l->mesh->ctx);
+	status.servers_revision = own_revision(l->mesh);
 	f.body_case = LW__MESH_FRAME__BODY_STATUS;
 	f.status = &status;
 	send_frame(l, &f);
@@ -457,6 +473,62 @@
 			w->retry_after_ms, &load);
 }
 
+/* the configuration, to a node that is not known to have it */
+static void send_config(lw_link_t *l, uint64_t version)
+{
+	lw_mesh_t *m = l->mesh;
+	Lw__Config c = LW__CONFIG__INIT;
+	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
+	lw_str_t text;
+
+	if (l->connecting || l->peer_version >= version || l->pushed_version >= version)
+		return;
+	text = m->ops->config_text(m->ctx);
+	if (!text.len)
+		return;
+	l->pushed_version = version;
+	c.version = version;
+	c.text = lw_meshframe_bytes(text);
+	f.body_case = LW__MESH_FRAME__BODY_CONFIG;
+	f.config = &c;
+	send_frame(l, &f);
+}
+
+/* a list of backend servers the peer does not have yet */
+static void push_servers(lw_link_t *l)
+{
+	const lw_serverlist_t *sl = l->mesh->ops->servers(l->mesh->ctx);
+	size_t before = lw_bytebuf_len(&l->out);
+
+	if (!sl || l->closed || l->connecting || l->peer_revision >= sl->revision ||
+	    l->pushed_revision >= sl->revision)
+		return;
+	l->pushed_revision = sl->revision;
+	lw_meshframe_append_servers(&l->out, sl);
+	frame_queued(l, before);
+}
+
+/*
+ * News counts only from a node that has nothing newer than this one: else
+ * this node would think itself up to date while it waits for the list.
+ */
+static void take_news(lw_link_t *l, const Lw__Status *w)
+{
+	lw_mesh_t *m = l->mesh;
+	uint64_t own = own_revision(m);
+
+	if (w->servers_revision < own) {
+		push_servers(l);
+	} else if (w->servers_revision > own) {
+		/* the answer makes the peer push its list */
+		if (w->is_reply)
+			send_status(l, true);
+		return;
+	}
+	if (l->peer_version <= m->ops->config_version(m->ctx))
+		m->ops->news(m->ctx, w->news_age_ms);
+}
+
 static void on_status(lw_link_t *l, const Lw__Status *w)
 {
 	lw_load_t load;
@@ -466,6 +538,8 @@
 		l->peer_version = w->load->config_version;
 	if (l->outgoing && w->load)
 		l->mesh->ops->load(l->mesh->ctx, l->node, &load);
+	l->peer_revision = w->servers_revision;
+	take_news(l, w);
 	if (!w->is_reply)
 		send_status(l, true);
 }
@@ -499,6 +573,10 @@
 	case LW__MESH_FRAME__BODY_CONFIG:
 		m->ops->config_received(m->ctx, lw_meshframe_str(f->config->text));
 		break;
+	case LW__MESH_FRAME__BODY_SERVERS:
+		l->peer_revision = f->servers->revision;
+		m->ops->servers_received(m->ctx, lw_meshframe_read_servers(f->servers));
+		break;
 	default:
 		break; /* a newer node's frame */
 	}
@@ -714,6 +792,24 @@
 		send_status(l, true);
 }
 
+/*
+ * lw_mesh_spread() - a node that reads the store tells the others: the
+ * configuration and the list of backend servers if they changed, and in any
+ * case that it is in touch with the store.
+ */
+void lw_mesh_spread(lw_mesh_t *m)
+{
+	uint64_t version = m->ops->config_version(m->ctx);
+
+	for (lw_link_t *l = m->links; l; l = l->next) {
+		if (!l->outgoing || l->silent || l->connecting)
+			continue;
+		send_config(l, version);
+		push_servers(l);
+		send_status(l, true);
+	}
+}
+
 /* lw_mesh_stats() - counts since the start. */
 const lw_mesh_stats_t *lw_mesh_stats(const lw_mesh_t *m)
 {
@@ -768,26 +864,10 @@
 /* a node that cannot reach the store gets the configuration from its peers */
 static void push_config(lw_link_t *l, uint64_t version, uint64_t now)
 {
-	lw_mesh_t *m = l->mesh;
-	Lw__Config c = LW__CONFIG__INIT;
-	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
-	lw_str_t text;
-
-	if (l->connecting || l->peer_version >= version || l->pushed_version >= version)
-		return;
-	if (l->peer_version && now - m->config_us < CONFIG_PUSH_US)
+	if (l->peer_version && now - l->mesh->config_us < CONFIG_PUSH_US)
 		return;
-	if (now - l->opened_us < CONFIG_PUSH_US)
-		return;
-	text = m->ops->config_text(m->ctx);
-	if (!text.len)
-		return;
-	l->pushed_version = version;
-	c.version = version;
-	c.text = lw_meshframe_bytes(text);
-	f.body_case = LW__MESH_FRAME__BODY_CONFIG;
-	f.config = &c;
-	send_frame(l, &f);
+	if (now - l->opened_us >= CONFIG_PUSH_US)
+		send_config(l, version);
 }
 
 static void on_tick(void *ctx)
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "call.h"
+#include "fleetconf.h"
 #include "gate.h"
 #include "hub.h"
 
@@ -22,6 +23,13 @@
 	/* the document in force; empty if there is none */
 	lw_str_t (*config_text)(void *ctx);
 	void (*config_received)(void *ctx, lw_str_t text);
+	/* the list of backend servers in use; NULL if there is none */
+	const lw_serverlist_t *(*servers)(void *ctx);
+	void (*servers_received)(void *ctx, lw_serverlist_t *sl);
+	/* how old this node's news from the store is */
+	uint32_t (*news_age_ms)(void *ctx);
+	/* a node that has nothing newer than this one heard of the store so long ago */
+	void (*news)(void *ctx, uint32_t age_ms);
 } lw_mesh_ops_t;
 
 typedef struct lw_mesh_stats {
@@ -38,6 +46,7 @@
 lw_call_t *lw_mesh_call(lw_mesh_t *m, const char *node, lw_sink_t *sink, const lw_ask_t *ask,
 			lw_str_t body, bool fin);
 void lw_mesh_announce(lw_mesh_t *m);
+void lw_mesh_spread(lw_mesh_t *m);
 void lw_mesh_contact(lw_mesh_t *m, const char *node);
 const lw_mesh_stats_t *lw_mesh_stats(const lw_mesh_t *m);
 
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -412,6 +412,96 @@
   assert(message->base.descriptor == &lw__status__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lw__server_entry__init
+                     (Lw__ServerEntry         *message)
+{
+  static const Lw__ServerEntry init_value = LW__SERVER_ENTRY__INIT;
+  *message = init_value;
+}
+size_t lw__server_entry__get_packed_size
+                     (const Lw__ServerEntry *message)
+{
+  assert(message->base.descriptor == &lw__server_entry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lw__server_entry__pack
+                     (const Lw__ServerEntry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lw__server_entry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lw__server_entry__pack_to_buffer
+                     (const Lw__ServerEntry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lw__server_entry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lw__ServerEntry *
+       lw__server_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lw__ServerEntry *)
+     protobuf_c_message_unpack (&lw__server_entry__descriptor,
+                                allocator, len, data);
+}
+void   lw__server_entry__free_unpacked
+                     (Lw__ServerEntry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lw__server_entry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lw__servers__init
+                     (Lw__Servers         *message)
+{
+  static const Lw__Servers init_value = LW__SERVERS__INIT;
+  *message = init_value;
+}
+size_t lw__servers__get_packed_size
+                     (const Lw__Servers *message)
+{
+  assert(message->base.descriptor == &lw__servers__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lw__servers__pack
+                     (const Lw__Servers *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lw__servers__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lw__servers__pack_to_buffer
+                     (const Lw__Servers *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lw__servers__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lw__Servers *
+       lw__servers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lw__Servers *)
+     protobuf_c_message_unpack (&lw__servers__descriptor,
+                                allocator, len, data);
+}
+void   lw__servers__free_unpacked
+                     (Lw__Servers *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lw__servers__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lw__config__init
                      (Lw__Config         *message)
 {
@@ -1237,36 +1327,36 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config_version",
-    2,
+    "load",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Lw__Status, config_version),
-    NULL,
+    offsetof(Lw__Status, load),
+    &lw__load__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "load",
-    3,
+    "news_age_ms",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Lw__Status, load),
-    &lw__load__descriptor,
+    offsetof(Lw__Status, news_age_ms),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
-    4,
+    "servers_revision",
+    5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Lw__Status, incarnation),
+    offsetof(Lw__Status, servers_revision),
     NULL,
     NULL,
     0,             /* flags */
@@ -1274,14 +1364,15 @@
   },
 };
 static const unsigned lw__status__field_indices_by_name[] = {
-  1,   /* field[1] = config_version */
-  3,   /* field[3] = incarnation */
   0,   /* field[0] = is_reply */
-  2,   /* field[2] = load */
+  1,   /* field[1] = load */
+  2,   /* field[2] = news_age_ms */
+  3,   /* field[3] = servers_revision */
 };
-static const ProtobufCIntRange lw__status__number_ranges[1 + 1] =
+static const ProtobufCIntRange lw__status__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 3, 1 },
   { 0, 4 }
 };
 const ProtobufCMessageDescriptor lw__status__descriptor =
@@ -1295,10 +1386,177 @@
   4,
   lw__status__field_descriptors,
   lw__status__field_indices_by_name,
-  1,  lw__status__number_ranges,
+  2,  lw__status__number_ranges,
   (ProtobufCMessageInit) lw__status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lw__server_entry__field_descriptors[7] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lw__ServerEntry, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lw__ServerEntry, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lw__ServerEntry, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lw__ServerEntry, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__ServerEntry, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__ServerEntry, cold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lw__ServerEntry, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lw__server_entry__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  5,   /* field[5] = cold_ms */
+  6,   /* field[6] = draining */
+  0,   /* field[0] = id */
+  1,   /* field[1] = service */
+  4,   /* field[4] = slots */
+  3,   /* field[3] = zone */
+};
+static const ProtobufCIntRange lw__server_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor lw__server_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lw.ServerEntry",
+  "ServerEntry",
+  "Lw__ServerEntry",
+  "lw",
+  sizeof(Lw__ServerEntry),
+  7,
+  lw__server_entry__field_descriptors,
+  lw__server_entry__field_indices_by_name,
+  1,  lw__server_entry__number_ranges,
+  (ProtobufCMessageInit) lw__server_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lw__servers__field_descriptors[2] =
+{
+  {
+    "revision",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Servers, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lw__Servers, n_servers),
+    offsetof(Lw__Servers, servers),
+    &lw__server_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lw__servers__field_indices_by_name[] = {
+  0,   /* field[0] = revision */
+  1,   /* field[1] = servers */
+};
+static const ProtobufCIntRange lw__servers__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor lw__servers__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lw.Servers",
+  "Servers",
+  "Lw__Servers",
+  "lw",
+  sizeof(Lw__Servers),
+  2,
+  lw__servers__field_descriptors,
+  lw__servers__field_indices_by_name,
+  1,  lw__servers__number_ranges,
+  (ProtobufCMessageInit) lw__servers__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor lw__config__field_descriptors[2] =
 {
   {
@@ -1350,7 +1608,7 @@
   (ProtobufCMessageInit) lw__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__mesh_frame__field_descriptors[8] =
+static const ProtobufCFieldDescriptor lw__mesh_frame__field_descriptors[9] =
 {
   {
     "open",
@@ -1448,6 +1706,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "servers",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lw__MeshFrame, body_case),
+    offsetof(Lw__MeshFrame, servers),
+    &lw__servers__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__mesh_frame__field_indices_by_name[] = {
   1,   /* field[1] = answer */
@@ -1457,12 +1727,13 @@
   2,   /* field[2] = data */
   5,   /* field[5] = failed */
   0,   /* field[0] = open */
+  8,   /* field[8] = servers */
   6,   /* field[6] = status */
 };
 static const ProtobufCIntRange lw__mesh_frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor lw__mesh_frame__descriptor =
 {
@@ -1472,7 +1743,7 @@
   "Lw__MeshFrame",
   "lw",
   sizeof(Lw__MeshFrame),
-  8,
+  9,
   lw__mesh_frame__field_descriptors,
   lw__mesh_frame__field_indices_by_name,
   1,  lw__mesh_frame__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -24,6 +24,8 @@
 typedef struct Lw__Cancel Lw__Cancel;
 typedef struct Lw__Failed Lw__Failed;
 typedef struct Lw__Status Lw__Status;
+typedef struct Lw__ServerEntry Lw__ServerEntry;
+typedef struct Lw__Servers Lw__Servers;
 typedef struct Lw__Config Lw__Config;
 typedef struct Lw__MeshFrame Lw__MeshFrame;
 
@@ -231,16 +233,50 @@
 {
   ProtobufCMessage base;
   protobuf_c_boolean is_reply;
-  uint64_t config_version;
   Lw__Load *load;
   /*
-   * of the sender's process
+   * since the store was read, by the sender or by another node
+   */
+  uint32_t news_age_ms;
+  /*
+   * of the list of backend servers it has
    */
-  uint64_t incarnation;
+  uint64_t servers_revision;
 };
 #define LW__STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__status__descriptor) \
-    , 0, 0, NULL, 0 }
+    , 0, NULL, 0, 0 }
+
+
+/*
+ * The list of backend servers, as of a revision of the store.
+ */
+struct  Lw__ServerEntry
+{
+  ProtobufCMessage base;
+  char *id;
+  char *service;
+  char *address;
+  char *zone;
+  uint32_t slots;
+  uint32_t cold_ms;
+  protobuf_c_boolean draining;
+};
+#define LW__SERVER_ENTRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lw__server_entry__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Lw__Servers
+{
+  ProtobufCMessage base;
+  uint64_t revision;
+  size_t n_servers;
+  Lw__ServerEntry **servers;
+};
+#define LW__SERVERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lw__servers__descriptor) \
+    , 0, 0,NULL }
 
 
 /*
@@ -266,7 +302,8 @@
   LW__MESH_FRAME__BODY_CANCEL = 5,
   LW__MESH_FRAME__BODY_FAILED = 6,
   LW__MESH_FRAME__BODY_STATUS = 7,
-  LW__MESH_FRAME__BODY_CONFIG = 8
+  LW__MESH_FRAME__BODY_CONFIG = 8,
+  LW__MESH_FRAME__BODY_SERVERS = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LW__MESH_FRAME__BODY__CASE)
 } Lw__MeshFrame__BodyCase;
 
@@ -283,6 +320,7 @@
     Lw__Failed *failed;
     Lw__Status *status;
     Lw__Config *config;
+    Lw__Servers *servers;
   };
 };
 #define LW__MESH_FRAME__INIT \
@@ -461,6 +499,44 @@
 void   lw__status__free_unpacked
                      (Lw__Status *message,
                       ProtobufCAllocator *allocator);
+/* Lw__ServerEntry methods */
+void   lw__server_entry__init
+                     (Lw__ServerEntry         *message);
+size_t lw__server_entry__get_packed_size
+                     (const Lw__ServerEntry   *message);
+size_t lw__server_entry__pack
+                     (const Lw__ServerEntry   *message,
+                      uint8_t             *out);
+size_t lw__server_entry__pack_to_buffer
+                     (const Lw__ServerEntry   *message,
+                      ProtobufCBuffer     *buffer);
+Lw__ServerEntry *
+       lw__server_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lw__server_entry__free_unpacked
+                     (Lw__ServerEntry *message,
+                      ProtobufCAllocator *allocator);
+/* Lw__Servers methods */
+void   lw__servers__init
+                     (Lw__Servers         *message);
+size_t lw__servers__get_packed_size
+                     (const Lw__Servers   *message);
+size_t lw__servers__pack
+                     (const Lw__Servers   *message,
+                      uint8_t             *out);
+size_t lw__servers__pack_to_buffer
+                     (const Lw__Servers   *message,
+                      ProtobufCBuffer     *buffer);
+Lw__Servers *
+       lw__servers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lw__servers__free_unpacked
+                     (Lw__Servers *message,
+                      ProtobufCAllocator *allocator);
 /* Lw__Config methods */
 void   lw__config__init
                      (Lw__Config         *message);
@@ -528,6 +604,12 @@
 typedef void (*Lw__Status_Closure)
                  (const Lw__Status *message,
                   void *closure_data);
+typedef void (*Lw__ServerEntry_Closure)
+                 (const Lw__ServerEntry *message,
+                  void *closure_data);
+typedef void (*Lw__Servers_Closure)
+                 (const Lw__Servers *message,
+                  void *closure_data);
 typedef void (*Lw__Config_Closure)
                  (const Lw__Config *message,
                   void *closure_data);
@@ -549,6 +631,8 @@
 extern const ProtobufCMessageDescriptor lw__cancel__descriptor;
 extern const ProtobufCMessageDescriptor lw__failed__descriptor;
 extern const ProtobufCMessageDescriptor lw__status__descriptor;
+extern const ProtobufCMessageDescriptor lw__server_entry__descriptor;
+extern const ProtobufCMessageDescriptor lw__servers__descriptor;
 extern const ProtobufCMessageDescriptor lw__config__descriptor;
 extern const ProtobufCMessageDescriptor lw__mesh_frame__descriptor;
 
--- a/src/meshframe.c
+++ b/src/meshframe.c
@@ -136,3 +136,61 @@
 	for (size_t i = 0; i < in->n_hots; i++)
 		lw_hots_add(&out->hots, in->hots[i]->service, in->hots[i]->level);
 }
+
+static char *text(const char *s)
+{
+	return (char *)(uintptr_t)s;
+}
+
+/* lw_meshframe_append_servers() - encode a list of backend servers as a frame. */
+void lw_meshframe_append_servers(lw_bytebuf_t *out, const lw_serverlist_t *sl)
+{
+	Lw__ServerEntry *entry = xcalloc(sl->nservers + 1, sizeof(*entry));
+	Lw__ServerEntry **list = xcalloc(sl->nservers + 1, sizeof(*list));
+	Lw__Servers servers = LW__SERVERS__INIT;
+	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
+
+	for (size_t i = 0; i < sl->nservers; i++) {
+		const lw_server_entry_t *e = &sl->servers[i];
+
+		lw__server_entry__init(&entry[i]);
+		entry[i].id = text(e->id);
+		entry[i].service = text(e->service);
+		entry[i].address = text(e->addr);
+		entry[i].zone = text(e->zone);
+		entry[i].slots = e->slots;
+		entry[i].cold_ms = e->cold_ms;
+		entry[i].draining = e->draining;
+		list[i] = &entry[i];
+	}
+	servers.revision = sl->revision;
+	servers.n_servers = sl->nservers;
+	servers.servers = list;
+	f.body_case = LW__MESH_FRAME__BODY_SERVERS;
+	f.servers = &servers;
+	lw_meshframe_append(out, &f);
+	free(list);
+	free(entry);
+}
+
+/* lw_meshframe_read_servers() - the list in a frame; the caller owns it. */
+lw_serverlist_t *lw_meshframe_read_servers(const Lw__Servers *in)
+{
+	lw_serverlist_t *sl = xcalloc(1, sizeof(*sl));
+
+	sl->revision = in->revision;
+	sl->servers = xcalloc(in->n_servers + 1, sizeof(*sl->servers));
+	for (size_t i = 0; i < in->n_servers; i++) {
+		const Lw__ServerEntry *w = in->servers[i];
+		lw_server_entry_t *e = &sl->servers[sl->nservers++];
+
+		lw_str_copy(e->id, sizeof(e->id), lw_str_c(w->id));
+		lw_str_copy(e->service, sizeof(e->service), lw_str_c(w->service));
+		lw_str_copy(e->addr, sizeof(e->addr), lw_str_c(w->address));
+		lw_str_copy(e->zone, sizeof(e->zone), lw_str_c(w->zone));
+		e->slots = w->slots;
+		e->cold_ms = w->cold_ms;
+		e->draining = w->draining;
+	}
+	return sl;
+}
--- a/src/meshframe.h
+++ b/src/meshframe.h
@@ -11,6 +11,7 @@
 
 #include "bytebuf.h"
 #include "call.h"
+#include "fleetconf.h"
 #include "mesh.pb-c.h"
 
 /* The load part of a frame with the storage for its parts. */
@@ -25,6 +26,8 @@
 void lw_meshframe_done(Lw__MeshFrame *f);
 ProtobufCBinaryData lw_meshframe_bytes(lw_str_t s);
 lw_str_t lw_meshframe_str(ProtobufCBinaryData b);
+void lw_meshframe_append_servers(lw_bytebuf_t *out, const lw_serverlist_t *sl);
+lw_serverlist_t *lw_meshframe_read_servers(const Lw__Servers *in);
 void lw_meshframe_load(lw_meshframe_load_t *out, const lw_load_t *load);
 void lw_meshframe_read_load(const Lw__Load *in, lw_load_t *out);
 
--- a/src/place.c
+++ b/src/place.c
@@ -321,6 +321,15 @@
 				fn(ctx, h->node);
 }
 
+/* lw_place_each() - call @fn with the node of each host but this one. */
+void lw_place_each(const lw_place_t *p, lw_place_node_fn fn, void *ctx)
+{
+	for (const lw_place_service_t *s = p->services; s; s = s->next)
+		for (const lw_place_host_t *h = s->hosts; h; h = h->next)
+			if (h->listed && !h->self)
+				fn(ctx, h->node);
+}
+
 /*
  * lw_place_self() - the backend server on this host in the list, the one that
  * is not draining if there are two; NULL if none. @known: the list has one.
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -10,6 +10,7 @@
 #include "exchange.h"
 #include "linux/clock.h"
 #include "log.h"
+#include "readers.h"
 
 /*
  * From SIGTERM on, callers are told not to come; they hear it within two
@@ -39,6 +40,10 @@
 	ev_signal hangup;
 	uint64_t leaving_us;
 	bool had_self; /* the list has had the backend server on this host */
+	lw_serverlist_t *servers; /* in use; NULL before the first */
+	uint64_t news_us; /* when the store was last known to have been read */
+	uint64_t reading_us; /* when this node last had to read the store itself */
+	bool reader; /* this node reads the store for others */
 } lw_proxy_t;
 
 static void apply_config(lw_proxy_t *p, lw_fleetconf_t *fc, const char *from)
@@ -60,6 +65,10 @@
 	const lw_place_host_t *self;
 	bool known;
 
+	if (p->servers && sl->revision <= p->servers->revision) {
+		lw_serverlist_free(sl);
+		return;
+	}
 	lw_place_update(&p->engine.place, sl, p->hub.now_us);
 	self = lw_place_self(&p->engine.place, &known);
 	lw_log(LW_LOG_servers_changed, "servers=%zu self=%s draining=%d", sl->nservers,
@@ -69,7 +78,9 @@
 	else if (p->had_self)
 		lw_gate_set_server(&p->engine.gate, p->engine.gate.server_id, 0, true);
 	p->had_self |= known;
-	lw_serverlist_free(sl);
+	lw_serverlist_free(p->servers);
+	p->servers = sl;
+	p->reader = lw_readers_include(sl, p->set->backend);
 }
 
 static void update_ready(lw_proxy_t *p)
@@ -90,6 +101,11 @@
 	if (sl)
 		apply_servers(p, sl);
 	update_ready(p);
+	if (lw_feed_last_read_us(&p->feed) > p->news_us) {
+		p->news_us = lw_feed_last_read_us(&p->feed);
+		if (p->reader)
+			lw_mesh_spread(p->engine.mesh);
+	}
 }
 
 /* what the mesh asks and tells */
@@ -138,12 +154,49 @@
 	update_ready(p);
 }
 
+static const lw_serverlist_t *mesh_servers(void *ctx)
+{
+	const lw_proxy_t *p = ctx;
+
+	return p->servers;
+}
+
+static void mesh_servers_received(void *ctx, lw_serverlist_t *sl)
+{
+	lw_proxy_t *p = ctx;
+
+	apply_servers(p, sl);
+	update_ready(p);
+}
+
+static uint32_t mesh_news_age_ms(void *ctx)
+{
+	const lw_proxy_t *p = ctx;
+	uint64_t age_us = lw_now_boot_us() - p->news_us;
+
+	return age_us / 1000 < UINT32_MAX ? (uint32_t)(age_us / 1000) : UINT32_MAX;
+}
+
+static void mesh_news(void *ctx, uint32_t age_ms)
+{
+	lw_proxy_t *p = ctx;
+	uint64_t age_us = (uint64_t)age_ms * 1000;
+	uint64_t at = p->hub.now_us > age_us ? p->hub.now_us - age_us : 0;
+
+	if (at > p->news_us)
+		p->news_us = at;
+}
+
 static const lw_mesh_ops_t mesh_ops = {
 	.load = mesh_load,
 	.lost = mesh_lost,
 	.config_version = mesh_config_version,
 	.config_text = mesh_config_text,
 	.config_received = mesh_config_received,
+	.servers = mesh_servers,
+	.servers_received = mesh_servers_received,
+	.news_age_ms = mesh_news_age_ms,
+	.news = mesh_news,
 };
 
 /* SIGTERM: other nodes send nothing more, callers are told not to come */
@@ -178,6 +231,24 @@
 	lw_mesh_contact(p->engine.mesh, node);
 }
 
+/*
+ * A reader reads always. Any other node reads while the readers' news is old,
+ * and a while longer, so that it does not change its mind with each message.
+ */
+static void decide_reading(lw_proxy_t *p)
+{
+	uint64_t now = p->hub.now_us;
+	bool old = now > p->news_us + LW_NEWS_OLD_MS * 1000;
+	bool lately;
+
+	if (old || !p->servers || !p->engine.conf)
+		p->reading_us = now;
+	lately = now - p->reading_us < LW_READ_LEAST_MS * 1000;
+	lw_feed_want(&p->feed, p->reader || lately);
+	if (p->reader)
+		lw_place_each(&p->engine.place, contact, p);
+}
+
 static void on_tick(void *ctx)
 {
 	lw_proxy_t *p = ctx;
@@ -185,6 +256,7 @@
 	uint64_t grace = (uint64_t)(p->set->grace_s * 1e6);
 
 	lw_place_each_lost(&p->engine.place, contact, p);
+	decide_reading(p);
 	if (!p->hub.leaving)
 		return;
 	if (since > STOP_IDLE_US)
@@ -224,7 +296,7 @@
 	ev_async_init(&p->fed, on_fed);
 	p->fed.data = p;
 	ev_async_start(p->hub.loop, &p->fed);
-	p->feed.set = p->set;
+	lw_feed_init(&p->feed, p->set);
 	p->feed.conf = (lw_mailbox_t){ .release = free_conf, .loop = p->hub.loop, .wake = &p->fed };
 	p->feed.servers =
 		(lw_mailbox_t){ .release = free_servers, .loop = p->hub.loop, .wake = &p->fed };
