--- a/src/exchange.c
+++ b/src/exchange.c
@@ -81,9 +81,14 @@
 
 static void release(lw_exchange_t *x)
 {
+	lw_engine_stats_t *stats = &x->engine->stats;
+
 	if (x->dead)
 		return;
 	x->dead = true;
+	if (x->started_us)
+		lw_histogram_add(x->nested ? &stats->latency_nested : &stats->latency_user,
+				 x->engine->hub->now_us - x->started_us);
 	x->reply = NULL;
 	ev_timer_stop(x->engine->hub->loop, &x->timer);
 	ev_timer_stop(x->engine->hub->loop, &x->hold);
@@ -126,9 +131,10 @@
 	lw_reply_t *reply = x->reply;
 
 	lw_log(LW_LOG_request_ended,
-	       "id=%s route=%s status=%u why=%s given=%u handed_back=%u after_ms=%u retry_after_ms=%u",
-	       x->request_id, x->route, status, lw_fail_name(why), x->attempts.given,
-	       x->attempts.handed_back,
+	       "id=%s route=%s service=%s config=%llu rank=%u status=%u why=%s given=%u handed_back=%u maybe_ran=%d after_ms=%u retry_after_ms=%u",
+	       x->request_id, x->route, x->service->name,
+	       (unsigned long long)x->engine->conf->version, x->rank, status, lw_fail_name(why),
+	       x->attempts.given, x->attempts.handed_back, x->attempts.maybe_ran,
 	       (uint32_t)((x->engine->hub->now_us - x->started_us) / 1000), retry_after_ms);
 	tell_parent(x);
 	release(x);
@@ -397,6 +403,19 @@
 	ask->repeat = x->repeat || x->attempts.given;
 }
 
+/* the inputs of the choice: why again, and how loaded and old the news of the host is */
+static void log_retry(const lw_exchange_t *x, lw_fail_t last)
+{
+	const lw_place_host_t *h = x->host;
+	uint64_t now = x->engine->hub->now_us;
+
+	lw_log(LW_LOG_request_retried,
+	       "id=%s route=%s after=%s server=%s busy=%u limit=%u news_ms=%llu given=%u handed_back=%u left_ms=%u",
+	       x->request_id, x->route, lw_fail_name(last), h->id, h->load.running + h->load.queued,
+	       h->load.limit, h->load_us ? (unsigned long long)((now - h->load_us) / 1000) : 0,
+	       x->attempts.given, x->attempts.handed_back, left_ms(x, x->give_up_us));
+}
+
 static void on_hold_over(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	lw_exchange_t *x = w->data;
@@ -444,6 +463,8 @@
 		no_host(x, last);
 		return;
 	}
+	if (x->tried.n || x->attempts.given)
+		log_retry(x, last);
 	x->tried.host[x->tried.n++] = x->host;
 	lw_place_sent(x->host);
 	fill_ask(x, &ask);
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -11,6 +11,7 @@
 #include "call.h"
 #include "fleetconf.h"
 #include "gate.h"
+#include "histogram.h"
 #include "httphead.h"
 #include "hotpath.h"
 #include "hub.h"
@@ -51,6 +52,8 @@
 	uint64_t retries_denied;
 	uint64_t handed_back;
 	uint64_t cut;
+	lw_histogram_t latency_user;
+	lw_histogram_t latency_nested;
 } lw_engine_stats_t;
 
 /* What all exchanges share. */
--- a/src/gate.c
+++ b/src/gate.c
@@ -7,6 +7,7 @@
 #include <uthash.h>
 
 #include "admit.h"
+#include "log.h"
 #include "xalloc.h"
 
 /* an answer up to this size is passed on in one piece */
@@ -43,7 +44,8 @@
 	char target[LW_NAME_MAX];
 	int64_t body_length;
 	uint64_t deadline_us;
-	uint64_t started_us;
+	uint64_t came_us;
+	uint64_t started_us; /* 0 while queued */
 	size_t unacked; /* body bytes queued to the connection, not yet credited */
 	size_t head_left; /* bytes of the head not yet written */
 	int64_t window; /* answer bytes the sink will still take */
@@ -122,6 +124,13 @@
 	if (j->dead)
 		return;
 	g->stats.refused[why]++;
+	lw_log(LW_LOG_call_ended,
+	       "id=%s server=%s why=%s ran_ms=%llu waited_ms=%llu running=%u queued=%zu limit=%u",
+	       j->request_id, j->target, lw_fail_name(why),
+	       j->started_us ? (unsigned long long)((g->hub->now_us - j->started_us) / 1000) : 0,
+	       (unsigned long long)(((j->started_us ? j->started_us : g->hub->now_us) - j->came_us) /
+				    1000),
+	       g->running, g->queue.len, g->limit);
 	if (j->conn) {
 		lw_bconn_close(j->conn);
 		j->conn = NULL;
@@ -397,6 +406,7 @@
 		return;
 	}
 	g->stats.started++;
+	lw_histogram_add(&g->stats.wait, j->started_us - j->came_us);
 	lw_bconn_start(j->conn, &conn_ops, j, is_head);
 	send_head(j);
 	lw_bytebuf_free(&j->head);
@@ -495,6 +505,7 @@
 	j->call.sink = sink;
 	j->gate = g;
 	j->body_length = ask->body_length;
+	j->came_us = g->hub->now_us;
 	j->deadline_us = g->hub->now_us + (uint64_t)ask->deadline_ms * 1000;
 	j->window = LW_CALL_WINDOW;
 	j->waiter.priority = ask->rank / LW_RANKS_PER_PRIORITY;
--- a/src/gate.h
+++ b/src/gate.h
@@ -12,6 +12,7 @@
 
 #include "bconn.h"
 #include "call.h"
+#include "histogram.h"
 #include "hub.h"
 #include "level.h"
 #include "waitq.h"
@@ -22,6 +23,7 @@
 	uint64_t refused[LW_FAIL_COUNT];
 	uint64_t connections; /* opened to the backend server */
 	uint64_t invalid_answers;
+	lw_histogram_t wait;
 } lw_gate_stats_t;
 
 typedef struct lw_gate {
--- a/src/log.h
+++ b/src/log.h
@@ -1,11 +1,13 @@
 /*
- * Numbered log events, written as syslog-style lines to standard error:
+ * Numbered log events, written as syslog-style lines to standard error, or
+ * by a thread of its own to a descriptor (lwproxy: standard output):
  *   <PRI>Mon DD HH:MM:SS PROG[PID]: E<NNNN> <name> key=value ...
  * The catalogue below is the source of docs/EVENTS.md.
  */
 #ifndef LW_LOG_H
 #define LW_LOG_H
 
+#include <stdint.h>
 #include <syslog.h>
 
 /* X(id, name, priority, description) */
@@ -16,6 +18,8 @@
 	X(1003, joined, LOG_NOTICE,                                                                \
 	  "the node has compared its configuration with peers and takes requests")                 \
 	X(1004, settings_reloaded, LOG_NOTICE, "SIGHUP: the settings were read again")             \
+	X(1005, log_dropped, LOG_WARNING,                                                          \
+	  "request lines were left out to bound the volume; counters have them all")             \
 	X(1100, settings_invalid, LOG_ERR, "settings file rejected; the node does not start")      \
 	X(1101, args_invalid, LOG_ERR, "command line rejected")                                    \
 	X(1200, config_accepted, LOG_NOTICE, "a newer valid configuration is in force")            \
@@ -45,6 +49,9 @@
 	  "a request ended with an answer of this node; why says what failed last")               \
 	X(1309, answer_cut, LOG_WARNING,                                                           \
 	  "an answer that had begun could not be completed; the caller sees a cut connection")    \
+	X(1310, request_retried, LOG_INFO, "a request is given to another backend server")        \
+	X(1311, call_ended, LOG_INFO,                                                              \
+	  "a call of the backend server on this host ended without an answer")                   \
 	X(1400, peer_suspected, LOG_WARNING,                                                       \
 	  "a peer failed repeatedly and gets no new work for a while")                             \
 	X(1401, peer_recovered, LOG_NOTICE, "a suspected peer answered again")                     \
@@ -67,6 +74,9 @@
 } lw_event_id_t;
 
 void lw_log_init(const char *prog, int max_priority);
+void lw_log_to_ring(int fd);
+void lw_log_flush(void);
+uint64_t lw_log_dropped(void);
 void lw_log(lw_event_id_t ev, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
 int lw_log_level_parse(const char *name);
 void lw_log_catalogue(void);
--- a/src/lwproxy.c
+++ b/src/lwproxy.c
@@ -4,7 +4,7 @@
  * them to the nodes beside the servers that can run them.
  */
 #include <stdio.h>
-#include <string.h>
+#include <unistd.h>
 
 #include "../platform/platform.h"
 #include "cli.h"
@@ -43,8 +43,10 @@
 		printf("settings are valid\n");
 		return 0;
 	}
+	lw_log_to_ring(STDOUT_FILENO);
 	if (lw_proxy_run(&set, &lw_users_platform)) {
 		lw_log(LW_LOG_settings_invalid, "why=\"%s\"", lw_error_last());
+		lw_log_flush();
 		return 1;
 	}
 	return 0;
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -10,6 +10,7 @@
 #include "exchange.h"
 #include "linux/clock.h"
 #include "log.h"
+#include "proxystats.h"
 #include "readers.h"
 
 /*
@@ -249,6 +250,31 @@
 		lw_place_each(&p->engine.place, contact, p);
 }
 
+static void publish_stats(const lw_proxy_t *p)
+{
+	lw_proxystats_t s = {
+		.engine = p->engine.stats,
+		.gate = p->engine.gate.stats,
+		.mesh = *lw_mesh_stats(p->engine.mesh),
+		.callers = *lw_callers_stats(p->callers),
+		.feed = p->feed.stats,
+		.connections = lw_callers_count(p->callers),
+		.active = p->engine.active,
+		.level = p->engine.gate.level.level,
+		.servers = p->engine.place.nhosts,
+		.config_version = p->engine.conf ? p->engine.conf->version : 0,
+		.servers_revision = p->servers ? p->servers->revision : 0,
+		.news_age_ms = mesh_news_age_ms((void *)(uintptr_t)p),
+		.log_dropped = lw_log_dropped(),
+		.reader = p->reader,
+		.ready = p->engine.conf && p->engine.place.nhosts && !p->hub.leaving,
+		.leaving = p->hub.leaving,
+	};
+
+	lw_gate_load(&p->engine.gate, &s.load);
+	lw_proxystats_publish(&s);
+}
+
 static void on_tick(void *ctx)
 {
 	lw_proxy_t *p = ctx;
@@ -257,6 +283,7 @@
 
 	lw_place_each_lost(&p->engine.place, contact, p);
 	decide_reading(p);
+	publish_stats(p);
 	if (!p->hub.leaving)
 		return;
 	if (since > STOP_IDLE_US)
@@ -310,6 +337,8 @@
 
 	snprintf(mesh, sizeof(mesh), "%s:%u", p->set->ip, p->set->mesh_port);
 	st = lw_mesh_listen(p->engine.mesh, mesh);
+	if (!st && p->set->metrics[0])
+		st = lw_proxystats_serve(p->set->metrics);
 	if (!st)
 		st = lw_callers_listen(p->callers, p->set->ready, true);
 	if (!st)
@@ -348,5 +377,6 @@
 	       set->callers, set->backend);
 	ev_run(p->hub.loop, 0);
 	lw_log(LW_LOG_stopped, "active=%u", p->engine.active);
+	lw_log_flush();
 	return LW_OK;
 }
--- a/src/proxyset.c
+++ b/src/proxyset.c
@@ -22,6 +22,7 @@
 	KS("host", "max_fds", LW_KEY_U32, max_fds),
 	KS("listen", "callers", LW_KEY_NAME, callers),
 	KS("listen", "ready", LW_KEY_NAME, ready),
+	KS("listen", "metrics", LW_KEY_NAME, metrics),
 	KS("listen", "mesh_port", LW_KEY_U32, mesh_port),
 	KS("store", "address", LW_KEY_NAME, store),
 	KS("terms", "heartbeat_s", LW_KEY_DOUBLE, heartbeat_s),
@@ -68,6 +69,8 @@
 	char host[LW_NAME_MAX];
 	int port;
 
+	if (s->metrics[0] && lw_addr_split(s->metrics, host, sizeof(host), &port))
+		return lw_error(LW_ERR_SETTINGS, "%s: %s", name, lw_error_last());
 	for (size_t i = 0; i < sizeof(addrs) / sizeof(addrs[0]); i++)
 		if (lw_addr_split(addrs[i], host, sizeof(host), &port))
 			return lw_error(LW_ERR_SETTINGS, "%s: %s", name, lw_error_last());
--- a/src/proxyset.h
+++ b/src/proxyset.h
@@ -18,6 +18,7 @@
 	/* [listen] */
 	char callers[LW_NAME_MAX]; /* callers and the backend server's own calls */
 	char ready[LW_NAME_MAX]; /* the platform asks whether callers may come */
+	char metrics[LW_NAME_MAX]; /* empty: not served */
 	uint32_t mesh_port; /* frames from other nodes; the same on all hosts */
 	/* [store] */
 	char store[LW_NAME_MAX]; /* "ip:port" */
--- /dev/null
+++ b/src/proxystats.h
@@ -0,0 +1,37 @@
+/*
+ * The metrics page of the proxy. The loop copies its figures twice a second;
+ * the page is written from the copy, so that no reader holds up a request.
+ */
+#ifndef LW_PROXYSTATS_H
+#define LW_PROXYSTATS_H
+
+#include "caller.h"
+#include "exchange.h"
+#include "feed.h"
+#include "mesh.h"
+
+/* One look at everything that is counted. */
+typedef struct lw_proxystats {
+	lw_engine_stats_t engine;
+	lw_gate_stats_t gate;
+	lw_mesh_stats_t mesh;
+	lw_callers_stats_t callers;
+	lw_feed_stats_t feed;
+	lw_load_t load;
+	uint32_t connections;
+	uint32_t active;
+	uint32_t level;
+	uint32_t servers;
+	uint64_t config_version;
+	uint64_t servers_revision;
+	uint64_t news_age_ms;
+	uint64_t log_dropped;
+	bool reader;
+	bool ready;
+	bool leaving;
+} lw_proxystats_t;
+
+lw_status_t lw_proxystats_serve(const char *addr);
+void lw_proxystats_publish(const lw_proxystats_t *s);
+
+#endif
