--- a/src/gate.c
+++ b/src/gate.c
@@ -509,7 +509,6 @@
 	j->deadline_us = g->hub->now_us + (uint64_t)ask->deadline_ms * 1000;
 	j->window = LW_CALL_WINDOW;
 	j->waiter.priority = ask->rank / LW_RANKS_PER_PRIORITY;
-	j->waiter.nested = ask->nested;
 	j->rank = ask->rank;
 	j->repeat = ask->repeat;
 	lw_bytebuf_append_str(&j->head, ask->head);
@@ -536,8 +535,7 @@
 lw_call_t *lw_gate_submit(lw_gate_t *g, lw_sink_t *sink, const lw_ask_t *ask, lw_str_t body,
 			  bool fin, lw_fail_t *why, uint32_t *retry_after_ms)
 {
-	lw_waiter_t probe = { .priority = ask->rank / LW_RANKS_PER_PRIORITY,
-			      .nested = ask->nested };
+	lw_waiter_t probe = { .priority = ask->rank / LW_RANKS_PER_PRIORITY };
 	lw_admit_state_t st;
 	lw_job_t *j;
 
@@ -545,6 +543,7 @@
 	if (!ev_is_active(&g->step))
 		ev_timer_again(g->hub->loop, &g->step);
 	lw_gate_load(g, &st.load);
+	probe.expires_us = g->hub->now_us + (uint64_t)lw_admit_wait_ms(&st, ask) * 1000;
 	st.ahead = (uint32_t)lw_waitq_ahead(&g->queue, &probe);
 	*retry_after_ms = lw_admit_retry_after_ms(&st.load);
 	*why = refusal(g, ask);
@@ -563,7 +562,7 @@
 		start_job(j);
 		return &j->call;
 	}
-	j->waiter.expires_us = g->hub->now_us + (uint64_t)lw_admit_wait_ms(&st, ask) * 1000;
+	j->waiter.expires_us = probe.expires_us;
 	g->queued_bytes += body.len;
 	lw_waitq_push(&g->queue, &j->waiter);
 	ev_timer_again(g->hub->loop, &g->expiry);
--- a/src/log.c
+++ b/src/log.c
@@ -70,6 +70,8 @@
  */
 #define REQUEST_LINES_PER_S 40
 #define REQUEST_LINES_BURST 120
+/* how often it is told that lines were left out, us */
+#define TELL_EVERY_US 1000000
 /* events about single requests have these numbers */
 #define REQUEST_EVENT_FIRST 1300
 #define REQUEST_EVENT_LAST  1399
@@ -81,6 +83,7 @@
 	bool writing; /* the writer has lines in hand */
 	uint64_t dropped;
 	uint64_t dropped_told;
+	uint64_t told_us;
 	double tokens;
 	uint64_t tokens_us;
 	pthread_mutex_t lock;
@@ -186,9 +189,11 @@
 {
 	uint64_t dropped = lw_log_dropped();
 	uint64_t told = ring.dropped_told;
+	uint64_t now = lw_now_us();
 
-	if (dropped == told)
+	if (dropped == told || now - ring.told_us < TELL_EVERY_US)
 		return;
+	ring.told_us = now;
 	ring.dropped_told = dropped;
 	lw_log(LW_LOG_log_dropped, "lines=%llu total=%llu", (unsigned long long)(dropped - told),
 	       (unsigned long long)dropped);
--- a/src/waitq.c
+++ b/src/waitq.c
@@ -6,7 +6,7 @@
 {
 	if (a->priority != b->priority)
 		return a->priority < b->priority;
-	return a->nested && !b->nested;
+	return a->expires_us < b->expires_us;
 }
 
 /* lw_waitq_push() - put @w behind all that go before it or came earlier. */
--- a/src/waitq.h
+++ b/src/waitq.h
@@ -1,8 +1,7 @@
 /*
  * The order in which requests wait for the backend server. Load pattern: more
- * work than slots. The most urgent goes first; among equals, calls made for
- * requests that already run go before new requests, as their work so far is
- * lost otherwise; then first come, first served.
+ * work than slots, of kinds that differ in how long they can wait. The most
+ * urgent goes first; among equals, the one that must start soonest.
  */
 #ifndef LW_WAITQ_H
 #define LW_WAITQ_H
@@ -13,7 +12,6 @@
 
 typedef struct lw_waiter {
 	uint32_t priority; /* 0 is the most urgent */
-	bool nested;
 	uint64_t expires_us; /* no use in starting it later */
 	struct lw_waiter *prev;
 	struct lw_waiter *next;
