--- a/src/exchange.c
+++ b/src/exchange.c
@@ -14,6 +14,9 @@
 #define BODY_KEPT_BYTES LW_CALL_WINDOW
 /* a request without a deadline of its own and no route timeout, ms */
 #define DEADLINE_DEFAULT_MS 30000
+/* an attempt that takes so many times as long as usual counts as stalled */
+#define STALL_FACTOR   8
+#define STALL_LEAST_US 150000
 /* the server's own answer at the deadline is waited for a little, ms */
 #define TIMEOUT_SLACK_MS 15
 /*
@@ -59,6 +62,7 @@
 	lw_attempts_t attempts;
 	lw_place_tried_t tried;
 	ev_timer timer;
+	ev_timer stall; /* until the attempt counts as stalled */
 	ev_timer hold; /* until the next look for a host */
 	lw_fail_t held_for;
 	bool nested;
@@ -104,6 +108,7 @@
 static void attempt_ended(lw_exchange_t *x, bool ok)
 {
 	x->call = NULL;
+	ev_timer_stop(x->engine->hub->loop, &x->stall);
 	if (x->host)
 		lw_place_ended(x->host, ok, x->engine->hub->now_us);
 	x->host = NULL;
@@ -221,12 +226,14 @@
 static void took_load(lw_exchange_t *x, const lw_load_t *load)
 {
 	lw_engine_t *e = x->engine;
+	lw_load_t path = *load;
 
 	if (x->host)
 		lw_place_told(x->host, load, e->hub->now_us);
-	lw_hotpath_told(e->hotpath, x->route, &load->hots, load->depth, e->hub->now_us);
+	lw_hots_add(&path.hots, x->service->name, lw_place_level(x->service, e->hub->now_us));
+	lw_hotpath_told(e->hotpath, x->route, &path.hots, path.depth, e->hub->now_us);
 	if (x->parent_id.len)
-		lw_gate_note_call(&e->gate, x->parent_id, load);
+		lw_gate_note_call(&e->gate, x->parent_id, &path);
 }
 
 static void sink_fail(lw_sink_t *s, lw_fail_t why, uint32_t retry_after_ms, const lw_load_t *load)
@@ -372,6 +379,31 @@
 	.silent = sink_silent,
 };
 
+/*
+ * An answer that takes far longer than usual was lost, or the server hangs. A
+ * request that may run twice goes elsewhere while its caller still waits.
+ */
+static void on_stalled(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	(void)loop;
+	(void)revents;
+	sink_silent(&((lw_exchange_t *)w->data)->sink);
+}
+
+static void watch_for_stall(lw_exchange_t *x)
+{
+	uint64_t usual_us = x->host->load_us ? x->host->load.service_us : 0;
+	uint64_t after_us = usual_us * STALL_FACTOR;
+
+	if (!usual_us || !x->attempts.idempotent)
+		return;
+	if (after_us < STALL_LEAST_US)
+		after_us = STALL_LEAST_US;
+	ev_timer_init(&x->stall, on_stalled, (double)after_us / 1e6, 0);
+	x->stall.data = x;
+	ev_timer_start(x->engine->hub->loop, &x->stall);
+}
+
 static void on_timeout(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	lw_exchange_t *x = w->data;
@@ -479,8 +511,10 @@
 					 &retry_after_ms);
 	else
 		x->call = lw_mesh_call(e->mesh, x->host->node, &x->sink, &ask, body, whole);
-	if (x->call)
+	if (x->call) {
+		watch_for_stall(x);
 		return;
+	}
 	if (x->host->self) {
 		lw_load_t load;
 
@@ -620,6 +654,7 @@
 {
 	lw_exchange_t *x = xcalloc(1, sizeof(*x));
 	const lw_fleetconf_t *fc = e->conf;
+	lw_hot_t hot;
 
 	x->sink.ops = &exchange_sink_ops;
 	x->engine = e;
@@ -629,12 +664,15 @@
 	x->request_id = lw_str_dup(lw_httphead_find(ask->head, LW_HEADER_REQUEST_ID));
 	ev_timer_init(&x->timer, on_timeout, 0, 0);
 	ev_timer_init(&x->hold, on_hold_over, 0, 0);
+	ev_timer_init(&x->stall, on_stalled, 0, 0);
 	e->active++;
 	e->stats.requests++;
 	if (fc && apply_route(x, ask, fc)) {
 		find_parent(x);
 		if (!x->nested &&
-		    !lw_hotpath_admits(e->hotpath, x->route, x->rank, e->hub->now_us)) {
+		    !lw_hotpath_admits(e->hotpath, x->route, x->rank, e->hub->now_us, &hot)) {
+			lw_log(LW_LOG_path_busy, "id=%s route=%s rank=%u by=%s level=%u",
+			       x->request_id, x->route, x->rank, hot.service, hot.level);
 			answer_refused(x, LW_FAIL_PATH_BUSY);
 			return NULL;
 		}
--- a/src/gate.c
+++ b/src/gate.c
@@ -27,6 +27,9 @@
 /* an idle connection without an announced limit is used so long, us */
 #define IDLE_DEFAULT_US 4000000
 
+/* a request that runs so many times as long as usual may have lost its answer */
+#define LOST_FACTOR   8
+#define LOST_LEAST_US 100000
 /* steps without work after which the level's timer stops */
 #define QUIET_STEPS 20
 
@@ -66,10 +69,17 @@
 
 static void dispatch(lw_gate_t *g);
 
+/* slots of the backend server that are in use */
+static uint32_t occupied(const lw_gate_t *g)
+{
+	return g->running > g->lost ? g->running - g->lost : 0;
+}
+
 /* lw_gate_load() - what callers are told of the backend server. */
 void lw_gate_load(const lw_gate_t *g, lw_load_t *out)
 {
-	out->running = g->running;
+	out->running = occupied(g);
+	out->level = g->level.level;
 	out->queued = (uint32_t)g->queue.len;
 	out->limit = g->limit;
 	out->service_us = (uint32_t)g->service_us;
@@ -77,7 +87,6 @@
 	out->call_failed = false;
 	out->depth = 0;
 	out->hots.n = 0;
-	lw_hots_add(&out->hots, g->hub->set->service, g->level.level);
 }
 
 /* the same, and what the job's own calls were told */
@@ -202,6 +211,31 @@
 		g->slots = slots;
 		g->limit = lw_admit_limit(slots);
 	}
+	g->tells_load = true;
+	g->told_busy = running + waiting;
+	g->since_told = 0;
+}
+
+/*
+ * A backend server that loses answers has room although its requests seem to
+ * run: each would hold a slot here until its deadline, and with three answers
+ * in ten lost nine slots in ten were held so. A request counts as lost when
+ * it takes far longer than usual and the server says that it runs fewer.
+ */
+static void count_lost(lw_gate_t *g)
+{
+	uint64_t limit_us = (uint64_t)(g->service_us * LOST_FACTOR);
+	uint32_t known = g->told_busy + g->since_told;
+	uint32_t overdue = 0;
+
+	if (limit_us < LOST_LEAST_US)
+		limit_us = LOST_LEAST_US;
+	g->lost = 0;
+	if (!g->tells_load || g->running <= known)
+		return;
+	for (const lw_job_t *j = g->by_id; j; j = j->hh.next)
+		overdue += j->started_us && g->hub->now_us - j->started_us > limit_us;
+	g->lost = overdue < g->running - known ? overdue : g->running - known;
 }
 
 /*
@@ -401,6 +435,7 @@
 	j->conn = take_connection(g);
 	j->started_us = g->hub->now_us;
 	g->running++;
+	g->since_told++;
 	if (!j->conn) {
 		job_fail(j, LW_FAIL_NO_SERVER);
 		return;
@@ -422,7 +457,7 @@
 /* start what may start now */
 static void dispatch(lw_gate_t *g)
 {
-	while (g->queue.first && g->running < g->limit) {
+	while (g->queue.first && occupied(g) < g->limit) {
 		lw_waiter_t *w = lw_waitq_pop(&g->queue);
 		lw_job_t *j = JOB_OF_WAITER(w);
 
@@ -558,7 +593,7 @@
 	lw_bytebuf_append_str(&j->body, body);
 	g->ncalls++;
 	HASH_ADD_KEYPTR(hh, g->by_id, j->request_id, strlen(j->request_id), j);
-	if (g->running < g->limit && !g->queue.first) {
+	if (occupied(g) < g->limit && !g->queue.first) {
 		start_job(j);
 		return &j->call;
 	}
@@ -635,12 +670,15 @@
 static void on_step(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	lw_gate_t *g = w->data;
-	lw_level_input_t in = { (uint32_t)g->queue.len, g->running, g->limit, g->service_us };
+	lw_level_input_t in = { (uint32_t)g->queue.len, occupied(g), g->limit, g->service_us };
 	bool quiet = !g->ncalls && !g->level.arrivals && g->level.level == LW_LEVEL_OPEN;
 
 	(void)revents;
 	g->quiet_steps = quiet ? g->quiet_steps + 1 : 0;
 	lw_level_step(&g->level, &in);
+	count_lost(g);
+	if (g->queue.first)
+		dispatch(g);
 	if (g->quiet_steps > QUIET_STEPS)
 		ev_timer_stop(loop, &g->step);
 }
--- a/src/gate.h
+++ b/src/gate.h
@@ -30,7 +30,11 @@
 	lw_hub_t *hub;
 	uint32_t slots; /* of the backend server; 0: not known yet */
 	uint32_t limit; /* most requests at the backend server at once */
-	uint32_t running;
+	uint32_t running; /* requests given to it without an answer yet */
+	uint32_t lost; /* of these, whose answers seem to be lost */
+	uint32_t told_busy; /* requests it said it runs or queues */
+	uint32_t since_told; /* requests given to it since */
+	bool tells_load;
 	double service_us; /* moving average of the time a request runs */
 	bool leaving; /* the backend server takes no new work */
 	char server_id[LW_NAME_MAX]; /* of the backend server that is on this host now */
--- a/src/hotpath.c
+++ b/src/hotpath.c
@@ -161,11 +161,12 @@
 
 /*
  * lw_hotpath_admits() - false if a service that @route leads to could not
- * finish a request of @rank.
+ * finish a request of @rank; @by tells which one and its level.
  */
-bool lw_hotpath_admits(lw_hotpath_t *p, const char *route, uint32_t rank, uint64_t now_us)
+bool lw_hotpath_admits(const lw_hotpath_t *p, const char *route, uint32_t rank, uint64_t now_us,
+		       lw_hot_t *by)
 {
-	lw_hot_route_t *r;
+	const lw_hot_route_t *r;
 
 	HASH_FIND_STR(p->routes, route, r);
 	if (!r)
@@ -173,9 +174,12 @@
 	for (int i = 0; i < LW_HOTS_MAX; i++) {
 		const lw_hot_service_t *s = r->leads_to[i].service;
 
-		if (s && now_us - r->leads_to[i].seen_us < ROUTE_FORGETS_US &&
-		    rank >= level_now(s, now_us))
-			return false;
+		if (!s || now_us - r->leads_to[i].seen_us >= ROUTE_FORGETS_US ||
+		    rank < level_now(s, now_us))
+			continue;
+		lw_str_copy(by->service, sizeof(by->service), lw_str_c(s->name));
+		by->level = (uint32_t)level_now(s, now_us);
+		return false;
 	}
 	return true;
 }
--- a/src/hotpath.h
+++ b/src/hotpath.h
@@ -33,6 +33,7 @@
 void lw_hotpath_told(lw_hotpath_t *p, const char *route, const lw_hots_t *hots, uint32_t depth,
 		     uint64_t now_us);
 uint32_t lw_hotpath_depth(const lw_hotpath_t *p, const char *route);
-bool lw_hotpath_admits(lw_hotpath_t *p, const char *route, uint32_t rank, uint64_t now_us);
+bool lw_hotpath_admits(const lw_hotpath_t *p, const char *route, uint32_t rank, uint64_t now_us,
+		       lw_hot_t *by);
 
 #endif
--- a/src/log.h
+++ b/src/log.h
@@ -52,6 +52,8 @@
 	X(1310, request_retried, LOG_INFO, "a request is given to another backend server")        \
 	X(1311, call_ended, LOG_INFO,                                                              \
 	  "a call of the backend server on this host ended without an answer")                   \
+	X(1312, path_busy, LOG_INFO,                                                               \
+	  "a request is refused where it begins, as a service its work leads to is full")         \
 	X(1400, peer_suspected, LOG_WARNING,                                                       \
 	  "a peer failed repeatedly and gets no new work for a while")                             \
 	X(1401, peer_recovered, LOG_NOTICE, "a suspected peer answered again")                     \
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -643,7 +643,7 @@
   (ProtobufCMessageInit) lw__hot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__load__field_descriptors[9] =
+static const ProtobufCFieldDescriptor lw__load__field_descriptors[10] =
 {
   {
     "running",
@@ -753,6 +753,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "level",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Load, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__load__field_indices_by_name[] = {
   7,   /* field[7] = call_failed */
@@ -760,6 +772,7 @@
   8,   /* field[8] = depth */
   5,   /* field[5] = hots */
   4,   /* field[4] = leaving */
+  9,   /* field[9] = level */
   2,   /* field[2] = limit */
   1,   /* field[1] = queued */
   0,   /* field[0] = running */
@@ -768,7 +781,7 @@
 static const ProtobufCIntRange lw__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor lw__load__descriptor =
 {
@@ -778,7 +791,7 @@
   "Lw__Load",
   "lw",
   sizeof(Lw__Load),
-  9,
+  10,
   lw__load__field_descriptors,
   lw__load__field_indices_by_name,
   1,  lw__load__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -88,6 +88,10 @@
    * a call made for the request failed
    */
   protobuf_c_boolean call_failed;
+  /*
+   * first rank it refuses
+   */
+  uint32_t level;
   /*
    * levels of calls below the request
    */
@@ -95,7 +99,7 @@
 };
 #define LW__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/src/meshframe.c
+++ b/src/meshframe.c
@@ -108,6 +108,7 @@
 	out->load.limit = load->limit;
 	out->load.service_us = load->service_us;
 	out->load.leaving = load->leaving;
+	out->load.level = load->level;
 	out->load.call_failed = load->call_failed;
 	out->load.depth = load->depth;
 	out->load.n_hots = load->hots.n;
@@ -131,6 +132,7 @@
 	out->limit = in->limit;
 	out->service_us = in->service_us;
 	out->leaving = in->leaving;
+	out->level = in->level;
 	out->call_failed = in->call_failed;
 	out->depth = in->depth;
 	for (size_t i = 0; i < in->n_hots; i++)
--- a/src/place.c
+++ b/src/place.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "admit.h"
+#include "level.h"
 #include "xalloc.h"
 
 /*
@@ -22,6 +23,11 @@
  * server is filled to about 70% before one of half its speed gets work.
  */
 #define COST_FULL 3.0
+/*
+ * The open part of a service lifts its level by so many priorities: with a
+ * third of it open nearly a whole priority more is admitted.
+ */
+#define OPEN_LIFTS 3
 /* one choice in so many goes by use alone: a server that was slow is tried again */
 #define EXPLORE_ONE_IN 32
 /* the backend server on this host needs no hop at all */
@@ -330,6 +336,35 @@
 				fn(ctx, h->node);
 }
 
+/*
+ * lw_place_level() - the first rank the service as a whole refuses: the mean
+ * of its hosts' levels by the work they can do. One host that is full while
+ * others are open shows that work is placed badly, not that there is too much.
+ */
+uint32_t lw_place_level(const lw_place_service_t *s, uint64_t now_us)
+{
+	double sum = 0, open = 0, all = 0;
+	double level;
+
+	for (const lw_place_host_t *h = s->hosts; h; h = h->next) {
+		double capacity;
+
+		if (!h->listed || h->draining || !h->load_us || !h->load.service_us ||
+		    now_us - h->load_us > LOAD_STALE_US)
+			continue;
+		capacity = h->load.limit / (double)h->load.service_us;
+		all += capacity;
+		if (h->load.level >= LW_LEVEL_OPEN)
+			open += capacity;
+		else
+			sum += capacity * h->load.level;
+	}
+	if (all <= open)
+		return LW_LEVEL_OPEN;
+	level = sum / (all - open) + OPEN_LIFTS * LW_RANKS_PER_PRIORITY * open / all;
+	return level < LW_LEVEL_OPEN ? (uint32_t)level : LW_LEVEL_OPEN;
+}
+
 /*
  * lw_place_self() - the backend server on this host in the list, the one that
  * is not draining if there are two; NULL if none. @known: the list has one.
--- a/src/place.h
+++ b/src/place.h
@@ -81,6 +81,7 @@
 typedef void (*lw_place_node_fn)(void *ctx, const char *node);
 void lw_place_each(const lw_place_t *p, lw_place_node_fn fn, void *ctx);
 void lw_place_each_lost(const lw_place_t *p, lw_place_node_fn fn, void *ctx);
+uint32_t lw_place_level(const lw_place_service_t *s, uint64_t now_us);
 const lw_place_host_t *lw_place_self(const lw_place_t *p, bool *known);
 
 #endif
--- a/tests/decide.c
+++ b/tests/decide.c
@@ -225,9 +225,12 @@
 
 static void do_hot_admits(world_t *w, const words_t *a)
 {
-	bool yes = lw_hotpath_admits(w->hot, word(a, 1), (uint32_t)num(a, 2), ms(a, 3));
+	lw_hot_t by;
 
-	say(w, "%s", yes ? "admitted" : "refused");
+	if (lw_hotpath_admits(w->hot, word(a, 1), (uint32_t)num(a, 2), ms(a, 3), &by))
+		say(w, "admitted");
+	else
+		say(w, "refused by %s at %u", by.service, by.level);
 }
 
 static void do_hot_depth(world_t *w, const words_t *a)
