--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 PLATFORM_SRC = platform/names.c platform/documents.c platform/store.c platform/platform.c
 LIB_OBJ = $(patsubst src/%.c,$(BUILD)/%.o,$(LIB_SRC) $(PROXY_SRC)) $(BUILD)/tomlshim.o
 PLATFORM_OBJ = $(patsubst platform/%.c,$(BUILD)/platform/%.o,$(PLATFORM_SRC))
-BINS = lwproxy lwnode lwctl lwburn lwload lwstub-config lwstub-backend lwstub-relay
+BINS = lwproxy lwsim lwnode lwctl lwburn lwload lwstub-config lwstub-backend lwstub-relay
 BIN_PATHS = $(addprefix $(BUILD)/,$(BINS))
 
 .PHONY: all deps demo check lint format bench fuzz clean
@@ -70,6 +70,12 @@
 $(BUILD)/lwstub-relay: $(BUILD)/lwstub_relay.o $(BUILD)/liblw.a
 	$(CC) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/lwsim: $(BUILD)/lwsim.o $(BUILD)/simfleet.o $(BUILD)/simload.o $(BUILD)/simplot.o $(BUILD)/liblw.a
+	$(CC) -o $@ $^ $(LDLIBS) -lcairo
+$(BUILD)/simplot.o: src/simplot.c src/simplot.h src/simfleet.h
+	@mkdir -p $(BUILD)
+	$(CC) $(CFLAGS) $(shell pkg-config --cflags cairo) -c $< -o $@
+
 $(BUILD)/lwburn.o: src/lwburn.c src/*.h
 	@mkdir -p $(BUILD)
 	$(CC) $(CFLAGS) $(shell pkg-config --cflags cairo) -c $< -o $@
@@ -87,7 +93,9 @@
 	$(BUILD)/lwtest tests/scripts tests/decisions
 	sh tests/e2e.sh
 	sh tests/faults.sh
+	SIM=$(BUILD)/lwsim sh tests/sim.sh
 	LWPROXY=$(BUILD)/lwproxy python3 tests/mesh/run.py
+	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1,2 --seconds 8
 
 lint:
 	@sh tools/lint.sh
--- a/src/level.c
+++ b/src/level.c
@@ -113,7 +113,7 @@
 		return 60;
 	if (demand < 0.85)
 		return 25;
-	return demand < 0.95 ? 10 : 0;
+	return demand < 1.0 ? 15 : 0;
 }
 
 static void raise(lw_level_t *l)
--- /dev/null
+++ b/src/simfleet.c
@@ -0,0 +1,720 @@
+/*
+ * The model behind lwsim. Each server has a node with the real queue,
+ * admission and level; each node places the requests that begin on it with
+ * the real placement and hears loads with answers only. Modelled: slots,
+ * speeds, slowing down when nearly full, calls one after the other, deadlines,
+ * callers that come back. Not modelled: the network's limits, connections,
+ * processor time of the nodes, and faults other than a slow server.
+ */
+#include "simfleet.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "admit.h"
+#include "call.h"
+#include "comeback.h"
+#include "hotpath.h"
+#include "level.h"
+#include "place.h"
+#include "retrylimit.h"
+#include "retryrule.h"
+#include "waitq.h"
+#include "xalloc.h"
+
+/* useful wait before a server, percent of the target, as in exchange.c */
+#define QUEUE_NEW_PERCENT    35
+#define QUEUE_NESTED_PERCENT 60
+/* when a refused caller comes back if no server said better, ms, as there */
+#define COMEBACK_DEFAULT_MS 250
+/* weight of a run in a node's average service time, as in gate.c */
+#define SERVICE_EWMA 0.05
+#define SERVICE_FIRST_US 50000
+/* work spreads around its mean by this (log-normal sigma) */
+#define WORK_SIGMA 0.3
+#define LATENCIES_MAX 200000
+#define NODES_MAX (LW_SIM_SERVICES_MAX * LW_SIM_SERVERS_MAX)
+
+typedef struct run run_t;
+typedef struct req req_t;
+
+/* a server and the node beside it */
+typedef struct sim_node {
+	uint32_t service;
+	uint32_t index;
+	uint32_t running;
+	uint32_t limit;
+	uint32_t slots;
+	double speed;
+	double service_us;
+	lw_waitq_t queue;
+	lw_level_t level;
+	lw_place_t place; /* what this node knows of the others */
+	lw_hotpath_t *hot;
+	char id[LW_NAME_MAX];
+} sim_node_t;
+
+/* one request, of a user or a call, with its attempt under way */
+struct req {
+	lw_waiter_t waiter; /* first, so that a waiter is its request */
+	lw_sim_kind_t *kind;
+	req_t *parent;
+	sim_node_t *origin; /* node where it began */
+	sim_node_t *at; /* node that runs it */
+	lw_place_host_t *host;
+	lw_place_tried_t tried;
+	lw_attempts_t attempts;
+	uint32_t rank;
+	uint64_t first_us; /* the user's first try */
+	uint64_t begun_us;
+	uint64_t give_up_us;
+	uint64_t queued_us;
+	uint64_t started_us;
+	uint32_t tries_left;
+	uint32_t calls_left;
+	uint32_t above;
+	double work_done_ms; /* at servers, calls included */
+	lw_hots_t hots;
+	uint32_t depth;
+	bool queued;
+	bool call_failed;
+	bool over; /* answered to whoever waits */
+	uint32_t generation; /* events of an earlier attempt are void */
+};
+
+typedef enum {
+	EV_ARRIVE, /* a user request of a kind */
+	EV_AT_NODE, /* a request reaches the node of its server */
+	EV_WORKED, /* the own work of a request is done */
+	EV_ANSWER, /* an answer reaches the origin */
+	EV_TIMEOUT,
+	EV_RETURN, /* a refused caller comes back */
+	EV_EXPIRE, /* queued requests are looked through */
+	EV_STEP, /* levels are adjusted */
+} ev_kind_t;
+
+typedef struct sim_event {
+	uint64_t at_us;
+	uint64_t seq;
+	ev_kind_t kind;
+	req_t *req;
+	lw_sim_kind_t *of;
+	uint32_t generation;
+	lw_fail_t why; /* EV_ANSWER: LW_FAIL_NONE is an answer */
+	uint32_t room_ms;
+	bool bad; /* EV_ANSWER: the server answered with a failure */
+	lw_load_t load;
+} sim_event_t;
+
+struct run {
+	lw_sim_t *sim;
+	uint64_t now;
+	uint64_t seq;
+	uint64_t rng;
+	sim_event_t *heap;
+	size_t nheap, cap;
+	sim_node_t node[NODES_MAX];
+	size_t nnodes;
+	lw_retryterms_t terms;
+	uint64_t ids;
+};
+
+static uint64_t rnd(run_t *r)
+{
+	r->rng ^= r->rng >> 12;
+	r->rng ^= r->rng << 25;
+	r->rng ^= r->rng >> 27;
+	return r->rng * 2685821657736338717ULL;
+}
+
+static double rnd01(run_t *r)
+{
+	return ((rnd(r) >> 11) + 0.5) / 9007199254740992.0;
+}
+
+static double work_of(run_t *r, const lw_sim_kind_t *k)
+{
+	double normal = sqrt(-2 * log(rnd01(r))) * cos(2 * M_PI * rnd01(r));
+
+	return k->work_ms * exp(WORK_SIGMA * normal - WORK_SIGMA * WORK_SIGMA / 2);
+}
+
+static bool earlier(const sim_event_t *a, const sim_event_t *b)
+{
+	return a->at_us != b->at_us ? a->at_us < b->at_us : a->seq < b->seq;
+}
+
+static sim_event_t *push(run_t *r, ev_kind_t kind, uint64_t at_us, req_t *q)
+{
+	sim_event_t e = { .at_us = at_us, .seq = r->seq++, .kind = kind, .req = q };
+	size_t i = r->nheap++;
+
+	if (r->nheap > r->cap) {
+		r->cap = r->cap ? r->cap * 2 : 1024;
+		r->heap = xrealloc(r->heap, r->cap * sizeof(*r->heap));
+	}
+	e.generation = q ? q->generation : 0;
+	r->heap[i] = e;
+	while (i && earlier(&r->heap[i], &r->heap[(i - 1) / 2])) {
+		sim_event_t t = r->heap[i];
+
+		r->heap[i] = r->heap[(i - 1) / 2];
+		r->heap[(i - 1) / 2] = t;
+		i = (i - 1) / 2;
+	}
+	return &r->heap[i];
+}
+
+static sim_event_t pop(run_t *r)
+{
+	sim_event_t first = r->heap[0];
+	size_t i = 0;
+
+	r->heap[0] = r->heap[--r->nheap];
+	for (;;) {
+		size_t k = 2 * i + 1;
+		sim_event_t t;
+
+		if (k >= r->nheap)
+			break;
+		if (k + 1 < r->nheap && earlier(&r->heap[k + 1], &r->heap[k]))
+			k++;
+		if (!earlier(&r->heap[k], &r->heap[i]))
+			break;
+		t = r->heap[k];
+		r->heap[k] = r->heap[i];
+		r->heap[i] = t;
+		i = k;
+	}
+	return first;
+}
+
+static lw_sim_kind_t *kind_by_name(lw_sim_t *s, const char *name)
+{
+	for (size_t i = 0; i < s->nkinds; i++)
+		if (strcmp(s->kinds[i].name, name) == 0)
+			return &s->kinds[i];
+	return NULL;
+}
+
+static void load_of(const sim_node_t *n, lw_load_t *out)
+{
+	memset(out, 0, sizeof(*out));
+	out->running = n->running;
+	out->queued = (uint32_t)n->queue.len;
+	out->limit = n->limit;
+	out->service_us = (uint32_t)n->service_us;
+	out->level = n->level.level;
+}
+
+static void attempt(run_t *r, req_t *q, lw_fail_t last);
+static void dispatch(run_t *r, sim_node_t *n);
+
+static void send_answer(run_t *r, req_t *q, lw_fail_t why, bool bad, uint32_t room_ms)
+{
+	uint64_t at = r->now + (uint64_t)(r->sim->net_ms * 1000);
+	sim_event_t *e = push(r, EV_ANSWER, at, q);
+
+	e->why = why;
+	e->bad = bad;
+	e->room_ms = room_ms;
+	load_of(q->at, &e->load);
+	e->load.hots = q->hots;
+	e->load.depth = q->depth;
+	e->load.call_failed = q->call_failed;
+}
+
+static uint32_t left_ms(const run_t *r, const req_t *q)
+{
+	return q->give_up_us > r->now ? (uint32_t)((q->give_up_us - r->now) / 1000) : 0;
+}
+
+/* own work of a request: slower when the server is nearly full */
+static void start_work(run_t *r, req_t *q)
+{
+	sim_node_t *n = q->at;
+	const lw_sim_service_t *sv = &r->sim->services[n->service];
+	double ms = work_of(r, q->kind) / n->speed;
+
+	if (sv->knee > 0 && n->running > sv->knee * n->slots)
+		ms *= sv->knee_x;
+	q->queued = false;
+	q->started_us = r->now;
+	q->work_done_ms += ms;
+	r->sim->total.spent_ms += ms;
+	if (r->now >= r->sim->burst_at_s * 1e6 &&
+	    r->now < (r->sim->burst_at_s + r->sim->burst_for_s) * 1e6)
+		r->sim->busy_ms[n->service] += ms * n->speed;
+	n->running++;
+	q->calls_left = q->kind->call[0] ? q->kind->calls : 0;
+	push(r, EV_WORKED, r->now + (uint64_t)(ms * 1000), q);
+}
+
+static uint32_t queue_ms(const req_t *q)
+{
+	return q->kind->target_ms * (q->parent ? QUEUE_NESTED_PERCENT : QUEUE_NEW_PERCENT) / 100;
+}
+
+static void at_node(run_t *r, req_t *q)
+{
+	sim_node_t *n = q->at;
+	bool naive = r->sim->policy == LW_SIM_NAIVE;
+	lw_ask_t ask = { .deadline_ms = left_ms(r, q), .queue_ms = queue_ms(q) };
+	lw_admit_state_t st;
+	lw_fail_t why;
+
+	lw_level_arrival(&n->level, q->rank);
+	load_of(n, &st.load);
+	q->waiter.priority = r->sim->policy >= LW_SIM_FIFO ? 0 : q->rank / LW_RANKS_PER_PRIORITY;
+	q->waiter.expires_us = r->now + (uint64_t)lw_admit_wait_ms(&st, &ask) * 1000;
+	if (r->sim->policy >= LW_SIM_FIFO)
+		q->waiter.expires_us = naive ? q->give_up_us : r->now + (uint64_t)queue_ms(q) * 1000;
+	st.ahead = (uint32_t)lw_waitq_ahead(&n->queue, &q->waiter);
+	why = naive ? LW_FAIL_NONE : lw_admit(&st, &ask);
+	if (why) {
+		send_answer(r, q, why, false, lw_admit_retry_after_ms(&st.load));
+		return;
+	}
+	q->queued = true;
+	q->queued_us = r->now;
+	lw_waitq_push(&n->queue, &q->waiter);
+	dispatch(r, n);
+}
+
+static void dispatch(run_t *r, sim_node_t *n)
+{
+	uint32_t limit = r->sim->policy == LW_SIM_NAIVE ? n->slots : n->limit;
+
+	while (n->queue.first && n->running < limit) {
+		req_t *q = (req_t *)(void *)lw_waitq_pop(&n->queue);
+
+		if (q->give_up_us <= r->now && r->sim->policy != LW_SIM_NAIVE)
+			continue;
+		start_work(r, q);
+	}
+}
+
+static void run_over(run_t *r, req_t *q, bool bad)
+{
+	sim_node_t *n = q->at;
+
+	n->running--;
+	n->service_us += SERVICE_EWMA * ((double)(r->now - q->started_us) - n->service_us);
+	send_answer(r, q, LW_FAIL_NONE, bad, 0);
+	dispatch(r, n);
+}
+
+static req_t *new_req(run_t *r, lw_sim_kind_t *k, sim_node_t *origin, req_t *parent)
+{
+	req_t *q = xcalloc(1, sizeof(*q));
+	char id[32];
+
+	q->kind = k;
+	q->origin = origin;
+	q->parent = parent;
+	q->begun_us = r->now;
+	q->first_us = r->now;
+	q->attempts.idempotent = k->idempotent;
+	q->attempts.max_given = 2;
+	q->attempts.body_kept = true;
+	q->give_up_us = r->now + (uint64_t)k->timeout_ms * 1000;
+	if (parent) {
+		q->rank = parent->rank;
+		q->above = parent->above + 1;
+		if (q->give_up_us > parent->give_up_us)
+			q->give_up_us = parent->give_up_us;
+	} else {
+		snprintf(id, sizeof(id), "%llx", (unsigned long long)rnd(r));
+		q->rank = lw_rank(k->priority, lw_str_c(id));
+		q->tries_left = k->retries;
+	}
+	return q;
+}
+
+static void next_call(run_t *r, req_t *q)
+{
+	if (q->call_failed || !q->calls_left) {
+		run_over(r, q, q->call_failed);
+		return;
+	}
+	q->calls_left--;
+	req_t *c = new_req(r, kind_by_name(r->sim, q->kind->call), q->at, q);
+
+	push(r, EV_TIMEOUT, c->give_up_us, c);
+	attempt(r, c, LW_FAIL_NO_SERVER);
+}
+
+/* whoever waits for the request hears its outcome */
+static void finish(run_t *r, req_t *q, bool good, bool refused, uint32_t room_ms)
+{
+	lw_sim_count_t *c = &q->kind->count;
+	uint64_t took_ms = (r->now - q->first_us) / 1000;
+	uint32_t second = (uint32_t)(q->first_us / 1000000);
+
+	if (q->over)
+		return;
+	q->over = true;
+	q->generation++;
+	if (q->parent) {
+		req_t *p = q->parent;
+
+		p->work_done_ms += q->work_done_ms;
+		p->call_failed |= !good;
+		if (!p->over)
+			next_call(r, p);
+		else
+			run_over(r, p, true);
+		return;
+	}
+	if (refused && q->tries_left) {
+		uint32_t left = q->kind->deadline_ms > took_ms ?
+					q->kind->deadline_ms - (uint32_t)took_ms :
+					0;
+		uint32_t ms = lw_comeback_ms(room_ms ? room_ms : COMEBACK_DEFAULT_MS,
+					     q->kind->priority, left, (uint32_t)rnd(r));
+		sim_event_t *e = push(r, EV_RETURN, r->now + (uint64_t)ms * 1000, NULL);
+
+		e->of = q->kind;
+		e->req = q;
+		r->sim->total.refusals++;
+		return;
+	}
+	if (!good) {
+		c->failed += !refused;
+		c->refused += refused;
+		return;
+	}
+	r->sim->total.useful_ms += q->work_done_ms;
+	if (q->kind->nlatency < LATENCIES_MAX)
+		q->kind->latency_ms[q->kind->nlatency++] = (uint16_t)took_ms;
+	if (took_ms <= q->kind->target_ms) {
+		c->in_target++;
+		if (second < LW_SIM_SECONDS_MAX)
+			r->sim->good_at[second]++;
+	} else {
+		c->late++;
+	}
+}
+
+static void took_load(run_t *r, req_t *q, const lw_load_t *load)
+{
+	lw_load_t path = *load;
+	lw_place_service_t *s = q->host->service;
+
+	lw_place_told(q->host, load, r->now);
+	lw_hots_add(&path.hots, s->name, lw_place_level(s, r->now));
+	lw_hotpath_told(q->origin->hot, q->kind->name, &path.hots, path.depth, r->now);
+	if (!q->parent)
+		return;
+	if (path.depth + 1 > q->parent->depth)
+		q->parent->depth = path.depth + 1;
+	for (uint32_t i = 0; i < path.hots.n; i++)
+		lw_hots_add(&q->parent->hots, path.hots.hot[i].service, path.hots.hot[i].level);
+}
+
+static bool take_retry(run_t *r, req_t *q)
+{
+	lw_retryplace_t at = { (uint32_t)r->nnodes, q->above,
+			       lw_hotpath_depth(q->origin->hot, q->kind->name) };
+	bool yes = lw_retrylimit_take(&q->host->service->retries, &r->terms, &at, r->now);
+
+	r->sim->total.retries += yes;
+	return yes;
+}
+
+static void on_answer(run_t *r, const sim_event_t *e)
+{
+	req_t *q = e->req;
+	lw_verdict_t v;
+
+	if (q->over)
+		return;
+	took_load(r, q, &e->load);
+	lw_place_ended(q->host, e->why == LW_FAIL_NONE && !e->bad, r->now);
+	if (e->why == LW_FAIL_NONE && !e->bad) {
+		finish(r, q, true, false, 0);
+		return;
+	}
+	q->attempts.left_ms = left_ms(r, q);
+	if (e->why == LW_FAIL_NONE) {
+		q->attempts.given++;
+		if (!e->load.call_failed && lw_retry_answer(&q->attempts, 500) && take_retry(r, q))
+			attempt(r, q, LW_FAIL_BROKEN);
+		else
+			finish(r, q, false, false, 0);
+		return;
+	}
+	q->attempts.handed_back++;
+	v = lw_retry_verdict(&q->attempts, e->why);
+	if (v == LW_VERDICT_AGAIN)
+		attempt(r, q, e->why);
+	else
+		finish(r, q, false, v == LW_VERDICT_REFUSE, e->room_ms);
+}
+
+static sim_node_t *node_of(run_t *r, const char *id)
+{
+	return &r->node[atoi(id + 1)];
+}
+
+static void attempt(run_t *r, req_t *q, lw_fail_t last)
+{
+	lw_place_service_t *s = lw_place_service(&q->origin->place, q->kind->service);
+	lw_place_ask_t ask = { r->now, 0, (uint32_t)rnd(r) };
+	lw_place_host_t *h = lw_place_pick(s, &q->tried, &ask);
+
+	if (r->sim->policy == LW_SIM_NAIVE && !q->tried.n) {
+		uint32_t skip = (uint32_t)(rnd(r) % 64);
+
+		for (h = s->hosts; skip--;)
+			h = h->next ? h->next : s->hosts;
+	}
+	if (!h) {
+		finish(r, q, false, lw_fail_not_run(last), 0);
+		return;
+	}
+	q->tried.host[q->tried.n++] = h;
+	q->host = h;
+	q->hots.n = 0;
+	q->call_failed = false;
+	q->at = node_of(r, h->id);
+	lw_place_sent(h);
+	push(r, EV_AT_NODE, r->now + (h->self ? 0 : (uint64_t)(r->sim->net_ms * 1000)), q);
+}
+
+static void begin(run_t *r, lw_sim_kind_t *k, uint64_t first_us, uint32_t tries_left)
+{
+	sim_node_t *origin = &r->node[rnd(r) % r->nnodes];
+	req_t *q = new_req(r, k, origin, NULL);
+	lw_hot_t by;
+
+	q->first_us = first_us;
+	q->tries_left = tries_left;
+	if (r->sim->policy == LW_SIM_FULL &&
+	    !lw_hotpath_admits(origin->hot, k->name, q->rank, r->now, &by)) {
+		finish(r, q, false, true, 0);
+		return;
+	}
+	lw_retrylimit_request(&lw_place_service(&origin->place, k->service)->retries, &r->terms,
+			      r->now);
+	push(r, EV_TIMEOUT, q->give_up_us, q);
+	attempt(r, q, LW_FAIL_NO_SERVER);
+}
+
+static double rate_now(const lw_sim_t *s, const lw_sim_kind_t *k, uint64_t now)
+{
+	double t = (double)now / 1e6;
+	bool burst = t >= s->burst_at_s && t < s->burst_at_s + s->burst_for_s;
+
+	return k->rate * (burst ? s->burst : 1);
+}
+
+static void on_arrive(run_t *r, lw_sim_kind_t *k)
+{
+	double gap = -log(rnd01(r)) / rate_now(r->sim, k, r->now);
+	uint32_t second = (uint32_t)(r->now / 1000000);
+	sim_event_t *e;
+
+	if ((double)r->now / 1e6 >= r->sim->length_s)
+		return;
+	k->count.asked++;
+	if (second < LW_SIM_SECONDS_MAX)
+		r->sim->asked_at[second]++;
+	begin(r, k, r->now, k->retries);
+	e = push(r, EV_ARRIVE, r->now + (uint64_t)(gap * 1e6), NULL);
+	e->of = k;
+}
+
+static void on_step(run_t *r)
+{
+	for (size_t i = 0; i < r->nnodes; i++) {
+		sim_node_t *n = &r->node[i];
+		lw_level_input_t in = { (uint32_t)n->queue.len, n->running, n->limit,
+					n->service_us };
+		lw_waiter_t *w;
+
+		lw_level_step(&n->level, &in);
+		while ((w = lw_waitq_expired(&n->queue, r->now)) != NULL) {
+			lw_load_t load;
+
+			lw_waitq_remove(&n->queue, w);
+			load_of(n, &load);
+			send_answer(r, (req_t *)(void *)w, LW_FAIL_EXPIRED, false,
+				    lw_admit_retry_after_ms(&load));
+		}
+	}
+	if ((double)r->now / 1e6 < r->sim->length_s + 10)
+		push(r, EV_STEP, r->now + LW_LEVEL_STEP_MS * 1000, NULL);
+}
+
+static void on_timeout(run_t *r, req_t *q)
+{
+	if (q->over)
+		return;
+	if (q->queued) {
+		lw_waitq_remove(&q->at->queue, &q->waiter);
+		q->queued = false;
+	}
+	finish(r, q, false, false, 0);
+}
+
+static void handle(run_t *r, const sim_event_t *e)
+{
+	req_t *q = e->req;
+
+	switch (e->kind) {
+	case EV_ARRIVE:
+		on_arrive(r, e->of);
+		break;
+	case EV_AT_NODE:
+		if (!q->over)
+			at_node(r, q);
+		break;
+	case EV_WORKED:
+		next_call(r, q);
+		break;
+	case EV_ANSWER:
+		on_answer(r, e);
+		break;
+	case EV_TIMEOUT:
+		on_timeout(r, q);
+		break;
+	case EV_RETURN:
+		begin(r, e->of, q->first_us, q->tries_left - 1);
+		break;
+	case EV_EXPIRE:
+		break;
+	case EV_STEP:
+		on_step(r);
+		break;
+	}
+}
+
+static void build_nodes(run_t *r)
+{
+	lw_sim_t *s = r->sim;
+	lw_serverlist_t sl = { .servers = xcalloc(NODES_MAX, sizeof(lw_server_entry_t)) };
+
+	for (size_t i = 0; i < s->nservices; i++)
+		for (uint32_t k = 0; k < s->services[i].servers; k++) {
+			lw_server_entry_t *e = &sl.servers[sl.nservers];
+			sim_node_t *n = &r->node[r->nnodes];
+
+			snprintf(e->id, sizeof(e->id), "n%zu", r->nnodes);
+			snprintf(e->addr, sizeof(e->addr), "10.0.%zu.%u:80", i, k);
+			lw_str_copy(e->service, sizeof(e->service), lw_str_c(s->services[i].name));
+			snprintf(e->zone, sizeof(e->zone), "zone-%u", k % 3);
+			e->slots = s->services[i].slots;
+			n->service = (uint32_t)i;
+			n->index = k;
+			n->slots = e->slots;
+			n->limit = lw_admit_limit(e->slots);
+			n->speed = s->services[i].speed[k];
+			if (k == 0 && strcmp(s->slow_service, s->services[i].name) == 0)
+				n->speed /= s->slow_x;
+			n->service_us = SERVICE_FIRST_US;
+			n->hot = lw_hotpath_new();
+			lw_level_init(&n->level);
+			sl.nservers++;
+			r->nnodes++;
+		}
+	for (size_t i = 0; i < r->nnodes; i++) {
+		lw_place_init(&r->node[i].place, sl.servers[i].zone, sl.servers[i].addr, 7000,
+			      r->terms);
+		lw_place_update(&r->node[i].place, &sl, 0);
+	}
+	free(sl.servers);
+}
+
+/* lw_sim_run() - play the load once with @seed; counts are in @s afterwards. */
+void lw_sim_run(lw_sim_t *s, uint64_t seed)
+{
+	run_t *r = xcalloc(1, sizeof(*r));
+
+	r->sim = s;
+	r->rng = seed * 2654435769u | 1;
+	r->terms = (lw_retryterms_t){ .ratio = 0.2, .extra = 47, .window_s = 10 };
+	build_nodes(r);
+	for (size_t i = 0; i < s->nkinds; i++)
+		if (s->kinds[i].rate > 0)
+			push(r, EV_ARRIVE, (uint64_t)(rnd01(r) * 1e5), NULL)->of = &s->kinds[i];
+	push(r, EV_STEP, LW_LEVEL_STEP_MS * 1000, NULL);
+	while (r->nheap) {
+		sim_event_t e = pop(r);
+
+		r->now = e.at_us;
+		handle(r, &e);
+	}
+	free(r->heap);
+	free(r);
+}
+
+static int by_value(const void *a, const void *b)
+{
+	return *(const uint16_t *)a - *(const uint16_t *)b;
+}
+
+/* lw_sim_percentile() - latency in ms below which @part of the answers lie. */
+uint32_t lw_sim_percentile(const lw_sim_kind_t *k, double part)
+{
+	uint16_t *sorted;
+	uint32_t v;
+
+	if (!k->nlatency)
+		return 0;
+	sorted = xmalloc(k->nlatency * sizeof(*sorted));
+	memcpy(sorted, k->latency_ms, k->nlatency * sizeof(*sorted));
+	qsort(sorted, k->nlatency, sizeof(*sorted), by_value);
+	v = sorted[(size_t)((double)(k->nlatency - 1) * part)];
+	free(sorted);
+	return v;
+}
+
+/* lw_sim_goodput() - share of the user requests answered in target. */
+double lw_sim_goodput(const lw_sim_t *s)
+{
+	uint32_t asked = 0, good = 0;
+
+	for (size_t i = 0; i < s->nkinds; i++) {
+		asked += s->kinds[i].count.asked;
+		good += s->kinds[i].count.in_target;
+	}
+	return asked ? (double)good / asked : 0;
+}
+
+/* lw_sim_wasted() - share of server time spent on requests that then failed. */
+double lw_sim_wasted(const lw_sim_t *s)
+{
+	return s->total.spent_ms > 0 ? 1 - s->total.useful_ms / s->total.spent_ms : 0;
+}
+
+/* lw_sim_bottleneck() - use of the busiest service's slots during the burst. */
+double lw_sim_bottleneck(const lw_sim_t *s)
+{
+	double most = 0;
+
+	for (size_t i = 0; i < s->nservices; i++) {
+		const lw_sim_service_t *sv = &s->services[i];
+		double speed = 0;
+
+		for (uint32_t k = 0; k < sv->servers; k++)
+			speed += sv->speed[k];
+		speed *= sv->slots * s->burst_for_s * 1000;
+		if (speed > 0 && s->busy_ms[i] / speed > most)
+			most = s->busy_ms[i] / speed;
+	}
+	return most;
+}
+
+/* lw_sim_recovery_s() - from the end of the burst until 95% are in target again. */
+double lw_sim_recovery_s(const lw_sim_t *s)
+{
+	uint32_t end = (uint32_t)(s->burst_at_s + s->burst_for_s);
+
+	for (uint32_t t = end; t < LW_SIM_SECONDS_MAX && t < (uint32_t)s->length_s; t++)
+		if (s->asked_at[t] && s->good_at[t] >= 0.95 * s->asked_at[t])
+			return t - end;
+	return s->length_s - end;
+}
--- /dev/null
+++ b/tests/sim.sh
@@ -0,0 +1,51 @@
+#!/bin/sh
+# Replays of loads on the model (lwsim): each gain of the decisions as a ratio
+# against the policy without it, in one run with one seed.
+set -e
+SIM=${SIM:-build/lwsim}
+DIR=$(dirname "$0")/sim
+passed=0
+failed=0
+
+# field NAME FILE: the figure behind NAME
+figure() { sed -n "s/.*$1 \([0-9.-]*\)%.*/\1/p" "$2" | tail -1; }
+kind() { sed -n "s/^$1 .*in_target *[0-9]* ( *\([0-9.]*\)%).*/\1/p" "$2"; }
+
+# check WHAT EXPRESSION
+check() {
+	if awk "BEGIN { exit !($2) }"; then
+		passed=$((passed + 1))
+		echo "passed $1"
+	else
+		failed=$((failed + 1))
+		echo "FAILED $1: $2"
+	fi
+}
+
+tmp=$(mktemp -d)
+for policy in full no-levels fifo naive; do
+	"$SIM" "$DIR/registry.toml" --policy $policy --seed 1 >"$tmp/$policy"
+done
+"$SIM" "$DIR/registry.toml" --seed 1 >"$tmp/again"
+"$SIM" "$DIR/registry.toml" --seed 1 --burst 2.5 >"$tmp/heavy"
+"$SIM" "$DIR/registry.toml" --seed 1 --burst 2.5 --policy no-levels >"$tmp/heavy-no-levels"
+"$SIM" "$DIR/slow_leaf.toml" --seed 1 >"$tmp/slow"
+"$SIM" "$DIR/slow_leaf.toml" --seed 1 --policy naive >"$tmp/slow-naive"
+
+check "the same seed gives the same figures" "$(cmp -s "$tmp/full" "$tmp/again" && echo 1 || echo 0)"
+check "1.7-fold burst: goodput far above the naive policy" \
+	"$(figure goodput "$tmp/full") > $(figure goodput "$tmp/naive") + 50"
+check "1.7-fold burst: goodput above first come, first served" \
+	"$(figure goodput "$tmp/full") > $(figure goodput "$tmp/fifo") + 10"
+check "1.7-fold burst: nearly no server time wasted" "$(figure 'server time' "$tmp/full") < 2"
+check "1.7-fold burst: without levels a part of it is wasted" \
+	"$(figure 'server time' "$tmp/no-levels") > 5"
+check "1.7-fold burst: urgent requests all in target" "$(kind register "$tmp/full") > 99"
+check "2.5-fold burst: urgent requests all in target" "$(kind register "$tmp/heavy") > 97"
+check "2.5-fold burst: levels keep goodput and waste less" \
+	"$(figure 'server time' "$tmp/heavy") < $(figure 'server time' "$tmp/heavy-no-levels") / 2"
+check "a slow leaf server: goodput above the naive policy" \
+	"$(figure goodput "$tmp/slow") > $(figure goodput "$tmp/slow-naive") + 10"
+rm -r "$tmp"
+echo "sim: $passed passed, $failed failed"
+[ "$failed" = 0 ]
