--- a/src/exchange.c
+++ b/src/exchange.c
@@ -459,6 +459,22 @@
 	attempt(x, x->held_for);
 }
 
+/*
+ * A service without a reachable server is as good as full: what leads to it
+ * is refused at its root, or it all runs down to the missing server and fails
+ * there (seen as runs that end in 500; half of all in one partition).
+ */
+static void tell_shut(lw_exchange_t *x)
+{
+	lw_engine_t *e = x->engine;
+	lw_load_t shut = { .level = LW_LEVEL_SHUT };
+
+	lw_hots_add(&shut.hots, x->service->name, LW_LEVEL_SHUT);
+	lw_hotpath_told(e->hotpath, x->route, &shut.hots, 0, e->hub->now_us);
+	if (x->parent_id.len)
+		lw_gate_note_call(&e->gate, x->parent_id, &shut);
+}
+
 /* no host is left: wait for one if there is time and none has had the request */
 static void no_host(lw_exchange_t *x, lw_fail_t last)
 {
@@ -475,6 +491,8 @@
 		ev_timer_start(x->engine->hub->loop, &x->hold);
 		return;
 	}
+	if (unreached)
+		tell_shut(x);
 	answer_verdict(x, lw_retry_final(&x->attempts, last), last);
 }
 
--- a/src/level.c
+++ b/src/level.c
@@ -27,8 +27,6 @@
  * their calls. Cutting again earlier cuts twice for the same queue.
  */
 #define HOLD_STEPS 4
-/* the lowest level: some of the most urgent still pass and show when room is back */
-#define LEVEL_MIN 100
 
 /* lw_rank() - the rank of a user request; a lower one is refused later. */
 uint32_t lw_rank(uint32_t priority, lw_str_t request_id)
@@ -97,8 +95,8 @@
 	if (part < CUT_MOST)
 		part = CUT_MOST;
 	level = level_for(l, part);
-	if (level < LEVEL_MIN)
-		level = LEVEL_MIN;
+	if (level < LW_LEVEL_SHUT)
+		level = LW_LEVEL_SHUT;
 	if (level < l->level)
 		l->level = level;
 	l->hold = HOLD_STEPS;
--- a/src/level.h
+++ b/src/level.h
@@ -25,6 +25,9 @@
 /* This level refuses nothing. */
 #define LW_LEVEL_OPEN (LW_RANKS_PER_PRIORITY * LW_PRIORITIES_MAX)
 
+/* Nothing but a few of the most urgent is admitted: they show when room is back. */
+#define LW_LEVEL_SHUT 100
+
 /* Width of a histogram bin, in ranks. */
 #define LW_LEVEL_BIN  50
 #define LW_LEVEL_BINS (LW_LEVEL_OPEN / LW_LEVEL_BIN)
--- a/src/simfleet.c
+++ b/src/simfleet.c
@@ -30,12 +30,12 @@
 /* when a refused caller comes back if no server said better, ms, as there */
 #define COMEBACK_DEFAULT_MS 250
 /* weight of a run in a node's average service time, as in gate.c */
-#define SERVICE_EWMA 0.05
+#define SERVICE_EWMA	 0.05
 #define SERVICE_FIRST_US 50000
 /* work spreads around its mean by this (log-normal sigma) */
-#define WORK_SIGMA 0.3
+#define WORK_SIGMA    0.3
 #define LATENCIES_MAX 200000
-#define NODES_MAX (LW_SIM_SERVICES_MAX * LW_SIM_SERVERS_MAX)
+#define NODES_MAX     (LW_SIM_SERVICES_MAX * LW_SIM_SERVERS_MAX)
 
 typedef struct run run_t;
 typedef struct req req_t;
@@ -270,7 +270,8 @@
 	q->waiter.priority = r->sim->policy >= LW_SIM_FIFO ? 0 : q->rank / LW_RANKS_PER_PRIORITY;
 	q->waiter.expires_us = r->now + (uint64_t)lw_admit_wait_ms(&st, &ask) * 1000;
 	if (r->sim->policy >= LW_SIM_FIFO)
-		q->waiter.expires_us = naive ? q->give_up_us : r->now + (uint64_t)queue_ms(q) * 1000;
+		q->waiter.expires_us =
+			naive ? q->give_up_us : r->now + (uint64_t)queue_ms(q) * 1000;
 	st.ahead = (uint32_t)lw_waitq_ahead(&n->queue, &q->waiter);
 	why = naive ? LW_FAIL_NONE : lw_admit(&st, &ask);
 	if (why) {
--- a/src/simload.c
+++ b/src/simload.c
@@ -104,7 +104,8 @@
 	const lw_toml_node_t *root, *list;
 
 	if (!doc)
-		return lw_error(LW_ERR_SETTINGS, "%s: not TOML: %s; fix the syntax there", path, err);
+		return lw_error(LW_ERR_SETTINGS, "%s: not TOML: %s; fix the syntax there", path,
+				err);
 	root = lw_toml_root(doc);
 	s->length_s = number(root, "length_s", 30);
 	s->burst = number(root, "burst", 1);
