--- /dev/null
+++ b/src/callerread.c
@@ -0,0 +1,239 @@
+/* Reading requests of callers, strictly one after the other. */
+#include "caller_int.h"
+
+#include <errno.h>
+#include <sys/socket.h>
+
+/* read at once; a request of the usual size comes with one system call */
+#define READ_BYTES 16384
+
+/* lw_caller_reject() - a request that cannot be taken: answer and close */
+void lw_caller_reject(lw_caller_t *c, uint32_t status, const char *why)
+{
+	c->keep = false;
+	c->body_done = true;
+	lw_caller_put_own(c, status, why, 0);
+	c->closing = true;
+	lw_caller_flush(c);
+}
+
+static int on_body(http_parser *p, const char *at, size_t len)
+{
+	lw_caller_t *c = p->data;
+
+	c->body_seen += len;
+	if (c->x)
+		lw_exchange_body(c->x, (lw_str_t){ at, len }, false);
+	if (c->closed)
+		return 1;
+	if (c->x && lw_exchange_full(c->x))
+		http_parser_pause(p, 1);
+	return 0;
+}
+
+static int on_complete(http_parser *p)
+{
+	lw_caller_t *c = p->data;
+
+	c->body_done = true;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings body_settings = {
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+static void next_request(lw_caller_t *c)
+{
+	c->state = CALLER_HEAD;
+	c->since_us = c->set->hub->now_us;
+	c->answered = false;
+	if (c->closing || !c->keep) {
+		c->closing = true;
+		lw_caller_flush(c);
+	}
+}
+
+/* the request is complete: tell the exchange, wait for its answer */
+static void body_complete(lw_caller_t *c)
+{
+	c->state = CALLER_WAIT;
+	if (c->x)
+		lw_exchange_body(c->x, (lw_str_t){ NULL, 0 }, true);
+	if (!c->closed && c->answered)
+		next_request(c);
+}
+
+/* false: more bytes are needed or the connection is done */
+static bool read_body(lw_caller_t *c)
+{
+	size_t len = lw_bytebuf_len(&c->in);
+	size_t used;
+	enum http_errno err;
+
+	if (!len || (c->x && lw_exchange_full(c->x)))
+		return false;
+	http_parser_pause(&c->parser, 0);
+	used = http_parser_execute(&c->parser, &body_settings, lw_bytebuf_head(&c->in), len);
+	if (c->closed)
+		return false;
+	err = HTTP_PARSER_ERRNO(&c->parser);
+	if (err != HPE_OK && err != HPE_PAUSED) {
+		c->set->stats.malformed++;
+		lw_caller_close(c);
+		return false;
+	}
+	lw_bytebuf_consume(&c->in, used);
+	if (c->body_seen > c->set->limits.max_body_bytes) {
+		c->set->stats.too_large++;
+		if (c->x)
+			lw_exchange_cancel(c->x);
+		c->x = NULL;
+		if (c->answered)
+			lw_caller_close(c);
+		else
+			lw_caller_reject(c, 413, "body_too_large");
+		return false;
+	}
+	if (c->body_done)
+		body_complete(c);
+	return !c->closed;
+}
+
+static void serve_ready(lw_caller_t *c, const lw_httphead_t *h)
+{
+	bool asked = lw_str_eq_c(h->target, c->set->hub->names->ready_path);
+	bool ready = c->set->ready && !c->set->hub->leaving;
+
+	c->body_done = true;
+	if (!asked)
+		lw_caller_put_own(c, 404, "unknown_path", 0);
+	else
+		lw_caller_put_own(c, ready ? 200 : 503, ready ? "ready" : "not_ready", 0);
+	lw_caller_answer_done(c);
+}
+
+static void begin_request(lw_caller_t *c, const lw_httphead_t *h)
+{
+	lw_exchange_ask_t ask = {
+		.head = h,
+		.body_length = h->body_length,
+		.late_us = c->late_us,
+	};
+
+	c->keep = h->keep_alive;
+	c->is_head = lw_str_eq_c(h->method, "HEAD");
+	c->http10 = c->parser.http_major == 1 && c->parser.http_minor == 0;
+	c->body_seen = 0;
+	c->body_done = h->body_length == 0;
+	c->answered = false;
+	c->since_us = c->set->hub->now_us;
+	c->state = c->body_done ? CALLER_WAIT : CALLER_BODY;
+	if (c->ready_only) {
+		serve_ready(c, h);
+		return;
+	}
+	if (h->body_length > 0 && (uint64_t)h->body_length > c->set->limits.max_body_bytes) {
+		c->set->stats.too_large++;
+		lw_caller_reject(c, 413, "body_too_large");
+		return;
+	}
+	if (h->expect_continue)
+		lw_bytebuf_append_c(&c->out, "HTTP/1.1 100 Continue\r\n\r\n");
+	c->starting = true;
+	c->x = lw_exchange_start(c->set->engine, &c->reply, &ask);
+	c->starting = false;
+}
+
+/* false: the head is not complete or the connection is done */
+static bool read_head(lw_caller_t *c)
+{
+	static lw_httphead_t head;
+	size_t have = lw_bytebuf_len(&c->in);
+	size_t len = lw_httphead_end(lw_bytebuf_head(&c->in), have);
+	lw_str_t block = { lw_bytebuf_head(&c->in), len };
+	lw_httphead_error_t err;
+
+	if ((len ? len : have) > c->set->limits.max_header_bytes) {
+		c->set->stats.too_large++;
+		lw_caller_reject(c, 431, "head_too_large");
+		return false;
+	}
+	if (!len)
+		return false;
+	http_parser_init(&c->parser, HTTP_REQUEST);
+	err = lw_httphead_parse(&head, &c->parser, c->set->hub->names, block);
+	if (err || (!head.host.ptr && !c->ready_only)) {
+		c->set->stats.malformed++;
+		lw_caller_reject(c, err == LW_HTTPHEAD_TOO_LARGE ? 431 : 400, "malformed_request");
+		return false;
+	}
+	c->parser.data = c;
+	begin_request(c, &head);
+	if (c->closed)
+		return false;
+	lw_bytebuf_consume(&c->in, len);
+	if (c->x && c->state == CALLER_BODY) {
+		c->starting = true;
+		read_body(c);
+		c->starting = false;
+	}
+	if (!c->closed && c->x)
+		lw_exchange_send(c->x);
+	return !c->closed;
+}
+
+/* lw_caller_process() - act on what has been read */
+void lw_caller_process(lw_caller_t *c)
+{
+	bool more = true;
+
+	while (more && !c->closed && !c->closing) {
+		switch (c->state) {
+		case CALLER_HEAD:
+			more = lw_bytebuf_len(&c->in) && read_head(c);
+			break;
+		case CALLER_BODY:
+			more = read_body(c);
+			break;
+		case CALLER_WAIT:
+			more = c->answered;
+			if (more)
+				next_request(c);
+			break;
+		}
+	}
+	if (!c->closed)
+		lw_caller_watch(c);
+}
+
+/*
+ * lw_caller_readable() - All that has arrived is read before it is acted on: a caller that sent a
+ * request and left meanwhile is noticed before its request starts.
+ */
+void lw_caller_readable(lw_caller_t *c)
+{
+	if (c->state == CALLER_HEAD && !lw_bytebuf_len(&c->in))
+		c->since_us = c->set->hub->now_us;
+	while (!c->eof && lw_bytebuf_len(&c->in) < AHEAD_MAX_BYTES) {
+		char *room = lw_bytebuf_reserve(&c->in, READ_BYTES);
+		ssize_t n = recv(c->fd, room, READ_BYTES, 0);
+
+		if (n > 0) {
+			lw_bytebuf_commit(&c->in, (size_t)n);
+			if (n < READ_BYTES)
+				break;
+		} else if (n == 0) {
+			c->eof = true;
+		} else if (errno == EAGAIN || errno == EINTR) {
+			break;
+		} else {
+			lw_caller_close(c);
+			return;
+		}
+	}
+	if (c->eof)
+		lw_caller_close(c);
+}
--- /dev/null
+++ b/src/exchange_int.h
@@ -0,0 +1,62 @@
+/* Shared by the files of the exchange module only; others use exchange.h. */
+#ifndef LW_EXCHANGE_INT_H
+#define LW_EXCHANGE_INT_H
+
+#include <ev.h>
+
+#include "retryrule.h"
+#include "exchange.h"
+
+/* a body up to this size is kept so that it can be sent to another server */
+#define BODY_KEPT_BYTES LW_CALL_WINDOW
+
+struct lw_exchange {
+	lw_sink_t sink;
+	lw_engine_t *engine;
+	lw_reply_t *reply; /* NULL once the caller has its answer or is gone */
+	lw_call_t *call; /* the lw_exchange_attempt under way */
+	lw_place_host_t *host; /* it went to */
+	lw_place_service_t *service;
+	lw_bytebuf_t head;
+	lw_bytebuf_t body;
+	uint64_t body_base; /* bytes of the body no longer kept */
+	uint64_t sent; /* bytes of the body given to the lw_exchange_attempt */
+	uint64_t credit; /* bytes the lw_exchange_attempt takes in all */
+	int64_t body_length;
+	char *request_id; /* of any length: ids of nested calls grow with their depth */
+	char route[LW_NAME_MAX];
+	lw_str_t parent_id; /* of the request it was made for: part of request_id */
+	uint32_t rank;
+	uint32_t target_ms;
+	uint64_t started_us;
+	uint64_t give_up_us; /* the caller's deadline or the route's timeout */
+	uint64_t deadline_us; /* the caller's */
+	uint32_t room_ms; /* shortest wait for room a server told */
+	lw_attempts_t attempts;
+	lw_place_tried_t tried;
+	ev_timer timer;
+	ev_timer stall; /* until the lw_exchange_attempt counts as stalled */
+	ev_timer hold; /* until the next look for a host */
+	lw_fail_t held_for;
+	bool nested;
+	bool repeat; /* made by a run that was a repeat */
+	uint32_t above; /* levels of requests above it */
+	bool fin; /* the body is complete */
+	bool answering; /* the caller has the head of the answer */
+	bool dead;
+};
+
+extern const lw_sink_ops_t lw_exchange_sink_ops;
+uint32_t lw_exchange_left_ms(const lw_exchange_t *x, uint64_t until_us);
+void lw_exchange_release(lw_exchange_t *x);
+void lw_exchange_attempt_ended(lw_exchange_t *x, bool ok);
+void lw_exchange_abandon_call(lw_exchange_t *x);
+void lw_exchange_tell_parent(const lw_exchange_t *x);
+void lw_exchange_answer_verdict(lw_exchange_t *x, lw_verdict_t v, lw_fail_t why);
+void lw_exchange_after_failure(lw_exchange_t *x, lw_fail_t why);
+void lw_exchange_feed(lw_exchange_t *x);
+void lw_exchange_stalled(struct ev_loop *loop, ev_timer *w, int revents);
+void lw_exchange_hold_over(struct ev_loop *loop, ev_timer *w, int revents);
+void lw_exchange_attempt(lw_exchange_t *x, lw_fail_t last);
+
+#endif
--- /dev/null
+++ b/src/gatejob.c
@@ -0,0 +1,348 @@
+/* One request at the backend server on this host, from the queue to its answer. */
+#include "gate_int.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "admit.h"
+#include "log.h"
+#include "xalloc.h"
+
+/* the backend server is given so much more time to answer at its deadline, ms */
+#define DEADLINE_SLACK_MS 150
+/* weight of one more request in the average time a request runs */
+#define SERVICE_EWMA 0.05
+
+/* the same, and what the job's own calls were told */
+static void job_load(const lw_job_t *j, lw_load_t *out)
+{
+	lw_gate_load(j->gate, out);
+	out->call_failed = j->call_failed;
+	out->depth = j->depth;
+	for (uint32_t i = 0; i < j->hots.n; i++)
+		lw_hots_add(&out->hots, j->hots.hot[i].service, j->hots.hot[i].level);
+}
+
+static void job_release(lw_job_t *j)
+{
+	lw_gate_t *g = j->gate;
+
+	if (j->dead)
+		return;
+	j->dead = true;
+	ev_timer_stop(g->hub->loop, &j->timer);
+	if (j->started_us) {
+		g->running--;
+	} else {
+		lw_waitq_remove(&g->queue, &j->waiter);
+		g->queued_bytes -= lw_bytebuf_len(&j->body);
+	}
+	g->ncalls--;
+	HASH_DEL(g->by_id, j);
+	lw_bytebuf_free(&j->head);
+	lw_bytebuf_free(&j->body);
+	lw_bytebuf_free(&j->answer);
+	lw_bytebuf_free(&j->answer_head_text);
+	free(j->request_id);
+	j->request_id = NULL;
+	lw_hub_free_later(g->hub, j);
+}
+
+/* lw_job_fail() - end the call with @why; what waits behind it may start. */
+void lw_job_fail(lw_job_t *j, lw_fail_t why)
+{
+	lw_gate_t *g = j->gate;
+	lw_sink_t *sink = j->call.sink;
+	lw_load_t load;
+
+	if (j->dead)
+		return;
+	g->stats.refused[why]++;
+	lw_log(LW_LOG_call_ended,
+	       "id=%s server=%s why=%s ran_ms=%llu waited_ms=%llu running=%u queued=%zu limit=%u",
+	       j->request_id, j->target, lw_fail_name(why),
+	       j->started_us ? (unsigned long long)((g->hub->now_us - j->started_us) / 1000) : 0,
+	       (unsigned long long)(((j->started_us ? j->started_us : g->hub->now_us) -
+				     j->came_us) /
+				    1000),
+	       g->running, g->queue.len, g->limit);
+	if (j->conn) {
+		lw_bconn_close(j->conn);
+		j->conn = NULL;
+	}
+	job_load(j, &load);
+	job_release(j);
+	sink->ops->fail(sink, why, lw_admit_retry_after_ms(&load), &load);
+	lw_gate_dispatch(g);
+}
+
+static void on_job_timeout(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	(void)loop;
+	(void)revents;
+	lw_job_fail(w->data, LW_FAIL_TIMEOUT);
+}
+
+static void pass_answer(lw_job_t *j, bool fin)
+{
+	lw_sink_t *sink = j->call.sink;
+	lw_str_t body = { lw_bytebuf_head(&j->answer), lw_bytebuf_len(&j->answer) };
+	lw_load_t load;
+
+	if (!j->head_passed) {
+		j->head_passed = true;
+		job_load(j, &load);
+		if (fin && j->answer_head.body_length < 0)
+			j->answer_head.body_length = (int64_t)body.len;
+		j->answer_head.head = (lw_str_t){ lw_bytebuf_head(&j->answer_head_text),
+						  lw_bytebuf_len(&j->answer_head_text) };
+		j->window -= (int64_t)body.len;
+		sink->ops->answer(sink, &j->answer_head, body, fin, &load);
+	} else {
+		j->window -= (int64_t)body.len;
+		sink->ops->data(sink, body, fin);
+	}
+	if (!j->dead)
+		lw_bytebuf_consume(&j->answer, body.len);
+}
+
+static void on_written(void *user, size_t bytes)
+{
+	lw_job_t *j = user;
+	size_t of_head = bytes < j->head_left ? bytes : j->head_left;
+	size_t credit;
+
+	j->head_left -= of_head;
+	credit = bytes - of_head;
+	if (credit > j->unacked)
+		credit = j->unacked;
+	j->unacked -= credit;
+	if (credit && !j->fin)
+		j->call.sink->ops->credit(j->call.sink, (uint32_t)credit);
+}
+
+/*
+ * A faulty server may send a second answer late, at the place of the next
+ * one. The caller would get another request's data; only the id tells.
+ */
+static bool on_head(void *user, const lw_httphead_t *h)
+{
+	lw_job_t *j = user;
+	lw_gate_t *g = j->gate;
+	lw_str_t id = lw_httphead_find(h, LW_HEADER_REQUEST_ID);
+	bool not_run = lw_httphead_find(h, LW_HEADER_NOT_RUN).ptr || h->status == 421;
+
+	lw_gate_learn_load(g, lw_httphead_find(h, LW_HEADER_LOAD));
+	if (j->request_id[0] && !lw_str_eq_c(id, j->request_id) && !(not_run && !id.ptr)) {
+		g->stats.invalid_answers++;
+		return false;
+	}
+	j->not_run = not_run;
+	j->answer_head.status = h->status;
+	j->answer_head.body_length = h->body_length < 0 ? -1 : h->body_length;
+	lw_httphead_forward(h, &j->answer_head_text);
+	return true;
+}
+
+static void on_body(void *user, lw_str_t data)
+{
+	lw_job_t *j = user;
+
+	if (j->not_run)
+		return;
+	lw_bytebuf_append_str(&j->answer, data);
+	if (j->head_passed || lw_bytebuf_len(&j->answer) > ANSWER_WHOLE_BYTES)
+		pass_answer(j, false);
+	if (!j->dead && j->window <= 0)
+		lw_bconn_pause(j->conn, true);
+}
+
+static void on_done(void *user, bool reusable)
+{
+	lw_job_t *j = user;
+	lw_gate_t *g = j->gate;
+	lw_bconn_t *c = j->conn;
+	uint64_t took = g->hub->now_us - j->started_us;
+
+	/* a request that is not read to its end leaves bytes the server may misread */
+	if (!j->fin || j->unacked)
+		reusable = false;
+	j->conn = NULL;
+	if (reusable)
+		lw_gate_keep_connection(g, c);
+	else
+		lw_bconn_close(c);
+	if (j->not_run) {
+		lw_job_fail(j, j->answer_head.status == 421 ? LW_FAIL_MISDIRECTED : LW_FAIL_SHED);
+		return;
+	}
+	g->service_us += SERVICE_EWMA * ((double)took - g->service_us);
+	g->stats.answered++;
+	/* told after this request has left, so that its place shows as free */
+	g->running--;
+	pass_answer(j, true);
+	g->running++;
+	job_release(j);
+	lw_gate_dispatch(g);
+}
+
+static void on_broken(void *user, bool sent)
+{
+	lw_job_t *j = user;
+
+	j->conn = NULL;
+	lw_job_fail(j, sent ? LW_FAIL_BROKEN : LW_FAIL_NO_SERVER);
+}
+
+static const lw_bconn_ops_t conn_ops = {
+	.written = on_written,
+	.head = on_head,
+	.body = on_body,
+	.done = on_done,
+	.broken = on_broken,
+};
+
+/* body bytes to the connection, framed as the head said */
+static void send_body(lw_job_t *j, lw_str_t data, bool fin)
+{
+	char line[32];
+
+	if (data.len) {
+		if (j->body_length < 0) {
+			snprintf(line, sizeof(line), "%zx\r\n", data.len);
+			lw_bconn_queue(j->conn, lw_str_c(line));
+		}
+		lw_bconn_queue(j->conn, data);
+		if (j->body_length < 0)
+			lw_bconn_queue(j->conn, LW_STR("\r\n"));
+		j->unacked += data.len;
+	}
+	if (fin && j->body_length < 0)
+		lw_bconn_queue(j->conn, LW_STR("0\r\n\r\n"));
+}
+
+static uint32_t time_left_ms(const lw_job_t *j)
+{
+	uint64_t now = j->gate->hub->now_us;
+
+	return j->deadline_us > now ? (uint32_t)((j->deadline_us - now) / 1000) : 0;
+}
+
+static void send_head(lw_job_t *j)
+{
+	const lw_wirenames_t *names = j->gate->hub->names;
+	lw_bytebuf_t *h = &j->head;
+	const char *method = lw_bytebuf_head(h);
+
+	lw_httphead_framing(h, j->body_length, *method != 'P');
+	lw_bytebuf_printf(h, "%s: %u\r\n", names->header[LW_HEADER_DEADLINE], time_left_ms(j));
+	if (j->target[0])
+		lw_bytebuf_printf(h, "%s: %s\r\n", names->header[LW_HEADER_TARGET], j->target);
+	lw_bytebuf_append_c(h, "\r\n");
+	j->head_left = lw_bytebuf_len(h);
+	lw_bconn_queue(j->conn, (lw_str_t){ lw_bytebuf_head(h), j->head_left });
+}
+
+/* lw_job_start() - give the request to the backend server now. */
+void lw_job_start(lw_job_t *j)
+{
+	lw_gate_t *g = j->gate;
+	bool is_head =
+		lw_bytebuf_len(&j->head) > 5 && memcmp(lw_bytebuf_head(&j->head), "HEAD ", 5) == 0;
+
+	j->conn = lw_gate_take_connection(g);
+	j->started_us = g->hub->now_us;
+	g->running++;
+	g->since_told++;
+	if (!j->conn) {
+		lw_job_fail(j, LW_FAIL_NO_SERVER);
+		return;
+	}
+	g->stats.started++;
+	lw_histogram_add(&g->stats.wait, j->started_us - j->came_us);
+	lw_bconn_start(j->conn, &conn_ops, j, is_head);
+	send_head(j);
+	lw_bytebuf_free(&j->head);
+	send_body(j, (lw_str_t){ lw_bytebuf_head(&j->body), lw_bytebuf_len(&j->body) }, j->fin);
+	lw_bytebuf_free(&j->body);
+	ev_timer_init(&j->timer, on_job_timeout, 0, 0);
+	ev_timer_set(&j->timer, (time_left_ms(j) + DEADLINE_SLACK_MS) / 1000.0, 0);
+	j->timer.data = j;
+	ev_timer_start(g->hub->loop, &j->timer);
+	lw_bconn_flush(j->conn);
+}
+
+static void job_body(lw_call_t *call, lw_str_t data, bool fin)
+{
+	lw_job_t *j = (lw_job_t *)call;
+
+	if (j->dead)
+		return;
+	j->fin = fin;
+	if (!j->conn) {
+		lw_bytebuf_append_str(&j->body, data);
+		j->gate->queued_bytes += data.len;
+		return;
+	}
+	send_body(j, data, fin);
+	lw_bconn_flush(j->conn);
+}
+
+static void job_credit(lw_call_t *call, uint32_t bytes)
+{
+	lw_job_t *j = (lw_job_t *)call;
+
+	if (j->dead)
+		return;
+	j->window += bytes;
+	if (j->conn && j->conn->paused && j->window > 0)
+		lw_bconn_pause(j->conn, false);
+}
+
+/*
+ * The caller left: closing the connection makes the backend server drop the
+ * request, which otherwise runs on for nobody.
+ */
+static void job_cancel(lw_call_t *call)
+{
+	lw_job_t *j = (lw_job_t *)call;
+	lw_gate_t *g = j->gate;
+
+	if (j->dead)
+		return;
+	if (j->conn) {
+		lw_bconn_close(j->conn);
+		j->conn = NULL;
+	}
+	job_release(j);
+	lw_gate_dispatch(g);
+}
+
+static const lw_call_ops_t job_ops = {
+	.body = job_body,
+	.credit = job_credit,
+	.cancel = job_cancel,
+};
+
+/* lw_job_new() - a call that neither runs nor waits yet. */
+lw_job_t *lw_job_new(lw_gate_t *g, lw_sink_t *sink, const lw_ask_t *ask)
+{
+	lw_job_t *j = xcalloc(1, sizeof(*j));
+
+	j->call.ops = &job_ops;
+	j->call.sink = sink;
+	j->gate = g;
+	j->body_length = ask->body_length;
+	j->came_us = g->hub->now_us;
+	j->deadline_us = g->hub->now_us + (uint64_t)ask->deadline_ms * 1000;
+	j->window = LW_CALL_WINDOW;
+	j->waiter.priority = ask->rank / LW_RANKS_PER_PRIORITY;
+	j->rank = ask->rank;
+	j->repeat = ask->repeat;
+	lw_bytebuf_append_str(&j->head, ask->head);
+	j->request_id = lw_str_dup(ask->request_id);
+	lw_str_copy(j->target, sizeof(j->target), ask->target);
+	ev_timer_init(&j->timer, on_job_timeout, 0, 0);
+	return j;
+}
--- /dev/null
+++ b/src/mesh_int.h
@@ -0,0 +1,90 @@
+/* Shared by the files of the mesh module only; others use mesh.h. */
+#ifndef LW_MESH_INT_H
+#define LW_MESH_INT_H
+
+#include <ev.h>
+#include <uthash.h>
+
+#include "meshframe.h"
+#include "mesh.h"
+
+typedef struct lw_link lw_link_t;
+
+/*
+ * One request on a connection. On the side that sent it, it is the call; on
+ * the side that runs it, it is the sink of a call at the gate.
+ */
+typedef struct lw_stream {
+	lw_call_t call; /* outgoing: sink is set */
+	lw_sink_t as_sink; /* incoming */
+	lw_call_t *job; /* incoming: the call at the gate */
+	lw_link_t *link;
+	uint32_t id;
+	uint64_t open_at; /* outgoing: bytes queued on the link before its first frame */
+	bool dead;
+	UT_hash_handle hh;
+} lw_stream_t;
+
+struct lw_link {
+	lw_mesh_t *mesh;
+	int fd;
+	ev_io io;
+	char node[LW_NAME_MAX]; /* outgoing: its mesh address */
+	bool outgoing;
+	bool connecting;
+	bool closed;
+	bool dirty;
+	bool failed;
+	bool silent; /* carries no new requests */
+	uint32_t next_id;
+	lw_stream_t *streams;
+	lw_bytebuf_t in;
+	lw_bytebuf_t out;
+	uint64_t queued_total; /* bytes ever queued */
+	uint64_t written_total; /* bytes ever given to the kernel */
+	uint64_t heard_us;
+	uint64_t opened_us;
+	uint64_t asked_us; /* a status was asked for and has not come; 0: none */
+	uint64_t late_us; /* what is read now was sent so much earlier */
+	uint64_t peer_version; /* configuration in force at the peer, as far as told */
+	uint64_t pushed_version;
+	uint64_t peer_revision; /* of its list of backend servers, as far as told */
+	uint64_t pushed_revision;
+	lw_link_t *next;
+	lw_link_t *next_dirty;
+};
+
+struct lw_mesh {
+	lw_hub_t *hub;
+	lw_gate_t *gate;
+	const lw_mesh_ops_t *ops;
+	void *ctx;
+	int listen_fd;
+	ev_io accept_io;
+	lw_link_t *links;
+	lw_link_t *dirty;
+	uint64_t config_us; /* when the configuration in force was first announced */
+	uint64_t config_seen;
+	lw_mesh_stats_t stats;
+};
+
+void lw_link_frame_queued(lw_link_t *l, size_t before);
+void lw_link_send(lw_link_t *l, const Lw__MeshFrame *f);
+void lw_mesh_flush_all(void *ctx);
+void lw_mesh_fill_load(const lw_mesh_t *m, lw_meshframe_load_t *out, const lw_load_t *load);
+void lw_mesh_send_status(lw_link_t *l, bool is_reply);
+void lw_stream_free(lw_stream_t *s);
+void lw_mesh_on_open(lw_link_t *l, const Lw__Open *o);
+void lw_mesh_on_answer(lw_link_t *l, const Lw__Answer *w);
+void lw_mesh_on_data(lw_link_t *l, const Lw__Data *d);
+void lw_mesh_on_credit(lw_link_t *l, const Lw__Credit *c);
+void lw_mesh_on_cancel(lw_link_t *l, const Lw__Cancel *c);
+void lw_mesh_on_failed(lw_link_t *l, const Lw__Failed *w);
+void lw_mesh_on_status(lw_link_t *l, const Lw__Status *w);
+void lw_mesh_on_frame(lw_link_t *l, const Lw__MeshFrame *f);
+void lw_link_lost(lw_link_t *l);
+lw_link_t *lw_link_new(lw_mesh_t *m, int fd, bool outgoing);
+lw_link_t *lw_link_to(lw_mesh_t *m, const char *node);
+void lw_mesh_push_config(lw_link_t *l, uint64_t version, uint64_t now);
+
+#endif
--- /dev/null
+++ b/src/meshcall.c
@@ -0,0 +1,339 @@
+/*
+ * Requests as streams of frames, on the side that sends them and on the side that
+ * runs them.
+ */
+#include "mesh_int.h"
+
+#include <string.h>
+
+#include "xalloc.h"
+
+/* lw_stream_free() - the stream is over; freed when this turn of the loop ends. */
+void lw_stream_free(lw_stream_t *s)
+{
+	if (s->dead)
+		return;
+	s->dead = true;
+	HASH_DEL(s->link->streams, s);
+	lw_hub_free_later(s->link->mesh->hub, s);
+}
+
+static lw_stream_t *stream_find(lw_link_t *l, uint32_t id)
+{
+	lw_stream_t *s;
+
+	HASH_FIND(hh, l->streams, &id, sizeof(id), s);
+	return s;
+}
+
+static void send_data(lw_stream_t *s, lw_str_t data, bool fin)
+{
+	Lw__Data d = LW__DATA__INIT;
+	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
+
+	d.stream = s->id;
+	d.data = lw_meshframe_bytes(data);
+	d.fin = fin;
+	f.body_case = LW__MESH_FRAME__BODY_DATA;
+	f.data = &d;
+	lw_link_send(s->link, &f);
+}
+
+static void send_credit(lw_stream_t *s, uint32_t bytes)
+{
+	Lw__Credit c = LW__CREDIT__INIT;
+	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
+
+	c.stream = s->id;
+	c.bytes = bytes;
+	f.body_case = LW__MESH_FRAME__BODY_CREDIT;
+	f.credit = &c;
+	lw_link_send(s->link, &f);
+}
+
+/* the side that sent the request */
+
+static void call_body(lw_call_t *call, lw_str_t data, bool fin)
+{
+	lw_stream_t *s = (lw_stream_t *)call;
+
+	if (!s->dead)
+		send_data(s, data, fin);
+}
+
+static void call_credit(lw_call_t *call, uint32_t bytes)
+{
+	lw_stream_t *s = (lw_stream_t *)call;
+
+	if (!s->dead)
+		send_credit(s, bytes);
+}
+
+static void call_cancel(lw_call_t *call)
+{
+	lw_stream_t *s = (lw_stream_t *)call;
+	Lw__Cancel c = LW__CANCEL__INIT;
+	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
+
+	if (s->dead)
+		return;
+	c.stream = s->id;
+	f.body_case = LW__MESH_FRAME__BODY_CANCEL;
+	f.cancel = &c;
+	lw_link_send(s->link, &f);
+	lw_stream_free(s);
+}
+
+static const lw_call_ops_t call_ops = {
+	.body = call_body,
+	.credit = call_credit,
+	.cancel = call_cancel,
+};
+
+/* the side that runs the request */
+
+static lw_stream_t *stream_of_sink(lw_sink_t *sink)
+{
+	return (lw_stream_t *)(void *)((char *)sink - offsetof(lw_stream_t, as_sink));
+}
+
+static void sink_credit(lw_sink_t *sink, uint32_t bytes)
+{
+	lw_stream_t *s = stream_of_sink(sink);
+
+	if (!s->dead)
+		send_credit(s, bytes);
+}
+
+static void sink_answer(lw_sink_t *sink, const lw_answer_t *a, lw_str_t body, bool fin,
+			const lw_load_t *load)
+{
+	lw_stream_t *s = stream_of_sink(sink);
+	lw_meshframe_load_t l;
+	Lw__Answer w = LW__ANSWER__INIT;
+	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
+
+	if (s->dead)
+		return;
+	lw_mesh_fill_load(s->link->mesh, &l, load);
+	w.stream = s->id;
+	w.status = a->status;
+	w.body_length = a->body_length;
+	w.head = lw_meshframe_bytes(a->head);
+	w.body = lw_meshframe_bytes(body);
+	w.fin = fin;
+	w.load = &l.load;
+	f.body_case = LW__MESH_FRAME__BODY_ANSWER;
+	f.answer = &w;
+	lw_link_send(s->link, &f);
+	if (fin)
+		lw_stream_free(s);
+}
+
+static void sink_data(lw_sink_t *sink, lw_str_t data, bool fin)
+{
+	lw_stream_t *s = stream_of_sink(sink);
+
+	if (s->dead)
+		return;
+	send_data(s, data, fin);
+	if (fin)
+		lw_stream_free(s);
+}
+
+static void send_failed(lw_link_t *l, uint32_t id, lw_fail_t why, uint32_t retry_after_ms,
+			const lw_load_t *own)
+{
+	lw_meshframe_load_t load;
+	Lw__Failed w = LW__FAILED__INIT;
+	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
+
+	lw_mesh_fill_load(l->mesh, &load, own);
+	w.stream = id;
+	w.reason = why;
+	w.retry_after_ms = retry_after_ms;
+	w.load = &load.load;
+	f.body_case = LW__MESH_FRAME__BODY_FAILED;
+	f.failed = &w;
+	lw_link_send(l, &f);
+}
+
+static void sink_fail(lw_sink_t *sink, lw_fail_t why, uint32_t retry_after_ms,
+		      const lw_load_t *load)
+{
+	lw_stream_t *s = stream_of_sink(sink);
+
+	if (s->dead)
+		return;
+	send_failed(s->link, s->id, why, retry_after_ms, load);
+	lw_stream_free(s);
+}
+
+static void sink_silent(lw_sink_t *sink)
+{
+	(void)sink; /* the gate runs on this host and is never silent */
+}
+
+static const lw_sink_ops_t sink_ops = {
+	.credit = sink_credit,
+	.answer = sink_answer,
+	.data = sink_data,
+	.fail = sink_fail,
+	.silent = sink_silent,
+};
+
+/*
+ * lw_mesh_on_open() - A request that lay in a buffer while this host was suspended carries the
+ * time that was left when it was sent. Without taking off the time asleep it
+ * would run long after its caller was answered.
+ */
+void lw_mesh_on_open(lw_link_t *l, const Lw__Open *o)
+{
+	uint32_t late_ms = (uint32_t)(l->late_us / 1000);
+	lw_ask_t ask = {
+		.head = lw_meshframe_str(o->head),
+		.request_id = lw_meshframe_str(o->request_id),
+		.target = lw_meshframe_str(o->target),
+		.body_length = o->body_length,
+		.deadline_ms = o->deadline_ms > late_ms ? o->deadline_ms - late_ms : 0,
+		.queue_ms = o->queue_ms,
+		.rank = o->rank,
+		.nested = o->nested,
+		.repeat = o->repeat,
+	};
+	lw_stream_t *s = xcalloc(1, sizeof(*s));
+	lw_fail_t why;
+	uint32_t retry_after_ms;
+
+	s->as_sink.ops = &sink_ops;
+	s->link = l;
+	s->id = o->stream;
+	HASH_ADD(hh, l->streams, id, sizeof(s->id), s);
+	s->job = lw_gate_submit(l->mesh->gate, &s->as_sink, &ask, lw_meshframe_str(o->body), o->fin,
+				&why, &retry_after_ms);
+	if (!s->job) {
+		lw_load_t own;
+
+		lw_gate_load(l->mesh->gate, &own);
+		send_failed(l, s->id, why, retry_after_ms, &own);
+		lw_stream_free(s);
+	}
+}
+
+/* lw_mesh_on_answer() - the head of an answer, with the first part of its body. */
+void lw_mesh_on_answer(lw_link_t *l, const Lw__Answer *w)
+{
+	lw_stream_t *s = stream_find(l, w->stream);
+	lw_answer_t a = { w->status, w->body_length, lw_meshframe_str(w->head) };
+	lw_sink_t *sink;
+	lw_load_t load;
+
+	lw_meshframe_read_load(w->load, &load);
+	if (w->load)
+		l->peer_version = w->load->config_version;
+	if (!s || s->job || !s->call.sink)
+		return;
+	sink = s->call.sink;
+	if (w->fin)
+		lw_stream_free(s);
+	sink->ops->answer(sink, &a, lw_meshframe_str(w->body), w->fin, &load);
+}
+
+/* lw_mesh_on_data() - a part of a body, of a request or of an answer. */
+void lw_mesh_on_data(lw_link_t *l, const Lw__Data *d)
+{
+	lw_stream_t *s = stream_find(l, d->stream);
+	lw_str_t data = lw_meshframe_str(d->data);
+	lw_sink_t *sink;
+
+	if (!s)
+		return;
+	if (s->job) {
+		s->job->ops->body(s->job, data, d->fin);
+		return;
+	}
+	sink = s->call.sink;
+	if (d->fin)
+		lw_stream_free(s);
+	if (sink)
+		sink->ops->data(sink, data, d->fin);
+}
+
+/* lw_mesh_on_credit() - the other side took a part of a body. */
+void lw_mesh_on_credit(lw_link_t *l, const Lw__Credit *c)
+{
+	lw_stream_t *s = stream_find(l, c->stream);
+
+	if (!s)
+		return;
+	if (s->job)
+		s->job->ops->credit(s->job, c->bytes);
+	else if (s->call.sink)
+		s->call.sink->ops->credit(s->call.sink, c->bytes);
+}
+
+/* lw_mesh_on_cancel() - the sender gave the request up. */
+void lw_mesh_on_cancel(lw_link_t *l, const Lw__Cancel *c)
+{
+	lw_stream_t *s = stream_find(l, c->stream);
+
+	if (!s || !s->job)
+		return;
+	s->job->ops->cancel(s->job);
+	lw_stream_free(s);
+}
+
+/* lw_mesh_on_failed() - a request ended without an answer. */
+void lw_mesh_on_failed(lw_link_t *l, const Lw__Failed *w)
+{
+	lw_stream_t *s = stream_find(l, w->stream);
+	lw_sink_t *sink;
+	lw_load_t load;
+
+	lw_meshframe_read_load(w->load, &load);
+	if (!s || s->job || !s->call.sink)
+		return;
+	sink = s->call.sink;
+	lw_stream_free(s);
+	sink->ops->fail(sink, w->reason < LW_FAIL_COUNT ? w->reason : LW_FAIL_BROKEN,
+			w->retry_after_ms, &load);
+}
+
+/*
+ * lw_mesh_call() - send a request to @node; @sink hears its outcome. NULL if
+ * no connection can even be begun.
+ */
+lw_call_t *lw_mesh_call(lw_mesh_t *m, const char *node, lw_sink_t *sink, const lw_ask_t *ask,
+			lw_str_t body, bool fin)
+{
+	lw_link_t *l = lw_link_to(m, node);
+	Lw__Open o = LW__OPEN__INIT;
+	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
+	lw_stream_t *s;
+
+	if (!l)
+		return NULL;
+	s = xcalloc(1, sizeof(*s));
+	s->call.ops = &call_ops;
+	s->call.sink = sink;
+	s->link = l;
+	s->id = l->next_id++;
+	s->open_at = l->queued_total;
+	HASH_ADD(hh, l->streams, id, sizeof(s->id), s);
+	o.stream = s->id;
+	o.deadline_ms = ask->deadline_ms;
+	o.queue_ms = ask->queue_ms;
+	o.rank = ask->rank;
+	o.nested = ask->nested;
+	o.repeat = ask->repeat;
+	o.body_length = ask->body_length;
+	o.head = lw_meshframe_bytes(ask->head);
+	o.request_id = lw_meshframe_bytes(ask->request_id);
+	o.target = lw_meshframe_bytes(ask->target);
+	o.body = lw_meshframe_bytes(body);
+	o.fin = fin;
+	f.body_case = LW__MESH_FRAME__BODY_OPEN;
+	f.open = &o;
+	lw_link_send(l, &f);
+	return &s->call;
+}
--- /dev/null
+++ b/src/meshlink.c
@@ -0,0 +1,252 @@
+/* Connections between nodes as sockets: reading and writing frames. */
+#include "mesh_int.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "linux/sock.h"
+#include "xalloc.h"
+
+#define READ_BYTES 65536
+
+static void link_close(lw_link_t *l);
+
+static void watch(lw_link_t *l)
+{
+	int events = EV_READ;
+
+	if (l->closed)
+		return;
+	if (l->connecting)
+		events = EV_WRITE;
+	else if (lw_bytebuf_len(&l->out))
+		events |= EV_WRITE;
+	if (l->io.events == events && ev_is_active(&l->io))
+		return;
+	ev_io_stop(l->mesh->hub->loop, &l->io);
+	ev_io_set(&l->io, l->fd, events);
+	ev_io_start(l->mesh->hub->loop, &l->io);
+}
+
+/* lw_link_frame_queued() - a frame was queued; it is written before the loop waits */
+void lw_link_frame_queued(lw_link_t *l, size_t before)
+{
+	l->queued_total += lw_bytebuf_len(&l->out) - before;
+	l->mesh->stats.frames_out++;
+	if (l->dirty)
+		return;
+	l->dirty = true;
+	l->next_dirty = l->mesh->dirty;
+	l->mesh->dirty = l;
+}
+
+/* lw_link_send() - queue a frame; it is written before the loop waits. */
+void lw_link_send(lw_link_t *l, const Lw__MeshFrame *f)
+{
+	size_t before = lw_bytebuf_len(&l->out);
+
+	if (l->closed)
+		return;
+	lw_meshframe_append(&l->out, f);
+	lw_link_frame_queued(l, before);
+}
+
+static void link_flush(lw_link_t *l)
+{
+	while (!l->connecting && !l->closed && lw_bytebuf_len(&l->out)) {
+		ssize_t n = send(l->fd, lw_bytebuf_head(&l->out), lw_bytebuf_len(&l->out),
+				 MSG_NOSIGNAL);
+
+		if (n < 0) {
+			if (errno != EAGAIN && errno != EINTR) {
+				l->failed = true;
+				ev_feed_event(l->mesh->hub->loop, &l->io, EV_READ);
+			}
+			break;
+		}
+		l->written_total += (uint64_t)n;
+		l->mesh->stats.bytes_out += (uint64_t)n;
+		lw_bytebuf_consume(&l->out, (size_t)n);
+	}
+	watch(l);
+}
+
+/*
+ * lw_mesh_flush_all() - write what was queued in this turn of the loop, one
+ * call for each connection.
+ */
+void lw_mesh_flush_all(void *ctx)
+{
+	lw_mesh_t *m = ctx;
+
+	while (m->dirty) {
+		lw_link_t *l = m->dirty;
+
+		m->dirty = l->next_dirty;
+		l->dirty = false;
+		if (!l->closed)
+			link_flush(l);
+	}
+}
+
+/* lw_link_lost() - the connection is gone: every request on it has its outcome now */
+void lw_link_lost(lw_link_t *l)
+{
+	lw_stream_t *s;
+	uint64_t written = l->written_total;
+
+	if (l->closed)
+		return;
+	l->mesh->stats.links_lost++;
+	link_close(l);
+	if (l->outgoing && !l->silent)
+		l->mesh->ops->lost(l->mesh->ctx, l->node);
+	while ((s = l->streams) != NULL) {
+		lw_sink_t *sink = s->call.sink;
+		lw_call_t *job = s->job;
+		bool unsent = s->open_at >= written;
+
+		lw_stream_free(s);
+		if (job)
+			job->ops->cancel(job);
+		else if (sink)
+			sink->ops->fail(sink, unsent ? LW_FAIL_UNSENT : LW_FAIL_BROKEN, 0, NULL);
+	}
+}
+
+static void link_close(lw_link_t *l)
+{
+	lw_link_t **at = &l->mesh->links;
+
+	l->closed = true;
+	while (*at && *at != l)
+		at = &(*at)->next;
+	if (*at)
+		*at = l->next;
+	at = &l->mesh->dirty;
+	while (*at && *at != l)
+		at = &(*at)->next_dirty;
+	if (*at)
+		*at = l->next_dirty;
+	ev_io_stop(l->mesh->hub->loop, &l->io);
+	ev_clear_pending(l->mesh->hub->loop, &l->io);
+	lw_sock_abort(l->fd);
+	lw_bytebuf_free(&l->in);
+	lw_bytebuf_free(&l->out);
+	lw_hub_free_later(l->mesh->hub, l);
+}
+
+static void read_frames(lw_link_t *l)
+{
+	while (!l->closed) {
+		Lw__MeshFrame *f;
+		ssize_t used =
+			lw_meshframe_next(lw_bytebuf_head(&l->in), lw_bytebuf_len(&l->in), &f);
+
+		if (used < 0) {
+			lw_link_lost(l);
+			return;
+		}
+		if (used == 0)
+			return;
+		l->mesh->stats.frames_in++;
+		lw_mesh_on_frame(l, f);
+		lw_meshframe_done(f);
+		if (!l->closed)
+			lw_bytebuf_consume(&l->in, (size_t)used);
+	}
+}
+
+/*
+ * All that has arrived is read before any of it is acted on: a cancellation
+ * that came with its request stops it before it starts.
+ */
+static void on_readable(lw_link_t *l)
+{
+	for (;;) {
+		char *room = lw_bytebuf_reserve(&l->in, READ_BYTES);
+		ssize_t n = recv(l->fd, room, READ_BYTES, 0);
+
+		if (n > 0) {
+			lw_bytebuf_commit(&l->in, (size_t)n);
+			l->heard_us = l->mesh->hub->now_us;
+			l->asked_us = 0;
+			if (n < READ_BYTES)
+				break;
+			read_frames(l);
+			if (l->closed)
+				return;
+			continue;
+		}
+		if (n < 0 && (errno == EAGAIN || errno == EINTR))
+			break;
+		lw_link_lost(l);
+		return;
+	}
+	read_frames(l);
+	if (!l->closed) {
+		l->late_us = 0;
+		lw_bytebuf_consume(&l->in, 0);
+	}
+}
+
+static void on_io(struct ev_loop *loop, ev_io *w, int revents)
+{
+	lw_link_t *l = w->data;
+
+	(void)loop;
+	if (l->failed) {
+		lw_link_lost(l);
+		return;
+	}
+	if (l->connecting) {
+		if (!lw_sock_connected(l->fd)) {
+			lw_link_lost(l);
+			return;
+		}
+		l->connecting = false;
+		l->heard_us = l->mesh->hub->now_us;
+	}
+	if (revents & EV_READ)
+		on_readable(l);
+	if (!l->closed)
+		link_flush(l);
+}
+
+/* lw_link_new() - a connection over @fd; @outgoing: it was begun here and may not stand yet. */
+lw_link_t *lw_link_new(lw_mesh_t *m, int fd, bool outgoing)
+{
+	lw_link_t *l = xcalloc(1, sizeof(*l));
+
+	l->mesh = m;
+	l->fd = fd;
+	l->outgoing = outgoing;
+	l->connecting = outgoing;
+	l->opened_us = m->hub->now_us;
+	l->heard_us = m->hub->now_us;
+	ev_io_init(&l->io, on_io, fd, 0);
+	l->io.data = l;
+	l->next = m->links;
+	m->links = l;
+	watch(l);
+	return l;
+}
+
+/* lw_link_to() - the connection to @node, begun if there is none; NULL if it cannot be. */
+lw_link_t *lw_link_to(lw_mesh_t *m, const char *node)
+{
+	lw_link_t *l;
+	int fd;
+
+	for (l = m->links; l; l = l->next)
+		if (l->outgoing && !l->silent && strcmp(l->node, node) == 0)
+			return l;
+	if (lw_sock_start_connect(node, &fd))
+		return NULL;
+	l = lw_link_new(m, fd, true);
+	lw_str_copy(l->node, sizeof(l->node), lw_str_c(node));
+	m->stats.links_opened++;
+	lw_mesh_send_status(l, false);
+	return l;
+}
--- /dev/null
+++ b/src/meshnews.c
@@ -0,0 +1,147 @@
+/*
+ * What nodes tell each other beside requests: loads, the configuration, the list
+ * of backend servers, and how old their news from the store is.
+ */
+#include "mesh_int.h"
+
+/* a peer is given so long to learn a new configuration by itself, us */
+#define CONFIG_PUSH_US 600000
+
+/* lw_mesh_fill_load() - the load part of a frame; @out must stay until it is encoded. */
+void lw_mesh_fill_load(const lw_mesh_t *m, lw_meshframe_load_t *out, const lw_load_t *load)
+{
+	lw_meshframe_load(out, load);
+	out->load.config_version = m->ops->config_version(m->ctx);
+}
+
+static uint64_t own_revision(const lw_mesh_t *m)
+{
+	const lw_serverlist_t *sl = m->ops->servers(m->ctx);
+
+	return sl ? sl->revision : 0;
+}
+
+/* lw_mesh_send_status() - tell the peer this node's state; @is_reply: it need not answer. */
+void lw_mesh_send_status(lw_link_t *l, bool is_reply)
+{
+	lw_load_t own;
+	lw_meshframe_load_t load;
+	Lw__Status status = LW__STATUS__INIT;
+	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
+
+	lw_gate_load(l->mesh->gate, &own);
+	lw_mesh_fill_load(l->mesh, &load, &own);
+	status.is_reply = is_reply;
+	status.load = &load.load;
+	status.news_age_ms = l->mesh->ops->news_age_ms(l->mesh->ctx);
+	status.servers_revision = own_revision(l->mesh);
+	f.body_case = LW__MESH_FRAME__BODY_STATUS;
+	f.status = &status;
+	lw_link_send(l, &f);
+}
+
+/* the configuration, to a node that is not known to have it */
+static void send_config(lw_link_t *l, uint64_t version)
+{
+	lw_mesh_t *m = l->mesh;
+	Lw__Config c = LW__CONFIG__INIT;
+	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
+	lw_str_t text;
+
+	if (l->connecting || l->peer_version >= version || l->pushed_version >= version)
+		return;
+	text = m->ops->config_text(m->ctx);
+	if (!text.len)
+		return;
+	l->pushed_version = version;
+	c.version = version;
+	c.text = lw_meshframe_bytes(text);
+	f.body_case = LW__MESH_FRAME__BODY_CONFIG;
+	f.config = &c;
+	lw_link_send(l, &f);
+}
+
+/* a list of backend servers the peer does not have yet */
+static void push_servers(lw_link_t *l)
+{
+	const lw_serverlist_t *sl = l->mesh->ops->servers(l->mesh->ctx);
+	size_t before = lw_bytebuf_len(&l->out);
+
+	if (!sl || l->closed || l->connecting || l->peer_revision >= sl->revision ||
+	    l->pushed_revision >= sl->revision)
+		return;
+	l->pushed_revision = sl->revision;
+	lw_meshframe_append_servers(&l->out, sl);
+	lw_link_frame_queued(l, before);
+}
+
+/*
+ * News counts only from a node that has nothing newer than this one: else
+ * this node would think itself up to date while it waits for the list.
+ */
+static void take_news(lw_link_t *l, const Lw__Status *w)
+{
+	lw_mesh_t *m = l->mesh;
+	uint64_t own = own_revision(m);
+
+	if (w->servers_revision < own) {
+		push_servers(l);
+	} else if (w->servers_revision > own) {
+		/* the answer makes the peer push its list */
+		if (w->is_reply)
+			lw_mesh_send_status(l, true);
+		return;
+	}
+	if (l->peer_version <= m->ops->config_version(m->ctx))
+		m->ops->news(m->ctx, w->news_age_ms);
+}
+
+/* lw_mesh_on_status() - a peer told its state. */
+void lw_mesh_on_status(lw_link_t *l, const Lw__Status *w)
+{
+	lw_load_t load;
+
+	lw_meshframe_read_load(w->load, &load);
+	if (w->load)
+		l->peer_version = w->load->config_version;
+	if (l->outgoing && w->load)
+		l->mesh->ops->load(l->mesh->ctx, l->node, &load);
+	l->peer_revision = w->servers_revision;
+	take_news(l, w);
+	if (!w->is_reply)
+		lw_mesh_send_status(l, true);
+}
+
+/* lw_mesh_announce() - tell every connected node this node's state now. */
+void lw_mesh_announce(lw_mesh_t *m)
+{
+	for (lw_link_t *l = m->links; l; l = l->next)
+		lw_mesh_send_status(l, true);
+}
+
+/*
+ * lw_mesh_spread() - a node that reads the store tells the others: the
+ * configuration and the list of backend servers if they changed, and in any
+ * case that it is in touch with the store.
+ */
+void lw_mesh_spread(lw_mesh_t *m)
+{
+	uint64_t version = m->ops->config_version(m->ctx);
+
+	for (lw_link_t *l = m->links; l; l = l->next) {
+		if (!l->outgoing || l->silent || l->connecting)
+			continue;
+		send_config(l, version);
+		push_servers(l);
+		lw_mesh_send_status(l, true);
+	}
+}
+
+/* lw_mesh_push_config() - a node that cannot reach the store gets the configuration from its peers */
+void lw_mesh_push_config(lw_link_t *l, uint64_t version, uint64_t now)
+{
+	if (l->peer_version && now - l->mesh->config_us < CONFIG_PUSH_US)
+		return;
+	if (now - l->opened_us >= CONFIG_PUSH_US)
+		send_config(l, version);
+}
--- a/src/simplot.c
+++ b/src/simplot.c
@@ -36,9 +36,9 @@
 	cairo_move_to(c, 4, MARGIN);
 	cairo_show_text(c, label);
 	snprintf(label, sizeof(label), "%.0f s", s->length_s);
-	cairo_move_to(c, WIDTH - MARGIN, HEIGHT - MARGIN / 2);
+	cairo_move_to(c, WIDTH - MARGIN, HEIGHT - MARGIN / 2.0);
 	cairo_show_text(c, label);
-	cairo_move_to(c, MARGIN, MARGIN / 2);
+	cairo_move_to(c, MARGIN, MARGIN / 2.0);
 	cairo_show_text(c, "user requests asked (grey) and answered in target (blue), by second");
 }
 
