--- a/src/callerread.c
+++ b/src/callerread.c
@@ -2,6 +2,7 @@
 #include "caller_int.h"
 
 #include <errno.h>
+#include <string.h>
 #include <sys/socket.h>
 
 /* read at once; a request of the usual size comes with one system call */
@@ -147,6 +148,13 @@
 	c->starting = false;
 }
 
+/* empty lines before a request are left out (RFC 9112, 2.2) */
+static void skip_empty_lines(lw_caller_t *c)
+{
+	while (lw_bytebuf_len(&c->in) >= 2 && memcmp(lw_bytebuf_head(&c->in), "\r\n", 2) == 0)
+		lw_bytebuf_consume(&c->in, 2);
+}
+
 /* false: the head is not complete or the connection is done */
 static bool read_head(lw_caller_t *c)
 {
@@ -193,6 +201,7 @@
 	while (more && !c->closed && !c->closing) {
 		switch (c->state) {
 		case CALLER_HEAD:
+			skip_empty_lines(c);
 			more = lw_bytebuf_len(&c->in) && read_head(c);
 			break;
 		case CALLER_BODY:
--- a/src/httphead.c
+++ b/src/httphead.c
@@ -26,8 +26,6 @@
 struct collect {
 	lw_httphead_t *head;
 	const lw_wirenames_t *names;
-	const char *url;
-	size_t url_len;
 	bool overflow;
 	bool complete;
 };
@@ -37,15 +35,6 @@
 	return strlen(name) == s.len && strncasecmp(s.ptr, name, s.len) == 0;
 }
 
-static int on_url(http_parser *p, const char *at, size_t len)
-{
-	struct collect *c = p->data;
-
-	c->url = at;
-	c->url_len = len;
-	return 0;
-}
-
 static int on_field(http_parser *p, const char *at, size_t len)
 {
 	struct collect *c = p->data;
@@ -77,7 +66,6 @@
 }
 
 static const http_parser_settings head_settings = {
-	.on_url = on_url,
 	.on_header_field = on_field,
 	.on_header_value = on_value,
 	.on_headers_complete = on_headers_complete,
@@ -214,14 +202,44 @@
 	return true;
 }
 
-static void start_line(lw_httphead_t *h, const struct collect *c, lw_str_t block)
+static bool digits(const char *s, size_t n)
 {
-	const char *cr = memchr(block.ptr, '\r', block.len);
-	const char *space = memchr(block.ptr, ' ', block.len);
+	for (size_t i = 0; i < n; i++)
+		if (s[i] < '0' || s[i] > '9')
+			return false;
+	return true;
+}
 
-	h->start = (lw_str_t){ block.ptr, (size_t)(cr - block.ptr) };
-	h->method = (lw_str_t){ block.ptr, (size_t)(space - block.ptr) };
-	h->target = (lw_str_t){ c->url, c->url_len };
+/* HTTP/1.0 or HTTP/1.1 */
+static bool is_version(const char *s, size_t len)
+{
+	return len == 8 && memcmp(s, "HTTP/1.", 7) == 0 && (s[7] == '0' || s[7] == '1');
+}
+
+/*
+ * The first line exactly as RFC 9112 has it. http-parser skips empty lines and
+ * odd bytes before it, so that what it parsed and what is sent on would differ.
+ */
+static bool start_line(lw_httphead_t *h, lw_str_t block, bool request)
+{
+	const char *cr = memchr(block.ptr, '\r', block.len);
+	size_t len = (size_t)(cr - block.ptr);
+	const char *first = memchr(block.ptr, ' ', len);
+	const char *second =
+		first ? memchr(first + 1, ' ', len - (size_t)(first + 1 - block.ptr)) : NULL;
+	size_t rest = first ? len - (size_t)(first + 1 - block.ptr) : 0;
+
+	h->start = (lw_str_t){ block.ptr, len };
+	if (!first)
+		return false;
+	if (!request)
+		return is_version(block.ptr, (size_t)(first - block.ptr)) && rest >= 3 &&
+		       digits(first + 1, 3) && (rest == 3 || first[4] == ' ');
+	if (!second || first == block.ptr || second == first + 1)
+		return false;
+	h->method = (lw_str_t){ block.ptr, (size_t)(first - block.ptr) };
+	h->target = (lw_str_t){ first + 1, (size_t)(second - first - 1) };
+	return is_version(second + 1, len - (size_t)(second + 1 - block.ptr));
 }
 
 /*
@@ -249,7 +267,8 @@
 		return LW_HTTPHEAD_MALFORMED;
 	if (!names_strict(h) || !classify(h, names))
 		return LW_HTTPHEAD_MALFORMED;
-	start_line(h, &c, block);
+	if (!start_line(h, block, parser->type == HTTP_REQUEST))
+		return LW_HTTPHEAD_MALFORMED;
 	h->status = parser->status_code;
 	h->keep_alive = http_should_keep_alive(parser);
 	if (parser->flags & F_CHUNKED)
--- a/src/lwproxy.c
+++ b/src/lwproxy.c
@@ -3,6 +3,7 @@
  * requests that callers and the backend server make on its host, and carries
  * them to the nodes beside the servers that can run them.
  */
+#include <signal.h>
 #include <stdio.h>
 #include <unistd.h>
 
@@ -32,6 +33,7 @@
 	int rc = lw_cli_parse(&cli, argc, argv, table);
 	lw_proxyset_t set;
 
+	lw_proxy_mask_signals(SIG_BLOCK);
 	lw_log_init("lwproxy", LOG_INFO);
 	if (rc != LW_CLI_RUN)
 		return rc;
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -295,6 +295,23 @@
 		ev_break(p->hub.loop, EVBREAK_ALL);
 }
 
+/*
+ * lw_proxy_mask_signals() - block or unblock the signals the loop handles;
+ * @how is SIG_BLOCK or SIG_UNBLOCK. Blocked from the start of main() on, a
+ * signal that comes before the loop runs stops it in order instead of killing
+ * it, and threads begun meanwhile never take one.
+ */
+void lw_proxy_mask_signals(int how)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
+	pthread_sigmask(how, &set, NULL);
+}
+
 static void watch_signals(lw_proxy_t *p)
 {
 	signal(SIGPIPE, SIG_IGN);
@@ -375,6 +392,7 @@
 		return st;
 	lw_log(LW_LOG_started, "service=%s zone=%s callers=%s backend=%s", set->service, set->zone,
 	       set->callers, set->backend);
+	lw_proxy_mask_signals(SIG_UNBLOCK);
 	ev_run(p->hub.loop, 0);
 	lw_log(LW_LOG_stopped, "active=%u", p->engine.active);
 	lw_log_flush();
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -6,6 +6,7 @@
 #include "proxyset.h"
 #include "status.h"
 
+void lw_proxy_mask_signals(int how);
 lw_status_t lw_proxy_run(const lw_proxyset_t *set, const lw_platform_t *platform);
 
 #endif
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import tempfile
+import time
 
 import standin
 
@@ -67,6 +68,7 @@
         path = os.path.join(self.fleet.dir, self.ip + ".toml")
         with open(path, "w", encoding="utf-8") as f:
             f.write(self.settings())
+        self.started = time.monotonic()
         out = open(os.path.join(self.fleet.dir, self.ip + ".log"), "ab")
         self.proc = subprocess.Popen([PROXY, "--config", path], stdout=out, stderr=out)
 
