--- a/src/exchattempt.c
+++ b/src/exchattempt.c
@@ -28,7 +28,8 @@
 static bool take_retry(lw_exchange_t *x)
 {
 	lw_engine_t *e = x->engine;
-	lw_retryplace_t at = { e->place.nhosts, x->above, lw_hotpath_depth(e->hotpath, x->route) };
+	lw_retryplace_t at = { e->place.nhosts, x->above, lw_hotpath_depth(e->hotpath, x->route),
+			       x->rank < LW_RANKS_PER_PRIORITY };
 
 	if (lw_retrylimit_take(&x->service->retries, &e->place.terms, &at, e->hub->now_us)) {
 		e->stats.retries++;
--- a/src/retrylimit.c
+++ b/src/retrylimit.c
@@ -10,9 +10,15 @@
  * own at the same moment. The last level, where most faults are felt, has the
  * larger part; the levels above share the rest.
  */
-#define LAST_PART   0.38
-#define ABOVE_PART  0.54
+#define LAST_PART   0.60
+#define ABOVE_PART  0.30
 #define SINGLE_PART 0.38
+/*
+ * Of the last level's part, what others than the most urgent requests may use.
+ * When a server turns half of all calls away, a request that makes several
+ * needs a repeat nearly always; spread over all, repeats save hardly any.
+ */
+#define LAST_PLAIN_PART 0.30
 /* all repeats together, those that follow from repeated runs included */
 #define TOTAL_PART 0.9
 
@@ -58,7 +64,9 @@
 
 	if (levels == 1)
 		return SINGLE_PART;
-	return at->below ? ABOVE_PART / (levels - 1) : LAST_PART;
+	if (at->below)
+		return ABOVE_PART / (levels - 1);
+	return at->urgent ? LAST_PART : LAST_PLAIN_PART;
 }
 
 /*
--- a/src/retrylimit.h
+++ b/src/retrylimit.h
@@ -21,6 +21,7 @@
 	uint32_t nodes; /* that share the extra */
 	uint32_t above; /* levels of requests above this one */
 	uint32_t below; /* levels of calls below it */
+	bool urgent; /* for a user request of the highest priority */
 } lw_retryplace_t;
 
 #define LW_RETRY_SLICES 10
--- a/src/simfleet.c
+++ b/src/simfleet.c
@@ -418,7 +418,8 @@
 static bool take_retry(run_t *r, req_t *q)
 {
 	lw_retryplace_t at = { (uint32_t)r->nnodes, q->above,
-			       lw_hotpath_depth(q->origin->hot, q->kind->name) };
+			       lw_hotpath_depth(q->origin->hot, q->kind->name),
+			       q->rank < LW_RANKS_PER_PRIORITY };
 	bool yes = lw_retrylimit_take(&q->host->service->retries, &r->terms, &at, r->now);
 
 	r->sim->total.retries += yes;
--- a/tests/decide.c
+++ b/tests/decide.c
@@ -238,6 +238,14 @@
 	say(w, "%u", lw_hotpath_depth(w->hot, word(a, 1)));
 }
 
+static bool has(const words_t *a, const char *flag)
+{
+	for (int i = 1; i < a->n; i++)
+		if (strcmp(a->w[i], flag) == 0)
+			return true;
+	return false;
+}
+
 static const lw_retryterms_t retry_terms = { .ratio = 0.2, .extra = 40, .window_s = 10 };
 
 /* retry-requests COUNT AT | retry-inherited COUNT AT | retry-take TIMES ABOVE BELOW NODES AT */
@@ -255,7 +263,8 @@
 
 static void do_retry_take(world_t *w, const words_t *a)
 {
-	lw_retryplace_t at = { (uint32_t)num(a, 4), (uint32_t)num(a, 2), (uint32_t)num(a, 3) };
+	lw_retryplace_t at = { (uint32_t)num(a, 4), (uint32_t)num(a, 2), (uint32_t)num(a, 3),
+			       has(a, "urgent") };
 	long got = 0;
 
 	for (long i = 0; i < num(a, 1); i++)
@@ -271,14 +280,6 @@
 	return LW_FAIL_NONE;
 }
 
-static bool has(const words_t *a, const char *flag)
-{
-	for (int i = 1; i < a->n; i++)
-		if (strcmp(a->w[i], flag) == 0)
-			return true;
-	return false;
-}
-
 /* verdict WHY GIVEN MAX HANDED_BACK LEFT [idempotent] [kept] [maybe_ran] */
 static void do_verdict(world_t *w, const words_t *a)
 {
