--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 BINS = lwproxy lwsim lwnode lwctl lwburn lwload lwstub-config lwstub-backend lwstub-relay
 BIN_PATHS = $(addprefix $(BUILD)/,$(BINS))
 
-.PHONY: all deps demo check lint format bench fuzz clean
+.PHONY: all deps demo check lint format bench meshbench soak fuzz clean
 
 all: $(BIN_PATHS) $(BUILD)/lwtest
 
@@ -106,6 +106,12 @@
 bench: all
 	@sh tools/bench.sh
 
+meshbench: all
+	LWPROXY=$(BUILD)/lwproxy python3 tools/meshbench.py
+
+soak: all
+	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1-50 --seconds 15
+
 fuzz: deps
 	@sh tools/fuzz.sh
 
