--- a/src/call.h
+++ b/src/call.h
@@ -45,6 +45,7 @@
 	uint32_t limit;
 	uint32_t service_us;
 	uint32_t level; /* first rank it refuses, see level.h */
+	uint32_t failing; /* per mille of its requests that failed of late */
 	bool leaving;
 	bool call_failed; /* a call made for the request failed: so will its repeat */
 	uint32_t depth; /* levels of calls below the request */
--- a/src/gate.c
+++ b/src/gate.c
@@ -14,6 +14,8 @@
 /* a request that runs so many times as long as usual may have lost its answer */
 #define LOST_FACTOR   8
 #define LOST_LEAST_US 100000
+/* the average of failures fades by this in each step: it halves in about 3 s */
+#define FAILING_FADES 0.977
 /* steps without work after which the level's timer stops */
 #define QUIET_STEPS	 20
 #define JOB_OF_WAITER(w) ((lw_job_t *)(void *)((char *)(w)-offsetof(lw_job_t, waiter)))
@@ -29,6 +31,7 @@
 {
 	out->running = occupied(g);
 	out->level = g->level.level;
+	out->failing = (uint32_t)(g->failing * 1000);
 	out->queued = (uint32_t)g->queue.len;
 	out->limit = g->limit;
 	out->service_us = (uint32_t)g->service_us;
@@ -230,6 +233,7 @@
 	(void)revents;
 	g->quiet_steps = quiet ? g->quiet_steps + 1 : 0;
 	lw_level_step(&g->level, &in);
+	g->failing *= FAILING_FADES;
 	count_lost(g);
 	if (g->queue.first)
 		lw_gate_dispatch(g);
--- a/src/gate.h
+++ b/src/gate.h
@@ -35,6 +35,7 @@
 	uint32_t told_busy; /* requests it said it runs or queues */
 	uint32_t since_told; /* requests given to it since */
 	bool tells_load;
+	double failing; /* moving average: 0 none of its requests fails, 1 all do */
 	double service_us; /* moving average of the time a request runs */
 	bool leaving; /* the backend server takes no new work */
 	char server_id[LW_NAME_MAX]; /* of the backend server that is on this host now */
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -13,6 +13,8 @@
 #define DEADLINE_SLACK_MS 150
 /* weight of one more request in the average time a request runs */
 #define SERVICE_EWMA 0.05
+/* weight of one more outcome in the average of failures */
+#define FAILING_EWMA 0.03
 
 /* the same, and what the job's own calls were told */
 static void job_load(const lw_job_t *j, lw_load_t *out)
@@ -49,6 +51,15 @@
 	lw_hub_free_later(g->hub, j);
 }
 
+/*
+ * One node sees few of a server's requests; the node beside it sees all. What
+ * it tells lets every node turn away from a faulty server at the first answer.
+ */
+static void took_outcome(lw_gate_t *g, bool failed)
+{
+	g->failing += FAILING_EWMA * ((failed ? 1.0 : 0.0) - g->failing);
+}
+
 /* lw_job_fail() - end the call with @why; what waits behind it may start. */
 void lw_job_fail(lw_job_t *j, lw_fail_t why)
 {
@@ -59,6 +70,8 @@
 	if (j->dead)
 		return;
 	g->stats.refused[why]++;
+	if (lw_fail_reached_server(why))
+		took_outcome(g, true);
 	lw_log(LW_LOG_call_ended,
 	       "id=%s server=%s why=%s ran_ms=%llu waited_ms=%llu running=%u queued=%zu limit=%u",
 	       j->request_id, j->target, lw_fail_name(why),
@@ -179,6 +192,7 @@
 	}
 	g->service_us += SERVICE_EWMA * ((double)took - g->service_us);
 	g->stats.answered++;
+	took_outcome(g, j->answer_head.status >= 500 && !j->call_failed);
 	/* told after this request has left, so that its place shows as free */
 	g->running--;
 	pass_answer(j, true);
--- a/src/hotpath.c
+++ b/src/hotpath.c
@@ -17,6 +17,13 @@
  */
 #define NEWS_OLD_US 300000
 #define RISE_PER_MS 1
+/* after so long without news the next level told is taken as it is, us */
+#define NEWS_FORGOTTEN_US 1000000
+/*
+ * A service that had no reachable server at all has one again at once when its
+ * node is back, and nothing tells: its level rises so many times as fast.
+ */
+#define RISE_SHUT_FACTOR 6
 /* a route that was not led to a service for so long does not lead there, us */
 #define ROUTE_FORGETS_US 3000000
 /* routes of which the levels are kept; more are refused by their server only */
@@ -26,6 +33,8 @@
 	char name[LW_NAME_MAX];
 	double level;
 	uint64_t told_us;
+	bool known; /* a level was told */
+	bool shut; /* as told last */
 	UT_hash_handle hh;
 } lw_hot_service_t;
 
@@ -74,7 +83,7 @@
 	return xcalloc(1, sizeof(lw_hotpath_t));
 }
 
-static lw_hot_service_t *service_of(lw_hotpath_t *p, const char *name, uint32_t level)
+static lw_hot_service_t *service_of(lw_hotpath_t *p, const char *name)
 {
 	lw_hot_service_t *s;
 
@@ -83,7 +92,6 @@
 		return s;
 	s = xcalloc(1, sizeof(*s));
 	lw_str_copy(s->name, sizeof(s->name), lw_str_c(name));
-	s->level = level;
 	HASH_ADD_STR(p->services, name, s);
 	return s;
 }
@@ -124,7 +132,8 @@
 	double level = s->level;
 
 	if (age > NEWS_OLD_US)
-		level += (double)(age - NEWS_OLD_US) / 1000.0 * RISE_PER_MS;
+		level += (double)(age - NEWS_OLD_US) / 1000.0 * RISE_PER_MS *
+			 (s->shut ? RISE_SHUT_FACTOR : 1);
 	return level;
 }
 
@@ -140,11 +149,14 @@
 	if (r && depth > r->depth)
 		r->depth = depth;
 	for (uint32_t i = 0; i < hots->n; i++) {
-		lw_hot_service_t *s = service_of(p, hots->hot[i].service, hots->hot[i].level);
+		lw_hot_service_t *s = service_of(p, hots->hot[i].service);
 		double level = level_now(s, now_us);
+		bool news_old = !s->known || now_us - s->told_us > NEWS_FORGOTTEN_US;
 
-		s->level = level + LEVEL_EWMA * (hots->hot[i].level - level);
+		s->level = level + (news_old ? 1 : LEVEL_EWMA) * (hots->hot[i].level - level);
 		s->told_us = now_us;
+		s->known = true;
+		s->shut = hots->hot[i].level <= LW_LEVEL_SHUT;
 		if (r)
 			leads_to(r, s, now_us);
 	}
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -643,7 +643,7 @@
   (ProtobufCMessageInit) lw__hot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__load__field_descriptors[10] =
+static const ProtobufCFieldDescriptor lw__load__field_descriptors[11] =
 {
   {
     "running",
@@ -765,11 +765,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failing",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Load, failing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__load__field_indices_by_name[] = {
   7,   /* field[7] = call_failed */
   6,   /* field[6] = config_version */
   8,   /* field[8] = depth */
+  10,   /* field[10] = failing */
   5,   /* field[5] = hots */
   4,   /* field[4] = leaving */
   9,   /* field[9] = level */
@@ -781,7 +794,7 @@
 static const ProtobufCIntRange lw__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor lw__load__descriptor =
 {
@@ -791,7 +804,7 @@
   "Lw__Load",
   "lw",
   sizeof(Lw__Load),
-  10,
+  11,
   lw__load__field_descriptors,
   lw__load__field_indices_by_name,
   1,  lw__load__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -92,6 +92,10 @@
    * first rank it refuses
    */
   uint32_t level;
+  /*
+   * per mille of its requests that failed of late
+   */
+  uint32_t failing;
   /*
    * levels of calls below the request
    */
@@ -99,7 +103,7 @@
 };
 #define LW__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/meshframe.c
+++ b/src/meshframe.c
@@ -109,6 +109,7 @@
 	out->load.service_us = load->service_us;
 	out->load.leaving = load->leaving;
 	out->load.level = load->level;
+	out->load.failing = load->failing;
 	out->load.call_failed = load->call_failed;
 	out->load.depth = load->depth;
 	out->load.n_hots = load->hots.n;
@@ -133,6 +134,7 @@
 	out->service_us = in->service_us;
 	out->leaving = in->leaving;
 	out->level = in->level;
+	out->failing = in->failing;
 	out->call_failed = in->call_failed;
 	out->depth = in->depth;
 	for (size_t i = 0; i < in->n_hots; i++)
--- a/src/place.c
+++ b/src/place.c
@@ -208,6 +208,8 @@
 		cost *= COST_COLD;
 	cost *= zone_cost(h, ask->body_length);
 	failures = recent_failures(h, ask->now_us);
+	if (known && h->load.failing > failures * 1000)
+		failures = h->load.failing / 1000.0;
 	return cost * (1 + COST_FAILING * failures * failures);
 }
 
