--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -201,6 +201,31 @@
         check(a.status in (200, 502), a)
 
 
+@test({"front": 1, "back": 1}, slots=4)
+async def test_lost_answers_hold_no_slots(f):
+    """Symptom: a service refuses most requests while its servers idle.
+    Sequence: servers lose answers; the connections stay open. Cause: each lost
+    answer held a slot until its deadline. The server's own load tells."""
+    async def lose(s, head, rid, stage):
+        if stage == "run":
+            await asyncio.sleep(0.02)
+        return "hang" if stage == "run" and rid.startswith("hang") else None
+    f.nodes["back"][0].server.behave = lose
+    front, back = f.nodes["front"][0], f.nodes["back"][0]
+    for i in range(10):
+        await front.caller().ask("POST", "/up/1", f"w{i}", body=b"x")
+    hung = [asyncio.ensure_future(front.caller().ask("POST", "/up/1", f"hang{i}", body=b"x",
+                                                     deadline=4000)) for i in range(2)]
+    await asyncio.sleep(0.8)
+    for i in range(10):
+        a = await front.caller().ask("POST", "/up/1", f"x{i}", body=b"x")
+        check(a.status == 200, a)
+    await until(lambda: back.metric("lw_gate_running"), lambda v: v == 0, 2)
+    check(not any(h.done() for h in hung), "the lost ones were given up early")
+    for h in hung:
+        check((await h).status in (502, 504), await h)
+
+
 @test({"front": 1, "back": 2})
 async def test_shed_goes_elsewhere(f):
     """A server that turns a request away unrun: it goes to another one, also
