--- a/src/call.c
+++ b/src/call.c
@@ -20,8 +20,8 @@
 const char *lw_fail_name(lw_fail_t why)
 {
 	static const char *const names[LW_FAIL_COUNT] = {
-		"none",	  "path_busy",	"busy", "leaving",     "expired", "no_server",
-		"unsent", "wrong_node", "shed", "misdirected", "broken",  "timeout",
+		"none",	  "path_busy", "busy",	      "leaving", "expired", "no_server",
+		"unsent", "shed",      "misdirected", "broken",	 "timeout",
 	};
 
 	return why < LW_FAIL_COUNT ? names[why] : "invalid";
--- a/src/call.h
+++ b/src/call.h
@@ -28,7 +28,6 @@
 	LW_FAIL_EXPIRED, /* its time ran out while it was queued */
 	LW_FAIL_NO_SERVER, /* the backend server accepts no connection */
 	LW_FAIL_UNSENT, /* the connection to the node never carried it */
-	LW_FAIL_WRONG_NODE, /* the node has no such backend server */
 	/* a backend server was given the request and said that it did not run it */
 	LW_FAIL_SHED,
 	LW_FAIL_MISDIRECTED, /* another backend server has taken the address */
@@ -61,7 +60,6 @@
 	uint32_t deadline_ms; /* left now */
 	uint32_t queue_ms; /* longest useful wait before it starts */
 	uint32_t rank; /* of the user request it is part of, see level.h */
-	bool nested; /* made on behalf of a request that runs already */
 	bool repeat; /* it, or a request it is part of, was sent before */
 } lw_ask_t;
 
--- a/src/exchattempt.c
+++ b/src/exchattempt.c
@@ -267,7 +267,6 @@
 	ask->deadline_ms = lw_exchange_left_ms(x, x->give_up_us);
 	ask->queue_ms = x->target_ms * percent / 100;
 	ask->rank = x->rank;
-	ask->nested = x->nested;
 	ask->repeat = x->repeat || x->attempts.given;
 }
 
--- a/src/log.h
+++ b/src/log.h
@@ -17,7 +17,8 @@
 	X(1002, stopped, LOG_INFO, "a process finished draining and exits")                        \
 	X(1003, joined, LOG_NOTICE,                                                                \
 	  "the node has compared its configuration with peers and takes requests")                 \
-	X(1004, settings_reloaded, LOG_NOTICE, "SIGHUP: the settings were read again")             \
+	X(1004, settings_reloaded, LOG_NOTICE,                                                     \
+	  "SIGHUP: the terms of the settings were read again; the rest needs a restart")           \
 	X(1005, log_dropped, LOG_WARNING,                                                          \
 	  "request lines were left out to bound the volume; counters have them all")               \
 	X(1100, settings_invalid, LOG_ERR, "settings file rejected; the node does not start")      \
--- a/src/lwproxy.c
+++ b/src/lwproxy.c
@@ -13,10 +13,8 @@
 #include "proxy.h"
 #include "proxyset.h"
 
-static lw_status_t load_settings(const struct arg_file *config, lw_proxyset_t *set)
+static lw_status_t load_settings(const char *path, lw_proxyset_t *set)
 {
-	const char *path = config->count ? config->filename[0] : lw_users_platform.settings_path();
-
 	if (!path)
 		return lw_error(
 			LW_ERR_ARGS,
@@ -31,6 +29,7 @@
 	struct arg_lit *check = arg_lit0(NULL, "check", "check the settings and exit");
 	void *table[] = { cli.help, cli.version, config, check, cli.end };
 	int rc = lw_cli_parse(&cli, argc, argv, table);
+	const char *path;
 	lw_proxyset_t set;
 
 	lw_proxy_mask_signals(SIG_BLOCK);
@@ -38,7 +37,8 @@
 	if (rc != LW_CLI_RUN)
 		return rc;
 	lw_proxyset_defaults(&set);
-	if (load_settings(config, &set)) {
+	path = config->count ? config->filename[0] : lw_users_platform.settings_path();
+	if (load_settings(path, &set)) {
 		lw_log(LW_LOG_settings_invalid, "why=\"%s\"", lw_error_last());
 		return 2;
 	}
@@ -47,7 +47,7 @@
 		return 0;
 	}
 	lw_log_to_ring(STDOUT_FILENO);
-	if (lw_proxy_run(&set, &lw_users_platform)) {
+	if (lw_proxy_run(&set, path, &lw_users_platform)) {
 		lw_log(LW_LOG_settings_invalid, "why=\"%s\"", lw_error_last());
 		lw_log_flush();
 		return 1;
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -946,7 +946,7 @@
   (ProtobufCMessageInit) lw__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__open__field_descriptors[12] =
+static const ProtobufCFieldDescriptor lw__open__field_descriptors[11] =
 {
   {
     "stream",
@@ -996,18 +996,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "nested",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Lw__Open, nested),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "repeat",
     6,
@@ -1094,23 +1082,23 @@
   },
 };
 static const unsigned lw__open__field_indices_by_name[] = {
-  10,   /* field[10] = body */
-  6,   /* field[6] = body_length */
+  9,   /* field[9] = body */
+  5,   /* field[5] = body_length */
   1,   /* field[1] = deadline_ms */
-  11,   /* field[11] = fin */
-  7,   /* field[7] = head */
-  4,   /* field[4] = nested */
+  10,   /* field[10] = fin */
+  6,   /* field[6] = head */
   2,   /* field[2] = queue_ms */
   3,   /* field[3] = rank */
-  5,   /* field[5] = repeat */
-  8,   /* field[8] = request_id */
+  4,   /* field[4] = repeat */
+  7,   /* field[7] = request_id */
   0,   /* field[0] = stream */
-  9,   /* field[9] = target */
+  8,   /* field[8] = target */
 };
-static const ProtobufCIntRange lw__open__number_ranges[1 + 1] =
+static const ProtobufCIntRange lw__open__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 6, 4 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor lw__open__descriptor =
 {
@@ -1120,10 +1108,10 @@
   "Lw__Open",
   "lw",
   sizeof(Lw__Open),
-  12,
+  11,
   lw__open__field_descriptors,
   lw__open__field_indices_by_name,
-  1,  lw__open__number_ranges,
+  2,  lw__open__number_ranges,
   (ProtobufCMessageInit) lw__open__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -143,10 +143,6 @@
    * of the user request it is part of; the lowest is the most urgent
    */
   uint32_t rank;
-  /*
-   * made by a backend server on behalf of another request
-   */
-  protobuf_c_boolean nested;
   /*
    * it, or a request it is part of, was sent before
    */
@@ -175,7 +171,7 @@
 };
 #define LW__OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__open__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0 }
+    , 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0 }
 
 
 struct  Lw__Answer
--- a/src/meshcall.c
+++ b/src/meshcall.c
@@ -199,7 +199,6 @@
 		.deadline_ms = o->deadline_ms > late_ms ? o->deadline_ms - late_ms : 0,
 		.queue_ms = o->queue_ms,
 		.rank = o->rank,
-		.nested = o->nested,
 		.repeat = o->repeat,
 	};
 	lw_stream_t *s;
@@ -336,7 +335,6 @@
 	o.deadline_ms = ask->deadline_ms;
 	o.queue_ms = ask->queue_ms;
 	o.rank = ask->rank;
-	o.nested = ask->nested;
 	o.repeat = ask->repeat;
 	o.body_length = ask->body_length;
 	o.head = lw_meshframe_bytes(ask->head);
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -29,7 +29,8 @@
 #define STOP_MARGIN_US 1000000
 
 typedef struct lw_proxy {
-	const lw_proxyset_t *set;
+	lw_proxyset_t *set;
+	const char *path; /* of the settings file */
 	const lw_platform_t *platform;
 	lw_hub_t hub;
 	lw_engine_t engine;
@@ -216,12 +217,32 @@
 	lw_mesh_announce(p->engine.mesh);
 }
 
+static lw_retryterms_t retry_terms(const lw_proxyset_t *set)
+{
+	return (lw_retryterms_t){ set->retry_ratio, set->retry_extra, set->retry_window_s };
+}
+
+/* SIGHUP: the terms may have changed; addresses stay as they are until a restart */
 static void on_hangup(struct ev_loop *loop, ev_signal *w, int revents)
 {
+	lw_proxy_t *p = w->data;
+	lw_proxyset_t fresh;
+
 	(void)loop;
-	(void)w;
 	(void)revents;
-	lw_log(LW_LOG_settings_reloaded, "signal=1 change=none");
+	lw_proxyset_defaults(&fresh);
+	if (lw_proxyset_load(p->path, &fresh)) {
+		lw_log(LW_LOG_settings_invalid, "signal=1 kept=old why=\"%s\"", lw_error_last());
+		return;
+	}
+	p->set->drain_s = fresh.drain_s;
+	p->set->grace_s = fresh.grace_s;
+	p->set->retry_ratio = fresh.retry_ratio;
+	p->set->retry_extra = fresh.retry_extra;
+	p->set->retry_window_s = fresh.retry_window_s;
+	p->engine.place.terms = retry_terms(p->set);
+	lw_log(LW_LOG_settings_reloaded, "signal=1 grace_s=%.1f retry_ratio=%.2f retry_extra=%.0f",
+	       p->set->grace_s, p->set->retry_ratio, p->set->retry_extra);
 }
 
 /* try to reach a node that was lost; its first status clears it */
@@ -320,6 +341,7 @@
 	ev_signal_init(&p->hangup, on_hangup, SIGHUP);
 	p->term.data = p;
 	p->interrupt.data = p;
+	p->hangup.data = p;
 	ev_signal_start(p->hub.loop, &p->term);
 	ev_signal_start(p->hub.loop, &p->interrupt);
 	ev_signal_start(p->hub.loop, &p->hangup);
@@ -367,18 +389,18 @@
  * lw_proxy_run() - run until SIGTERM and the end of what was under way. Fails
  * only at the start, with the reason in lw_error_last().
  */
-lw_status_t lw_proxy_run(const lw_proxyset_t *set, const lw_platform_t *platform)
+lw_status_t lw_proxy_run(lw_proxyset_t *set, const char *path, const lw_platform_t *platform)
 {
 	static lw_proxy_t proxy;
 	lw_proxy_t *p = &proxy;
-	lw_retryterms_t terms = { set->retry_ratio, set->retry_extra, set->retry_window_s };
 	lw_status_t st;
 
 	p->set = set;
+	p->path = path;
 	p->platform = platform;
 	lw_hub_init(&p->hub, set, platform->names, lw_now_us() ^ (uint64_t)getpid() << 32);
 	p->engine.hub = &p->hub;
-	lw_place_init(&p->engine.place, set->zone, set->backend, set->mesh_port, terms);
+	lw_place_init(&p->engine.place, set->zone, set->backend, set->mesh_port, retry_terms(set));
 	lw_gate_init(&p->engine.gate, &p->hub);
 	p->engine.hotpath = lw_hotpath_new();
 	p->engine.mesh = lw_mesh_new(&p->hub, &p->engine.gate, &mesh_ops, p);
--- a/src/simfleet.c
+++ b/src/simfleet.c
@@ -91,7 +91,6 @@
 	EV_ANSWER, /* an answer reaches the origin */
 	EV_TIMEOUT,
 	EV_RETURN, /* a refused caller comes back */
-	EV_EXPIRE, /* queued requests are looked through */
 	EV_STEP, /* levels are adjusted */
 } ev_kind_t;
 
@@ -586,8 +585,6 @@
 	case EV_RETURN:
 		begin(r, e->of, q->first_us, q->tries_left - 1);
 		break;
-	case EV_EXPIRE:
-		break;
 	case EV_STEP:
 		on_step(r);
 		break;
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -68,10 +68,14 @@
 retry_window_s = 10
 """
 
-    def start(self):
+    def write_settings(self, text):
         path = os.path.join(self.fleet.dir, self.ip + ".toml")
         with open(path, "w", encoding="utf-8") as f:
-            f.write(self.settings())
+            f.write(text)
+        return path
+
+    def start(self):
+        path = self.write_settings(self.settings())
         self.started = time.monotonic()
         out = open(os.path.join(self.fleet.dir, self.ip + ".log"), "ab")
         self.proc = subprocess.Popen([PROXY, "--config", path], stdout=out, stderr=out)
--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -301,6 +301,20 @@
     check(2 < time.monotonic() - start < 5.5, time.monotonic() - start)
 
 
+@test({"front": 1})
+async def test_sighup(f):
+    """SIGHUP takes over changed terms; a file that is wrong changes nothing
+    and stops nothing."""
+    node = f.all()[0]
+    node.write_settings(node.settings().replace("retry_ratio = 0.2", "retry_ratio = 0.1"))
+    node.signal(signal.SIGHUP)
+    await until(lambda: [x for x in node.logged("settings_reloaded") if "ratio=0.10" in x], bool, 2)
+    node.write_settings("[terms]\nretry_ratio = nonsense\n")
+    node.signal(signal.SIGHUP)
+    await until(lambda: node.logged("settings_invalid"), bool, 2)
+    check((await node.caller().ask("GET", "/get/1", "after")).status == 200, "stopped serving")
+
+
 @test({"front": 1, "back": 2})
 async def test_drain(f):
     """Symptom: a leaving server still gets requests. Sequence: its entry says
