--- a/src/feed.c
+++ b/src/feed.c
@@ -26,15 +26,19 @@
 	pthread_mutex_unlock(&f->lock);
 }
 
-/* lw_feed_wait_wanted() - from the reader: wait until the store is to be read. */
-void lw_feed_wait_wanted(lw_feed_t *f)
+/*
+ * lw_feed_wait_wanted() - from the reader: wait until the store is to be read.
+ * True if it was not for a while, so that what the reader knows is old.
+ */
+bool lw_feed_wait_wanted(lw_feed_t *f)
 {
 	if (__atomic_load_n(&f->wanted, __ATOMIC_RELAXED))
-		return;
+		return false;
 	pthread_mutex_lock(&f->lock);
 	while (!f->wanted)
 		pthread_cond_wait(&f->wake, &f->lock);
 	pthread_mutex_unlock(&f->lock);
+	return true;
 }
 
 /* lw_feed_read() - from the reader: the store has answered just now. */
--- a/src/feed.h
+++ b/src/feed.h
@@ -45,7 +45,7 @@
 
 void lw_feed_init(lw_feed_t *f, const lw_proxyset_t *set);
 void lw_feed_want(lw_feed_t *f, bool wanted);
-void lw_feed_wait_wanted(lw_feed_t *f);
+bool lw_feed_wait_wanted(lw_feed_t *f);
 void lw_feed_read(lw_feed_t *f);
 uint64_t lw_feed_last_read_us(const lw_feed_t *f);
 
--- a/src/serverset.c
+++ b/src/serverset.c
@@ -13,6 +13,12 @@
  * the store's return; one missing after that is gone. Unit us.
  */
 #define RETURN_US 2100000
+/*
+ * A failed call is no outage: entries lapse after several heartbeats only. A
+ * server that left while one call failed would count for two seconds more on
+ * every node, longer than a leaving server may get work. Unit us.
+ */
+#define OUTAGE_MIN_US 1000000
 
 typedef struct lw_member {
 	lw_server_entry_t entry;
@@ -24,6 +30,7 @@
 
 struct lw_serverset {
 	lw_member_t *members;
+	uint64_t away_us; /* since when the store does not answer; 0: it does */
 	uint64_t hold_until_us; /* missing entries still count until then */
 	bool held; /* some entries are missing and still count */
 	bool changed;
@@ -111,10 +118,30 @@
 		}
 }
 
-/* lw_serverset_store_back() - the store answers again after it was away. */
+/*
+ * lw_serverset_resume() - the store is read again after a time in which it was
+ * not. Others have read it meanwhile: whatever outage there was, is over, and
+ * entries that are missing now are gone.
+ */
+void lw_serverset_resume(lw_serverset_t *s)
+{
+	s->away_us = 0;
+	s->hold_until_us = 0;
+}
+
+/* lw_serverset_store_away() - a call to the store failed. */
+void lw_serverset_store_away(lw_serverset_t *s, uint64_t now_us)
+{
+	if (!s->away_us)
+		s->away_us = now_us;
+}
+
+/* lw_serverset_store_back() - the store answers; it may have been away. */
 void lw_serverset_store_back(lw_serverset_t *s, uint64_t now_us)
 {
-	s->hold_until_us = now_us + RETURN_US;
+	if (s->away_us && now_us - s->away_us >= OUTAGE_MIN_US)
+		s->hold_until_us = now_us + RETURN_US;
+	s->away_us = 0;
 }
 
 static void drop_missing(lw_serverset_t *s)
--- a/src/serverset.h
+++ b/src/serverset.h
@@ -19,6 +19,8 @@
 void lw_serverset_remove(lw_serverset_t *s, const char *id);
 void lw_serverset_begin(lw_serverset_t *s);
 void lw_serverset_end(lw_serverset_t *s);
+void lw_serverset_resume(lw_serverset_t *s);
+void lw_serverset_store_away(lw_serverset_t *s, uint64_t now_us);
 void lw_serverset_store_back(lw_serverset_t *s, uint64_t now_us);
 lw_serverlist_t *lw_serverset_changed(lw_serverset_t *s, uint64_t now_us);
 
--- a/tests/decide.c
+++ b/tests/decide.c
@@ -383,6 +383,17 @@
 	lw_serverset_store_back(w->entries, ms(a, 1));
 }
 
+static void do_store_away(world_t *w, const words_t *a)
+{
+	lw_serverset_store_away(w->entries, ms(a, 1));
+}
+
+static void do_resume(world_t *w, const words_t *a)
+{
+	(void)a;
+	lw_serverset_resume(w->entries);
+}
+
 static void do_reread(world_t *w, const words_t *a)
 {
 	if (strcmp(word(a, 1), "begin") == 0)
@@ -539,6 +550,8 @@
 	{ "entry", do_entry },
 	{ "entry-gone", do_entry_gone },
 	{ "store-back", do_store_back },
+	{ "resume", do_resume },
+	{ "store-away", do_store_away },
 	{ "reread", do_reread },
 	{ "entry-list", do_entry_list },
 	{ "host", do_host },
