--- a/src/feed.c
+++ b/src/feed.c
@@ -5,6 +5,9 @@
 
 #include "linux/clock.h"
 
+/* news of others' reads that is older says nothing; they come every 0.7 s, us */
+#define OTHERS_LATELY_US 2000000
+
 /* lw_feed_init() - the store is wanted at first. */
 void lw_feed_init(lw_feed_t *f, const lw_proxyset_t *set)
 {
@@ -48,6 +51,23 @@
 	ev_async_send(f->conf.loop, f->conf.wake);
 }
 
+/* lw_feed_others_read() - from the loop: another node read the store at @at_us. */
+void lw_feed_others_read(lw_feed_t *f, uint64_t at_us)
+{
+	if (at_us > __atomic_load_n(&f->others_us, __ATOMIC_RELAXED))
+		__atomic_store_n(&f->others_us, at_us, __ATOMIC_RELAXED);
+}
+
+/*
+ * lw_feed_others_read_lately() - from the reader: others reach the store, so
+ * that calls of this node that fail are its own trouble and no outage.
+ */
+bool lw_feed_others_read_lately(const lw_feed_t *f)
+{
+	return lw_now_boot_us() - __atomic_load_n(&f->others_us, __ATOMIC_RELAXED) <
+	       OTHERS_LATELY_US;
+}
+
 /* lw_feed_last_read_us() - boot time of the last answer; 0 if there was none. */
 uint64_t lw_feed_last_read_us(const lw_feed_t *f)
 {
--- a/src/feed.h
+++ b/src/feed.h
@@ -27,6 +27,7 @@
 	lw_mailbox_t servers; /* lw_serverlist_t */
 	uint32_t wanted; /* the loop wants the store to be read; by lw_feed_want() */
 	uint64_t read_us; /* boot time of the last successful read; atomic */
+	uint64_t others_us; /* boot time of another node's last read, as told; atomic */
 	pthread_mutex_t lock;
 	pthread_cond_t wake;
 	lw_feed_stats_t stats; /* written by the reader thread only */
@@ -47,6 +48,8 @@
 void lw_feed_want(lw_feed_t *f, bool wanted);
 bool lw_feed_wait_wanted(lw_feed_t *f);
 void lw_feed_read(lw_feed_t *f);
+void lw_feed_others_read(lw_feed_t *f, uint64_t at_us);
+bool lw_feed_others_read_lately(const lw_feed_t *f);
 uint64_t lw_feed_last_read_us(const lw_feed_t *f);
 
 #endif
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -187,6 +187,7 @@
 
 	if (at > p->news_us)
 		p->news_us = at;
+	lw_feed_others_read(&p->feed, at);
 }
 
 static const lw_mesh_ops_t mesh_ops = {
--- a/src/serverset.c
+++ b/src/serverset.c
@@ -31,6 +31,7 @@
 struct lw_serverset {
 	lw_member_t *members;
 	uint64_t away_us; /* since when the store does not answer; 0: it does */
+	uint64_t back_revision; /* of the store when it was back */
 	uint64_t hold_until_us; /* missing entries still count until then */
 	bool held; /* some entries are missing and still count */
 	bool changed;
@@ -89,14 +90,22 @@
 	m->seen = true;
 }
 
-/* lw_serverset_remove() - an entry was removed from the store. */
-void lw_serverset_remove(lw_serverset_t *s, const char *id)
+/*
+ * lw_serverset_remove() - an entry was removed from the store at @revision. One
+ * that is removed after the store's return did not lapse in the outage.
+ */
+void lw_serverset_remove(lw_serverset_t *s, const char *id, uint64_t revision)
 {
 	lw_member_t *m;
 
 	HASH_FIND_STR(s->members, id, m);
 	if (!m || m->missing)
 		return;
+	if (revision > s->back_revision) {
+		member_free(s, m);
+		s->changed = true;
+		return;
+	}
 	m->missing = true;
 	s->held = true;
 }
@@ -127,6 +136,7 @@
 {
 	s->away_us = 0;
 	s->hold_until_us = 0;
+	s->back_revision = 0;
 }
 
 /* lw_serverset_store_away() - a call to the store failed. */
@@ -136,11 +146,13 @@
 		s->away_us = now_us;
 }
 
-/* lw_serverset_store_back() - the store answers; it may have been away. */
-void lw_serverset_store_back(lw_serverset_t *s, uint64_t now_us)
+/* lw_serverset_store_back() - the store answers, at @revision; it may have been away. */
+void lw_serverset_store_back(lw_serverset_t *s, uint64_t now_us, uint64_t revision)
 {
-	if (s->away_us && now_us - s->away_us >= OUTAGE_MIN_US)
+	if (s->away_us && now_us - s->away_us >= OUTAGE_MIN_US) {
 		s->hold_until_us = now_us + RETURN_US;
+		s->back_revision = revision;
+	}
 	s->away_us = 0;
 }
 
--- a/tests/decide.c
+++ b/tests/decide.c
@@ -375,12 +375,12 @@
 
 static void do_entry_gone(world_t *w, const words_t *a)
 {
-	lw_serverset_remove(w->entries, word(a, 1));
+	lw_serverset_remove(w->entries, word(a, 1), (uint64_t)num(a, 2));
 }
 
 static void do_store_back(world_t *w, const words_t *a)
 {
-	lw_serverset_store_back(w->entries, ms(a, 1));
+	lw_serverset_store_back(w->entries, ms(a, 1), (uint64_t)num(a, 2));
 }
 
 static void do_store_away(world_t *w, const words_t *a)
--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -381,6 +381,10 @@
         check((await n.caller().ask("GET", "/leaf/1", f"m{i}")).status == 404, "went back")
 
 
+async def reading(f):
+    return [n for n in f.all() if await n.metric("lw_store_reader") == 1]
+
+
 @test({"front": 2, "back": 3})
 async def test_store_refuses_some(f):
     """Symptom: a node that the store turns away serves by an old
@@ -400,6 +404,31 @@
     check(not late, late)
 
 
+@test({"front": 3, "back": 3})
+async def test_returning_reader(f):
+    """Symptom: a server that left gets requests from every node for over two
+    seconds. Sequence: the store turns the two readers away and serves the
+    others; a server's entry is removed; the readers are let in again. Cause:
+    the readers took it for an outage of the store, let the missing entry count
+    and told all others so with the newest revision."""
+    readers = await until(lambda: reading(f), lambda r: len(r) == 2)
+    f.store.refused = {n.ip for n in readers}
+    await asyncio.sleep(3)
+    leaving = next(n for n in f.nodes["back"] if n not in readers)
+    f.store.remove("servers/" + leaving.server.id)
+    since = time.monotonic()
+    await asyncio.sleep(0.3)
+    f.store.refused = set()
+    i = 0
+    while time.monotonic() < since + 3.5:
+        i += 1
+        a = await f.nodes["front"][i % 3].caller().ask("GET", "/leaf/1", f"r{i}")
+        check(a.status == 200, a)
+        await asyncio.sleep(0.01)
+    late = [t - since for t, _ in leaving.server.ran if t > since + 2]
+    check(not late, f"{len(late)} requests late, the last after {late[-1:]} s")
+
+
 @test({"front": 2, "back": 2})
 async def test_store_away(f):
     """Symptom: an outage of the store stops the traffic, or its return does.
