--- a/tests/mesh/relay.py
+++ b/tests/mesh/relay.py
@@ -20,7 +20,8 @@
             writer.transport.abort()
             return
         try:
-            r2, w2 = await asyncio.open_connection(*self.to)
+            # from its own address, so that the other end can tell the relays apart
+            r2, w2 = await asyncio.open_connection(*self.to, local_addr=(self.addr[0], 0))
         except OSError:
             writer.transport.abort()
             return
--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -385,12 +385,12 @@
     return [n for n in f.all() if await n.metric("lw_store_reader") == 1]
 
 
-@test({"front": 2, "back": 3})
+@test({"front": 2, "back": 3}, relays=True)
 async def test_store_refuses_some(f):
     """Symptom: a node that the store turns away serves by an old
     configuration and an old list. Sequence: 503 for two nodes, then changes.
     Cause: each node knew only what it read itself."""
-    f.store.refused = {f.nodes["front"][0].ip, f.nodes["back"][2].ip}
+    f.store.refused = {n.store_relay.addr[0] for n in (f.nodes["front"][0], f.nodes["back"][2])}
     await asyncio.sleep(1)
     f.store.put("op/config", config(5, [route("get", "/get/", "back")]))
     f.nodes["back"][0].server.draining = True
@@ -402,29 +402,34 @@
         check(a.status == 200 and a.body.startswith(b"i-back"), a)
     late = [r for t, r in f.nodes["back"][0].server.ran if t > since]
     check(not late, late)
+    check(f.store.turned_away, "the store turned nobody away")
 
 
-@test({"front": 3, "back": 3})
+@test({"back": 5}, relays=True)
 async def test_returning_reader(f):
     """Symptom: a server that left gets requests from every node for over two
     seconds. Sequence: the store turns the two readers away and serves the
-    others; a server's entry is removed; the readers are let in again. Cause:
-    the readers took it for an outage of the store, let the missing entry count
-    and told all others so with the newest revision."""
+    others; the entry of a server beside a reader is removed; the readers are
+    let in again. Cause: the readers took it for an outage of the store and let
+    the missing entry count, also the node beside that server."""
     readers = await until(lambda: reading(f), lambda r: len(r) == 2)
-    f.store.refused = {n.ip for n in readers}
+    f.store.refused = {n.store_relay.addr[0] for n in readers}
     await asyncio.sleep(3)
-    leaving = next(n for n in f.nodes["back"] if n not in readers)
+    leaving = readers[0]
     f.store.remove("servers/" + leaving.server.id)
     since = time.monotonic()
+    # a change the readers have not seen either makes them publish a list
+    extra = fl.standin.Server("i-extra", "other", f"127.{f.net}.0.99", fl.BACKEND)
+    f.register(extra)
     await asyncio.sleep(0.3)
     f.store.refused = set()
     i = 0
     while time.monotonic() < since + 3.5:
         i += 1
-        a = await f.nodes["front"][i % 3].caller().ask("GET", "/leaf/1", f"r{i}")
+        a = await f.nodes["back"][i % 5].caller().ask("GET", "/leaf/1", f"r{i}")
         check(a.status == 200, a)
         await asyncio.sleep(0.01)
+    check(f.store.turned_away, "the store turned nobody away")
     late = [t - since for t, _ in leaving.server.ran if t > since + 2]
     check(not late, f"{len(late)} requests late, the last after {late[-1:]} s")
 
--- a/tests/mesh/standin.py
+++ b/tests/mesh/standin.py
@@ -18,6 +18,7 @@
         self.page = page
         self.mode = "ok"  # ok, silent, 503, 429, reset
         self.refused = set()  # IPs that are turned away
+        self.turned_away = 0
         self.calls = 0
         self.changed = asyncio.Event()
 
@@ -62,6 +63,7 @@
         self.calls += 1
         peer = writer.get_extra_info("peername")[0]
         mode = "503" if peer in self.refused else self.mode
+        self.turned_away += peer in self.refused
         if mode == "silent":
             await asyncio.sleep(3600)
         if mode == "reset":
