--- a/src/exchattempt.c
+++ b/src/exchattempt.c
@@ -277,7 +277,7 @@
 	uint64_t now = x->engine->hub->now_us;
 
 	lw_log(LW_LOG_request_retried,
-	       "id=%s route=%s after=%s server=%s busy=%u limit=%u news_ms=%llu given=%u handed_back=%u lw_exchange_left_ms=%u",
+	       "id=%s route=%s after=%s server=%s busy=%u limit=%u news_ms=%llu given=%u handed_back=%u left_ms=%u",
 	       x->request_id, x->route, lw_fail_name(last), h->id, h->load.running + h->load.queued,
 	       h->load.limit, h->load_us ? (unsigned long long)((now - h->load_us) / 1000) : 0,
 	       x->attempts.given, x->attempts.handed_back, lw_exchange_left_ms(x, x->give_up_us));
