--- a/src/caller.c
+++ b/src/caller.c
@@ -622,7 +622,8 @@
 		check_timeouts(cs, c, now);
 	}
 	for (lw_listener_t *l = cs->listeners; l; l = l->next)
-		if (l->fd >= 0 && !ev_is_active(&l->io) && cs->count + FDS_RESERVED < cs->hub->set->max_fds)
+		if (l->fd >= 0 && !ev_is_active(&l->io) &&
+		    cs->count + FDS_RESERVED < cs->hub->set->max_fds)
 			ev_io_start(cs->hub->loop, &l->io);
 }
 
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -150,8 +150,9 @@
 static void answer_refused(lw_exchange_t *x, lw_fail_t why)
 {
 	uint32_t room = x->room_ms ? x->room_ms : COMEBACK_DEFAULT_MS;
-	uint32_t ms = lw_comeback_ms(room, x->rank / LW_RANKS_PER_PRIORITY, left_ms(x, x->deadline_us),
-				     lw_hub_random(x->engine->hub, UINT32_MAX));
+	uint32_t ms =
+		lw_comeback_ms(room, x->rank / LW_RANKS_PER_PRIORITY, left_ms(x, x->deadline_us),
+			       lw_hub_random(x->engine->hub, UINT32_MAX));
 
 	x->engine->stats.refused++;
 	answer_own(x, 503, why, ms);
@@ -586,8 +587,8 @@
 	give_up = timeout_ms && timeout_ms < deadline ? timeout_ms : deadline;
 	x->started_us = now;
 	x->deadline_us = now + (uint64_t)deadline * 1000;
-	x->deadline_us -= ask->late_us < (uint64_t)deadline * 1000 ? ask->late_us :
-								      (uint64_t)deadline * 1000;
+	x->deadline_us -=
+		ask->late_us < (uint64_t)deadline * 1000 ? ask->late_us : (uint64_t)deadline * 1000;
 	x->give_up_us = now + (uint64_t)give_up * 1000;
 	if (x->give_up_us > x->deadline_us)
 		x->give_up_us = x->deadline_us;
--- a/src/gate.c
+++ b/src/gate.c
@@ -137,7 +137,8 @@
 	       "id=%s server=%s why=%s ran_ms=%llu waited_ms=%llu running=%u queued=%zu limit=%u",
 	       j->request_id, j->target, lw_fail_name(why),
 	       j->started_us ? (unsigned long long)((g->hub->now_us - j->started_us) / 1000) : 0,
-	       (unsigned long long)(((j->started_us ? j->started_us : g->hub->now_us) - j->came_us) /
+	       (unsigned long long)(((j->started_us ? j->started_us : g->hub->now_us) -
+				     j->came_us) /
 				    1000),
 	       g->running, g->queue.len, g->limit);
 	if (j->conn) {
@@ -429,8 +430,8 @@
 static void start_job(lw_job_t *j)
 {
 	lw_gate_t *g = j->gate;
-	bool is_head = lw_bytebuf_len(&j->head) > 5 &&
-		       memcmp(lw_bytebuf_head(&j->head), "HEAD ", 5) == 0;
+	bool is_head =
+		lw_bytebuf_len(&j->head) > 5 && memcmp(lw_bytebuf_head(&j->head), "HEAD ", 5) == 0;
 
 	j->conn = take_connection(g);
 	j->started_us = g->hub->now_us;
--- a/src/hotpath.c
+++ b/src/hotpath.c
@@ -15,8 +15,8 @@
  * admitted is tried after a while. Age of news that counts as none, us, and
  * ranks it rises for each millisecond after that.
  */
-#define NEWS_OLD_US	300000
-#define RISE_PER_MS	1
+#define NEWS_OLD_US 300000
+#define RISE_PER_MS 1
 /* a route that was not led to a service for so long does not lead there, us */
 #define ROUTE_FORGETS_US 3000000
 /* routes of which the levels are kept; more are refused by their server only */
@@ -124,7 +124,7 @@
 	double level = s->level;
 
 	if (age > NEWS_OLD_US)
-		level += (double)((age - NEWS_OLD_US) / 1000) * RISE_PER_MS;
+		level += (double)(age - NEWS_OLD_US) / 1000.0 * RISE_PER_MS;
 	return level;
 }
 
--- a/src/httphead.c
+++ b/src/httphead.c
@@ -10,9 +10,16 @@
 
 /* headers that concern one connection only (RFC 9110, 7.6.1) */
 static const char *const hop_names[] = {
-	"Connection",	     "Keep-Alive", "Transfer-Encoding", "TE",
-	"Trailer",	     "Upgrade",	   "Proxy-Connection",	"Proxy-Authenticate",
-	"Proxy-Authorization", "Expect",
+	"Connection",
+	"Keep-Alive",
+	"Transfer-Encoding",
+	"TE",
+	"Trailer",
+	"Upgrade",
+	"Proxy-Connection",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Expect",
 };
 
 /* what one pass of http-parser over a head collects */
@@ -119,7 +126,8 @@
 	for (size_t i = 0; i < h->nfields; i++) {
 		lw_str_t name = h->fields[i].name;
 
-		if (!name.len || memchr(name.ptr, ' ', name.len) || memchr(name.ptr, '\t', name.len))
+		if (!name.len || memchr(name.ptr, ' ', name.len) ||
+		    memchr(name.ptr, '\t', name.len))
 			return false;
 	}
 	return true;
--- a/src/hub.c
+++ b/src/hub.c
@@ -13,6 +13,11 @@
  * above this is a suspension and not the clocks' rounding.
  */
 #define SUSPEND_MIN_US 100000
+/*
+ * A process that was stopped by a signal sees both clocks go on. The tick
+ * ends every wait, so a turn that comes later than this was held up, us.
+ */
+#define TURN_MAX_US ((uint64_t)(LW_HUB_TICK_S * 1e6) + 300000)
 
 static void on_check(struct ev_loop *loop, ev_check *w, int revents)
 {
@@ -23,7 +28,11 @@
 
 	(void)loop;
 	(void)revents;
-	h->slept_us = boot - h->now_us > mono - h->mono_us && apart > SUSPEND_MIN_US ? apart : 0;
+	h->slept_us = 0;
+	if (boot - h->now_us > mono - h->mono_us && apart > SUSPEND_MIN_US)
+		h->slept_us = apart;
+	else if (mono - h->mono_us > TURN_MAX_US)
+		h->slept_us = mono - h->mono_us;
 	h->now_us = boot;
 	h->mono_us = mono;
 }
--- a/src/hub.h
+++ b/src/hub.h
@@ -28,7 +28,7 @@
 	const lw_proxyset_t *set;
 	const lw_wirenames_t *names;
 	uint64_t now_us; /* boot time at the start of this turn of the loop */
-	uint64_t slept_us; /* how long the host was suspended before this turn */
+	uint64_t slept_us; /* how long the host or process stood still before this turn */
 	bool leaving; /* SIGTERM came: no new work */
 	ev_prepare prepare;
 	ev_check check;
--- a/src/level.c
+++ b/src/level.c
@@ -20,7 +20,7 @@
 /* a queue is to be worked off in this time, beside what arrives, ms */
 #define QUEUE_DRAIN_MS 600.0
 /* one step cuts at most to this part of the arrivals */
-#define CUT_MOST 0.6
+#define CUT_MOST  0.6
 #define CUT_LEAST 0.95
 /*
  * Steps until a cut shows here: requests that began before it still make
--- a/src/linux/sock.c
+++ b/src/linux/sock.c
@@ -21,10 +21,10 @@
  * Connections waiting to be accepted. A full queue drops the opening packet,
  * which is sent again only after a second: as long as callers wait for one.
  */
-#define SOCK_BACKLOG	     4096
-#define SOCK_KEEPIDLE_S	     1
-#define SOCK_KEEPINTVL_S     1
-#define SOCK_KEEPCNT	     2
+#define SOCK_BACKLOG	 4096
+#define SOCK_KEEPIDLE_S	 1
+#define SOCK_KEEPINTVL_S 1
+#define SOCK_KEEPCNT	 2
 
 static lw_status_t to_sockaddr(const char *addr, struct sockaddr_in *sa)
 {
--- a/src/log.h
+++ b/src/log.h
@@ -19,7 +19,7 @@
 	  "the node has compared its configuration with peers and takes requests")                 \
 	X(1004, settings_reloaded, LOG_NOTICE, "SIGHUP: the settings were read again")             \
 	X(1005, log_dropped, LOG_WARNING,                                                          \
-	  "request lines were left out to bound the volume; counters have them all")             \
+	  "request lines were left out to bound the volume; counters have them all")               \
 	X(1100, settings_invalid, LOG_ERR, "settings file rejected; the node does not start")      \
 	X(1101, args_invalid, LOG_ERR, "command line rejected")                                    \
 	X(1200, config_accepted, LOG_NOTICE, "a newer valid configuration is in force")            \
@@ -31,10 +31,10 @@
 	  "the configuration service did not answer; the last good configuration stays")           \
 	X(1204, preset_changed, LOG_NOTICE, "the preset in force changed")                         \
 	X(1205, config_from_peer, LOG_NOTICE, "a newer configuration was fetched from a peer")     \
-	X(1206, store_back, LOG_NOTICE, "the configuration service answers again")                \
+	X(1206, store_back, LOG_NOTICE, "the configuration service answers again")                 \
 	X(1207, store_history_lost, LOG_NOTICE,                                                    \
-	  "the configuration service dropped its history; everything is read anew")              \
-	X(1208, servers_changed, LOG_NOTICE, "the list of backend servers changed")               \
+	  "the configuration service dropped its history; everything is read anew")                \
+	X(1208, servers_changed, LOG_NOTICE, "the list of backend servers changed")                \
 	X(1300, request_shed, LOG_INFO, "a request was refused at admission (not run)")            \
 	X(1301, deadline_rejected, LOG_INFO,                                                       \
 	  "a request was refused because its deadline cannot be met")                              \
@@ -46,14 +46,14 @@
 	X(1306, dedup_hit, LOG_INFO, "a repeated idempotency key got the stored answer")           \
 	X(1307, queue_timeout, LOG_INFO, "a queued request waited past the queue bound (not run)") \
 	X(1308, request_ended, LOG_INFO,                                                           \
-	  "a request ended with an answer of this node; why says what failed last")               \
+	  "a request ended with an answer of this node; why says what failed last")                \
 	X(1309, answer_cut, LOG_WARNING,                                                           \
-	  "an answer that had begun could not be completed; the caller sees a cut connection")    \
-	X(1310, request_retried, LOG_INFO, "a request is given to another backend server")        \
+	  "an answer that had begun could not be completed; the caller sees a cut connection")     \
+	X(1310, request_retried, LOG_INFO, "a request is given to another backend server")         \
 	X(1311, call_ended, LOG_INFO,                                                              \
-	  "a call of the backend server on this host ended without an answer")                   \
+	  "a call of the backend server on this host ended without an answer")                     \
 	X(1312, path_busy, LOG_INFO,                                                               \
-	  "a request is refused where it begins, as a service its work leads to is full")         \
+	  "a request is refused where it begins, as a service its work leads to is full")          \
 	X(1400, peer_suspected, LOG_WARNING,                                                       \
 	  "a peer failed repeatedly and gets no new work for a while")                             \
 	X(1401, peer_recovered, LOG_NOTICE, "a suspected peer answered again")                     \
@@ -66,7 +66,7 @@
 	  "drain began: new work refused, in-flight work finishes")                                \
 	X(1501, drain_finished, LOG_NOTICE, "drain finished: nothing in flight")                   \
 	X(1405, node_lost, LOG_WARNING,                                                            \
-	  "a node could not be reached or went silent; it gets no new work for a while")         \
+	  "a node could not be reached or went silent; it gets no new work for a while")           \
 	X(1600, backend_error, LOG_WARNING, "the local backend server could not be reached")
 
 typedef enum lw_event_id {
--- a/src/lwproxy.c
+++ b/src/lwproxy.c
@@ -17,8 +17,9 @@
 	const char *path = config->count ? config->filename[0] : lw_users_platform.settings_path();
 
 	if (!path)
-		return lw_error(LW_ERR_ARGS,
-				"no settings file; name one with --config or let the platform do so");
+		return lw_error(
+			LW_ERR_ARGS,
+			"no settings file; name one with --config or let the platform do so");
 	return lw_proxyset_load(path, set);
 }
 
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -633,7 +633,8 @@
 {
 	while (!l->closed) {
 		Lw__MeshFrame *f;
-		ssize_t used = lw_meshframe_next(lw_bytebuf_head(&l->in), lw_bytebuf_len(&l->in), &f);
+		ssize_t used =
+			lw_meshframe_next(lw_bytebuf_head(&l->in), lw_bytebuf_len(&l->in), &f);
 
 		if (used < 0) {
 			link_lost(l);
@@ -828,7 +829,8 @@
 	l->silent = true;
 	l->mesh->stats.links_silent++;
 	l->mesh->ops->lost(l->mesh->ctx, l->node);
-	HASH_ITER(hh, l->streams, s, tmp) {
+	HASH_ITER(hh, l->streams, s, tmp)
+	{
 		if (!s->dead && s->call.sink)
 			s->call.sink->ops->silent(s->call.sink);
 	}
--- a/src/meshframe.c
+++ b/src/meshframe.c
@@ -148,7 +148,7 @@
 void lw_meshframe_append_servers(lw_bytebuf_t *out, const lw_serverlist_t *sl)
 {
 	Lw__ServerEntry *entry = xcalloc(sl->nservers + 1, sizeof(*entry));
-	Lw__ServerEntry **list = xcalloc(sl->nservers + 1, sizeof(*list));
+	Lw__ServerEntry **list = xcalloc(sl->nservers + 1, sizeof(void *));
 	Lw__Servers servers = LW__SERVERS__INIT;
 	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
 
--- a/src/place.c
+++ b/src/place.c
@@ -1,6 +1,7 @@
 /* Choosing a backend server; see place.h. */
 #include "place.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -40,6 +41,12 @@
 #define COST_SPREAD 0.2
 /* weight of one more outcome in the moving average of failures */
 #define FAILURE_EWMA 0.1
+/*
+ * A host that failed gets no work while others are better, so nothing would
+ * show that it is well again: without outcomes the average halves in this
+ * time, us.
+ */
+#define FAILURE_HALVES_US 1000000
 /* first and longest time a host that cannot be reached gets no work, ms */
 #define SUSPECT_MIN_MS 300
 #define SUSPECT_MAX_MS 1000
@@ -168,8 +175,8 @@
 
 static double zone_cost(const lw_place_host_t *h, int64_t body_length)
 {
-	double extra = body_length < 0 ? COST_ZONE_BODY_MOST :
-					 (double)body_length * COST_ZONE_PER_BYTE;
+	double extra =
+		body_length < 0 ? COST_ZONE_BODY_MOST : (double)body_length * COST_ZONE_PER_BYTE;
 
 	if (h->self)
 		return COST_SELF;
@@ -178,12 +185,20 @@
 	return COST_OTHER_ZONE + (extra < COST_ZONE_BODY_MOST ? extra : COST_ZONE_BODY_MOST);
 }
 
+static double recent_failures(const lw_place_host_t *h, uint64_t now_us)
+{
+	double halves = (double)(now_us - h->failures_us) / FAILURE_HALVES_US;
+
+	return h->failures > 0 && halves > 0.1 ? h->failures * exp2(-halves) : h->failures;
+}
+
 /* the time a request is expected to take there, against the service's mean */
 static double host_cost(const lw_place_host_t *h, const lw_place_ask_t *ask, double mean_us)
 {
 	bool known = h->load_us && ask->now_us - h->load_us < LOAD_STALE_US;
 	double use = host_use(h, known);
 	double cost = 1 + COST_FULL * use * use * use;
+	double failures;
 
 	if (ask->random % EXPLORE_ONE_IN == 0)
 		cost = use;
@@ -192,7 +207,8 @@
 	if (ask->now_us < h->cold_until_us)
 		cost *= COST_COLD;
 	cost *= zone_cost(h, ask->body_length);
-	return cost * (1 + COST_FAILING * h->failures * h->failures);
+	failures = recent_failures(h, ask->now_us);
+	return cost * (1 + COST_FAILING * failures * failures);
 }
 
 /* how sure it is that a host takes work; a better tier always goes first */
@@ -267,9 +283,11 @@
 /* lw_place_ended() - the request has its outcome; @ok: the server answered well. */
 void lw_place_ended(lw_place_host_t *h, bool ok, uint64_t now_us)
 {
-	(void)now_us;
+	double failures = recent_failures(h, now_us);
+
 	h->inflight--;
-	h->failures += FAILURE_EWMA * ((ok ? 0.0 : 1.0) - h->failures);
+	h->failures = failures + FAILURE_EWMA * ((ok ? 0.0 : 1.0) - failures);
+	h->failures_us = now_us;
 	if (ok) {
 		h->suspect_until_us = 0;
 		h->backoff_ms = 0;
--- a/src/place.h
+++ b/src/place.h
@@ -30,6 +30,7 @@
 	uint32_t sent; /* requests of ours since then */
 	uint32_t inflight; /* requests of ours without an outcome */
 	double failures; /* moving average: 0 none, 1 all failed */
+	uint64_t failures_us; /* when the last outcome was counted */
 	uint64_t suspect_until_us; /* gets no new work while another can take it */
 	uint32_t backoff_ms; /* length of the last suspicion */
 	uint64_t cold_until_us;
--- a/src/proxyset.c
+++ b/src/proxyset.c
@@ -89,7 +89,8 @@
 		return LW_ERR_SETTINGS;
 	if (s->mesh_port == 0 || s->mesh_port > 65535)
 		return lw_error(LW_ERR_SETTINGS,
-				"%s: [listen] mesh_port must be 1..65535; choose a free port", name);
+				"%s: [listen] mesh_port must be 1..65535; choose a free port",
+				name);
 	if (s->memory_mb < 32 || s->max_fds < 256)
 		return lw_error(
 			LW_ERR_SETTINGS,
--- a/src/proxystats.c
+++ b/src/proxystats.c
@@ -98,8 +98,7 @@
 	counter(f, "lw_store_failures_total", "of these, failed", s->feed.failures);
 	counter(f, "lw_store_resyncs_total", "times everything was read anew", s->feed.resyncs);
 	gauge(f, "lw_store_reader", "1: this node reads the store for others", s->reader);
-	gauge(f, "lw_store_news_age_ms", "since the store was last read by anyone",
-		s->news_age_ms);
+	gauge(f, "lw_store_news_age_ms", "since the store was last read by anyone", s->news_age_ms);
 	gauge(f, "lw_config_version", "configuration in force", s->config_version);
 	gauge(f, "lw_servers", "backend servers in the list", s->servers);
 	gauge(f, "lw_servers_revision", "revision of that list", s->servers_revision);
--- a/src/retrylimit.c
+++ b/src/retrylimit.c
@@ -65,8 +65,8 @@
  * lw_retrylimit_take() - true, and counted, if this node may send a request
  * at @at again in the window that ends now.
  */
-bool lw_retrylimit_take(lw_retrylimit_t *l, const lw_retryterms_t *t,
-			const lw_retryplace_t *at, uint64_t now_us)
+bool lw_retrylimit_take(lw_retrylimit_t *l, const lw_retryterms_t *t, const lw_retryplace_t *at,
+			uint64_t now_us)
 {
 	uint32_t requests = 0, retries = 0, own = 0;
 	double allowed;
--- a/src/retrylimit.h
+++ b/src/retrylimit.h
@@ -34,7 +34,7 @@
 
 void lw_retrylimit_request(lw_retrylimit_t *l, const lw_retryterms_t *t, uint64_t now_us);
 void lw_retrylimit_repeat(lw_retrylimit_t *l, const lw_retryterms_t *t, uint64_t now_us);
-bool lw_retrylimit_take(lw_retrylimit_t *l, const lw_retryterms_t *t,
-			const lw_retryplace_t *at, uint64_t now_us);
+bool lw_retrylimit_take(lw_retrylimit_t *l, const lw_retryterms_t *t, const lw_retryplace_t *at,
+			uint64_t now_us);
 
 #endif
--- a/src/retryrule.c
+++ b/src/retryrule.c
@@ -40,6 +40,6 @@
  */
 bool lw_retry_answer(const lw_attempts_t *a, uint32_t status)
 {
-	return (status == 500 || status == 502 || status == 503) && a->idempotent &&
-	       a->body_kept && a->given < a->max_given && a->left_ms >= LEFT_MIN_MS;
+	return (status == 500 || status == 502 || status == 503) && a->idempotent && a->body_kept &&
+	       a->given < a->max_given && a->left_ms >= LEFT_MIN_MS;
 }
--- a/src/serverset.c
+++ b/src/serverset.c
@@ -46,7 +46,8 @@
 {
 	lw_member_t *m, *tmp;
 
-	HASH_ITER(hh, s->members, m, tmp) {
+	HASH_ITER(hh, s->members, m, tmp)
+	{
 		member_free(s, m);
 	}
 	free(s);
@@ -120,7 +121,8 @@
 {
 	lw_member_t *m, *tmp;
 
-	HASH_ITER(hh, s->members, m, tmp) {
+	HASH_ITER(hh, s->members, m, tmp)
+	{
 		if (m->missing) {
 			member_free(s, m);
 			s->changed = true;
@@ -167,7 +169,8 @@
 	sl = xcalloc(1, sizeof(*sl));
 	sl->servers = xcalloc(HASH_COUNT(s->members) + 1, sizeof(*sl->servers));
 	newest = newest_by_addr(s);
-	HASH_ITER(by_addr, newest, m, tmp) {
+	HASH_ITER(by_addr, newest, m, tmp)
+	{
 		sl->servers[sl->nservers++] = m->entry;
 		HASH_DELETE(by_addr, newest, m);
 	}
--- a/src/tomlkeys.c
+++ b/src/tomlkeys.c
@@ -109,10 +109,9 @@
 		if (lw_str_eq_c(t, w->keys[i].table))
 			w->table = w->keys[i].table;
 	if (!w->table || lw_toml_type(val) != LW_TOML_TABLE) {
-		w->st = lw_error(
-			LW_ERR_SETTINGS,
-			"%s line %d: unknown table [%.*s]; remove it or fix its spelling", w->name,
-			lw_toml_line(val), (int)keylen, key);
+		w->st = lw_error(LW_ERR_SETTINGS,
+				 "%s line %d: unknown table [%.*s]; remove it or fix its spelling",
+				 w->name, lw_toml_line(val), (int)keylen, key);
 		return;
 	}
 	lw_toml_each(val, key_cb, w);
--- /dev/null
+++ b/tests/mesh/fleet.py
@@ -0,0 +1,193 @@
+"""A fleet on loopback: lwproxy processes, each beside a stand-in server."""
+import asyncio
+import os
+import signal
+import subprocess
+import tempfile
+
+import standin
+
+CALLERS, READY, BACKEND, MESH, METRICS, STORE = 8100, 8101, 8102, 8103, 8104, 8109
+PROXY = os.environ.get("LWPROXY", "build/lwproxy")
+
+
+def route(name, prefix, service, kind="safe", priority=1, timeout=3, target=1, attempts=2):
+    action = {"timeout_s": timeout, "max_attempts": attempts}
+    if isinstance(service, dict):
+        action["traffic_split"] = [{"service": s, "weight": w} for s, w in service.items()]
+    else:
+        action["service"] = service
+    return {"name": name, "kind": kind, "priority": priority, "target_latency_s": target,
+            "match": {"path_prefix": prefix}, "action": action}
+
+
+ROUTES = [route("get", "/get/", "front"), route("put", "/put/", "front", "unsafe"),
+          route("leaf", "/leaf/", "back"), route("up", "/up/", "back", "upload", timeout=30)]
+
+
+def config(version, rules=None, **limits):
+    base = {"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 1,
+            "idle_timeout_s": 3}
+    base.update(limits)
+    return {"version": f"r{version}", "limits": base,
+            "listeners": [{"host": "h.example", "rules": rules or ROUTES}]}
+
+
+class Node:
+    def __init__(self, fleet, ip, server):
+        self.fleet, self.ip, self.server = fleet, ip, server
+        self.proc = None
+        self.log = []
+
+    def settings(self):
+        return f"""[host]
+ip = "{self.ip}"
+zone = "{self.server.zone}"
+service = "{self.server.service}"
+backend = "{self.ip}:{BACKEND}"
+memory_mb = 260
+max_fds = 4100
+[listen]
+callers = "{self.ip}:{CALLERS}"
+ready = "{self.ip}:{READY}"
+metrics = "{self.ip}:{METRICS}"
+mesh_port = {MESH}
+[store]
+address = "{self.fleet.store.addr}"
+[terms]
+heartbeat_s = 1.5
+drain_s = 2
+grace_s = 6
+retry_ratio = 0.2
+retry_extra = 47
+retry_window_s = 10
+"""
+
+    def start(self):
+        path = os.path.join(self.fleet.dir, self.ip + ".toml")
+        with open(path, "w", encoding="utf-8") as f:
+            f.write(self.settings())
+        out = open(os.path.join(self.fleet.dir, self.ip + ".log"), "ab")
+        self.proc = subprocess.Popen([PROXY, "--config", path], stdout=out, stderr=out)
+
+    def signal(self, sig):
+        self.proc.send_signal(sig)
+
+    def kill(self):
+        if self.proc and self.proc.poll() is None:
+            self.proc.kill()
+            self.proc.wait()
+
+    def caller(self):
+        c = standin.Caller(self.ip, CALLERS)
+        self.fleet.callers.append(c)
+        return c
+
+    async def ready(self):
+        c = standin.Caller(self.ip, READY)
+        try:
+            await c.raw(b"GET /v1/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            return (await c.answer(1)).status
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return 0
+        finally:
+            c.close()
+
+    async def metric(self, name):
+        c = standin.Caller(self.ip, METRICS)
+        await c.raw(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        text = (await c.answer(2)).body.decode()
+        c.close()
+        for line in text.splitlines():
+            if line.startswith(name + " "):
+                return float(line.split()[1])
+        return None
+
+    def rss_kb(self):
+        with open(f"/proc/{self.proc.pid}/status", encoding="utf-8") as f:
+            for line in f:
+                if line.startswith("VmRSS"):
+                    return int(line.split()[1])
+        return 0
+
+    def logged(self, event):
+        path = os.path.join(self.fleet.dir, self.ip + ".log")
+        with open(path, encoding="utf-8", errors="replace") as f:
+            return [line for line in f if f" {event} " in line]
+
+
+class Fleet:
+    """`layout`: {service: count}; nodes are self.nodes[service][i]."""
+
+    def __init__(self, net, layout, slots=16, rules=None):
+        self.dir = tempfile.mkdtemp(prefix="lwmesh-")
+        self.store = standin.Store()
+        self.net = net
+        self.nodes = {}
+        self.callers = []
+        self.rules = rules
+        self.beats = None
+        number = 0
+        for service, count in layout.items():
+            self.nodes[service] = []
+            for i in range(count):
+                number += 1
+                ip = f"127.{net}.0.{number}"
+                server = standin.Server(f"i-{service}-{i}", service, ip, BACKEND,
+                                        f"zone-{'abc'[i % 3]}", slots)
+                self.nodes[service].append(Node(self, ip, server))
+
+    def all(self):
+        return [n for nodes in self.nodes.values() for n in nodes]
+
+    async def start(self, wait=True):
+        await self.store.start(f"127.{self.net}.0.250", STORE)
+        self.store.put("op/config", config(1, self.rules))
+        for n in self.all():
+            await n.server.start()
+            self.register(n.server)
+            n.start()
+        self.beats = asyncio.ensure_future(self.heartbeats())
+        if wait:
+            await self.until_ready()
+
+    def register(self, server):
+        self.store.put("servers/" + server.id, server.entry())
+
+    async def heartbeats(self):
+        while True:
+            await asyncio.sleep(1.5)
+            for n in self.all():
+                if "servers/" + n.server.id in self.store.items:
+                    self.register(n.server)
+
+    async def until_ready(self, nodes=None, timeout=10):
+        for n in nodes or self.all():
+            await until(lambda n=n: n.ready(), lambda s: s == 200, timeout)
+
+    async def stop(self):
+        if self.beats:
+            self.beats.cancel()
+        for c in self.callers:
+            c.close()
+        for n in self.all():
+            if n.proc and n.proc.poll() is None:
+                n.signal(signal.SIGCONT)
+            n.kill()
+            n.server.stop()
+        self.store.server.close()
+
+
+async def until(get, good, timeout=5, step=0.05):
+    """Poll `get` (plain or coroutine function) until `good` says so."""
+    loop = asyncio.get_event_loop()
+    end = loop.time() + timeout
+    while True:
+        value = get()
+        if asyncio.iscoroutine(value):
+            value = await value
+        if good(value):
+            return value
+        if loop.time() > end:
+            raise AssertionError(f"not within {timeout} s; last value {value!r}")
+        await asyncio.sleep(step)
--- /dev/null
+++ b/tests/mesh/standin.py
@@ -0,0 +1,335 @@
+"""Stand-ins for what a proxy meets on the platform: the store, a backend
+server and a caller, each on loopback and within one event loop, with the
+faults that the failure tests need."""
+import asyncio
+import base64
+import json
+import time
+
+
+class Store:
+    """The platform's metadata store: reads, ranges with pages, watches."""
+
+    def __init__(self, page=50):
+        self.items = {}
+        self.revision = 1
+        self.log = []
+        self.oldest = 0
+        self.page = page
+        self.mode = "ok"  # ok, silent, 503, 429, reset
+        self.refused = set()  # IPs that are turned away
+        self.calls = 0
+        self.changed = asyncio.Event()
+
+    async def start(self, ip, port):
+        self.addr = f"{ip}:{port}"
+        self.server = await asyncio.start_server(self.serve, ip, port)
+
+    def put(self, key, value):
+        self.revision += 1
+        old = self.items.get(key)
+        item = {"key": key, "value": base64.b64encode(json.dumps(value).encode()).decode(),
+                "revision": self.revision, "lease": 0,
+                "created_rev": old["created_rev"] if old else self.revision}
+        self.items[key] = item
+        self.note(item)
+
+    def remove(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+            self.note({"key": key, "revision": self.revision, "tombstone": True})
+
+    def note(self, event):
+        self.log.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def compact(self):
+        self.oldest = self.revision
+        self.log = []
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                await self.answer(head.split(" ")[1], writer)
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer(self, target, writer):
+        self.calls += 1
+        peer = writer.get_extra_info("peername")[0]
+        mode = "503" if peer in self.refused else self.mode
+        if mode == "silent":
+            await asyncio.sleep(3600)
+        if mode == "reset":
+            writer.transport.abort()
+            raise ConnectionError
+        path, _, query = target.partition("?")
+        args = dict(p.split("=", 1) for p in query.split("&") if "=" in p)
+        status, body = (int(mode), {}) if mode in ("503", "429") else await self.read(path, args)
+        data = json.dumps(body).encode()
+        writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
+        await writer.drain()
+
+    async def read(self, path, args):
+        prefix = args.get("path_prefix", "")
+        if path == "/v1/kv-range":
+            keys = sorted(k for k in self.items
+                          if k.startswith(prefix) and k > args.get("after", ""))
+            return 200, {"items": [self.items[k] for k in keys[:self.page]],
+                         "truncated": len(keys) > self.page, "store_revision": self.revision}
+        if path == "/v1/kv-watch":
+            return await self.watch(prefix, int(args["after"]), int(args["wait_ms"]) / 1000)
+        return 404, {}
+
+    async def watch(self, prefix, after, wait):
+        end = time.monotonic() + wait
+        while True:
+            if after < self.oldest:
+                return 410, {}
+            events = [e for e in self.log if e["revision"] > after and e["key"].startswith(prefix)]
+            left = end - time.monotonic()
+            if events or left <= 0:
+                return 200, {"events": events, "store_revision": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+
+class Head:
+    def __init__(self, text):
+        lines = text.decode("latin-1").split("\r\n")
+        self.start = lines[0].split(" ", 2)
+        self.fields = {}
+        for line in lines[1:]:
+            if ":" in line:
+                name, value = line.split(":", 1)
+                self.fields[name.strip().lower()] = value.strip()
+
+    def get(self, name, otherwise=None):
+        return self.fields.get(name.lower(), otherwise)
+
+
+async def read_body(reader, head, answer=False):
+    """The whole body; raises IncompleteReadError if it is cut."""
+    if (head.get("transfer-encoding") or "").lower() == "chunked":
+        out = b""
+        while True:
+            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+            data = await reader.readexactly(size + 2)
+            if not size:
+                return out
+            out += data[:-2]
+    if head.get("content-length") is not None:
+        return await reader.readexactly(int(head.get("content-length")))
+    return await reader.read() if answer else b""
+
+
+class Server:
+    """A backend server. `behave` decides per request: a coroutine that may
+    sleep, call through the proxy, or name a fault."""
+
+    def __init__(self, sid, service, ip, port, zone="zone-a", slots=16):
+        self.id, self.service, self.ip, self.port = sid, service, ip, port
+        self.zone, self.slots, self.queue = zone, slots, slots
+        self.running = 0
+        self.free = asyncio.Semaphore(slots)
+        self.ran = []  # (time, request id)
+        self.heads = {}
+        self.cancelled = []
+        self.conns = set()
+        self.accepted = 0
+        self.behave = None
+        self.draining = False
+        self.open = []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, self.ip, self.port, limit=1 << 20)
+
+    def stop(self):
+        self.server.close()
+        for w in list(self.conns):
+            w.transport.abort()
+
+    def entry(self):
+        return {"address": f"{self.ip}:{self.port}",
+                "info": {"service": self.service, "version": "v1", "zone": self.zone,
+                         "slots": self.slots},
+                "status": {"state": "draining" if self.draining else "ready", "sequence": 1,
+                           "cold_remaining_s": 0}}
+
+    async def serve(self, reader, writer):
+        self.accepted += 1
+        self.conns.add(writer)
+        try:
+            while await self.one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            pass
+        finally:
+            self.conns.discard(writer)
+            writer.close()
+
+    async def one(self, reader, writer):
+        head = Head(await reader.readuntil(b"\r\n\r\n"))
+        rid = head.get("x-request-id", "")
+        if head.get("x-target-instance") not in (None, self.id):
+            await read_body(reader, head)
+            self.write(writer, 421, rid, b"", [f"X-Instance-Id: {self.id}"])
+            return True
+        fault = await self.behave(self, head, rid, "head") if self.behave else None
+        if fault == "shed":
+            await read_body(reader, head)
+            self.write(writer, 503, rid, b"", ["X-Not-Executed: 1"])
+            return True
+        if fault == "early":
+            self.ran.append((time.monotonic(), rid))
+            self.write(writer, 200, rid, b"early")
+            await read_body(reader, head)
+            return True
+        body = await read_body(reader, head)
+        async with self.free:
+            return await self.run(reader, writer, head, rid, body)
+
+    async def run(self, reader, writer, head, rid, body):
+        self.ran.append((time.monotonic(), rid))
+        self.heads[rid] = head
+        self.running += 1
+        work = asyncio.ensure_future(self.work(head, rid, body))
+        gone = asyncio.ensure_future(self.watch_close(reader, work))
+        try:
+            fault, status, data = await work
+        except asyncio.CancelledError:
+            self.cancelled.append((time.monotonic(), rid))
+            raise ConnectionError
+        finally:
+            self.running -= 1
+            gone.cancel()
+        return await self.respond(writer, rid, fault, status, data)
+
+    async def watch_close(self, reader, work):
+        """A caller that closes its connection ends the work."""
+        while not reader.at_eof():
+            await asyncio.sleep(0.01)
+            if reader._eof or reader.exception():  # no public way to look without reading
+                break
+        work.cancel()
+
+    async def work(self, head, rid, body):
+        result = await self.behave(self, head, rid, "run") if self.behave else None
+        if isinstance(result, tuple):
+            return result
+        data = f"{self.id} {head.start[0]} {head.start[1]} {len(body)} ".encode() + body[:64]
+        return result, 200, data
+
+    def write(self, writer, status, rid, data, extra=(), length=None):
+        lines = [f"HTTP/1.1 {status} X", f"X-Request-Id: {rid}", "X-Server-Stamp: st-" + rid,
+                 f"X-Server-Load: {self.running},0,{self.slots}", "Keep-Alive: timeout=10"]
+        if length != "none":
+            lines.append(f"Content-Length: {len(data) if length is None else length}")
+        lines += extra
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + data)
+
+    async def respond(self, writer, rid, fault, status, data):
+        if fault == "lost":
+            writer.transport.abort()
+            raise ConnectionError
+        if fault == "hang":
+            await asyncio.sleep(3600)
+        if fault == "cut":
+            self.write(writer, status, rid, data, length=len(data) + 50)
+            await writer.drain()
+            writer.transport.close()
+            raise ConnectionError
+        if fault == "unframed":
+            self.write(writer, status, rid, data, ["Connection: close"], length="none")
+            await writer.drain()
+            writer.close()
+            raise ConnectionError
+        if fault == "unframed-reset":
+            self.write(writer, status, rid, data, ["Connection: close"], length="none")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            import socket
+            import struct
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+            raise ConnectionError
+        if fault == "garbage":
+            writer.write(b"\x00\x01not http\r\n\r\n")
+            await writer.drain()
+            return True
+        self.write(writer, status, rid, data)
+        if fault == "extra":
+            self.write(writer, 200, "someone-else", b"not yours")
+        await writer.drain()
+        if fault == "late-extra":
+            await asyncio.sleep(0.05)
+            self.write(writer, 200, "someone-else", b"not yours")
+        return True
+
+
+class Answer:
+    def __init__(self, status, head, body, whole):
+        self.status, self.head, self.body, self.whole = status, head, body, whole
+
+    def __repr__(self):
+        return f"<{self.status} {self.body[:40]!r} whole={self.whole}>"
+
+
+class Caller:
+    """One connection of a caller."""
+
+    def __init__(self, ip, port):
+        self.ip, self.port = ip, port
+        self.reader = None
+
+    async def open(self):
+        self.reader, self.writer = await asyncio.open_connection(self.ip, self.port, limit=1 << 20)
+
+    def close(self):
+        if self.reader:
+            self.writer.transport.abort()
+        self.reader = None
+
+    async def raw(self, data):
+        if not self.reader:
+            await self.open()
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def answer(self, timeout=10):
+        return await asyncio.wait_for(self.read_answer(), timeout)
+
+    async def read_answer(self):
+        while True:
+            head = Head(await self.reader.readuntil(b"\r\n\r\n"))
+            if head.start[1] != "100":
+                break
+        try:
+            body, whole = await read_body(self.reader, head, True), True
+        except asyncio.IncompleteReadError as e:
+            body, whole = e.partial, False
+        return Answer(int(head.start[1]), head, body, whole)
+
+    async def ask(self, method, target, rid, host="h.example", body=b"", deadline=5000,
+                  headers=(), chunked=False, timeout=10):
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {host}", f"X-Request-Id: {rid}"]
+        if deadline is not None:
+            lines.append(f"X-Deadline-Ms: {deadline}")
+        lines += headers
+        if chunked:
+            lines.append("Transfer-Encoding: chunked")
+            parts = [body[i:i + 1000] for i in range(0, len(body), 1000)]
+            data = b"".join(f"{len(p):x}\r\n".encode() + p + b"\r\n" for p in parts) + b"0\r\n\r\n"
+        else:
+            data = body
+            if body or method in ("POST", "PUT"):
+                lines.append(f"Content-Length: {len(body)}")
+        await self.raw(("\r\n".join(lines) + "\r\n\r\n").encode() + data)
+        return await self.answer(timeout)
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Formatter and linter, both must be clean. Generated protobuf code is left out.
 set -e
-FILES=$(ls src/*.c src/*.h src/linux/*.c src/linux/*.h tests/*.c tests/*.h | grep -v '\.pb-c\.')
+FILES=$(ls src/*.c src/*.h src/linux/*.c src/linux/*.h platform/*.c platform/*.h tests/*.c tests/*.h | grep -v '\.pb-c\.')
 clang-format --dry-run -Werror $FILES
 CFLAGS="-std=gnu11 -D_GNU_SOURCE -Isrc -Itests -I/usr/include/neon $(pkg-config --cflags cairo)"
 # one clang-tidy a file, on all cores; it exits non-zero on any finding
