--- a/src/retrylimit.c
+++ b/src/retrylimit.c
@@ -79,8 +79,7 @@
 	lw_retryslice_t sum = { 0 };
 
 	for (uint32_t i = 0; i < LW_RETRY_SLICES; i++) {
-		const lw_retryslice_t *s =
-			slice_at(l, l->newest + LW_RETRY_KEPT - back - i);
+		const lw_retryslice_t *s = slice_at(l, l->newest + LW_RETRY_KEPT - back - i);
 
 		sum.requests += s->requests;
 		sum.retries += s->retries;
@@ -172,13 +171,12 @@
 	advance(l, t, now_us);
 	count_wanted(l, at->rank);
 	sum = window_sum(l, 0);
-	allowed = t->ratio * base_requests(l, sum.requests) +
-		  t->extra / (at->nodes ? at->nodes : 1);
+	allowed =
+		t->ratio * base_requests(l, sum.requests) + t->extra / (at->nodes ? at->nodes : 1);
 	share = allowed * own_part(at);
 	if (sum.retries + 1 > allowed * TOTAL_PART || sum.own + 1 > share)
 		return false;
-	if (sum.own > share * ANY_RANK_PART &&
-	    !rank_admitted(l, at->rank, share / LW_RETRY_SLICES))
+	if (sum.own > share * ANY_RANK_PART && !rank_admitted(l, at->rank, share / LW_RETRY_SLICES))
 		return false;
 	slice_at(l, l->newest)->own++;
 	slice_at(l, l->newest)->retries++;
--- a/src/simfleet.c
+++ b/src/simfleet.c
@@ -377,8 +377,7 @@
 static bool take_retry(run_t *r, req_t *q)
 {
 	lw_retryplace_t at = { (uint32_t)r->nnodes, q->above,
-			       lw_hotpath_depth(q->origin->hot, q->kind->name),
-			       q->rank };
+			       lw_hotpath_depth(q->origin->hot, q->kind->name), q->rank };
 	bool yes;
 
 	/* as if all ranks of a priority were one */
@@ -436,8 +435,8 @@
 	q->call_failed = false;
 	q->at = node_of(r, q->host->id);
 	lw_place_sent(q->host);
-	push(r, LW_SIM_AT_NODE,
-	     r->now + (q->host->self ? 0 : (uint64_t)(r->sim->net_ms * 1000)), q);
+	push(r, LW_SIM_AT_NODE, r->now + (q->host->self ? 0 : (uint64_t)(r->sim->net_ms * 1000)),
+	     q);
 }
 
 static void attempt(run_t *r, req_t *q, lw_fail_t last)
--- a/src/simload.c
+++ b/src/simload.c
@@ -160,8 +160,8 @@
 			s->policy = (lw_sim_policy_t)i;
 			return LW_OK;
 		}
-	return lw_error(LW_ERR_ARGS, "policy '%s' is unknown; use full, spread, no-levels, fifo or naive",
-			name);
+	return lw_error(LW_ERR_ARGS,
+			"policy '%s' is unknown; use full, spread, no-levels, fifo or naive", name);
 }
 
 /* lw_sim_free() - release a deployment. */
--- a/tests/decide.c
+++ b/tests/decide.c
@@ -301,8 +301,8 @@
 /* verdict WHY GIVEN MAX HANDED_BACK LEFT [idempotent] [kept] [maybe_ran] [nested] [resent] */
 static void do_verdict(world_t *w, const words_t *a)
 {
-	static const char *const names[] = { "again", "again_counted", "same_counted", "refuse", "fail",
-					     "timeout" };
+	static const char *const names[] = { "again",  "again_counted", "same_counted",
+					     "refuse", "fail",		"timeout" };
 	lw_attempts_t t = {
 		.idempotent = has(a, "idempotent"),
 		.nested = has(a, "nested"),
