A stopping node works on for a second, then takes nothing, then exits

Other nodes were told at SIGTERM, so the server beside stood idle until callers had heard, 2.3 s later; and when all nodes of a service were stopping each was sent work as the best one left until its exit at 5 s cut it off (502, 123 calls).

Change: stopplan.c says what a stopping node does when, as one decision. Other nodes are told after 1.3 s; from 2.3 s on nothing is taken and what waits goes back; that is told with a limit of 0, so that nobody tries; exit 0.2 s later when nothing runs. A restart takes a server's room away for 1.9 s instead of 2.9 s, and stops in turn overlap less.

A stalled call is now given up only if another server is known to have room, and never by a stopping node.

Three new tests of lwproxy, each failing before.

--- a/src/call.h
+++ b/src/call.h
@@ -41,7 +41,7 @@
 typedef struct lw_load {
 	uint32_t running;
 	uint32_t queued;
-	uint32_t limit;
+	uint32_t limit; /* 0: it takes nothing, its node is about to exit */
 	uint32_t service_us;
 	uint32_t level; /* first rank it refuses, see level.h */
 	uint32_t failing; /* per mille of its requests that failed of late */
--- a/src/exchattempt.c
+++ b/src/exchattempt.c
@@ -9,6 +9,8 @@
 /* an attempt that takes so many times as long as usual counts as stalled */
 #define STALL_FACTOR   8
 #define STALL_LEAST_US 150000
+/* without room elsewhere a stalled attempt is looked at again after this, in seconds */
+#define STALL_AGAIN_S 0.1
 /*
  * Longest useful wait in front of a server, in percent of the latency
  * objective. A refused new request can go elsewhere or come back; a refused
@@ -260,13 +262,25 @@
 
 /*
  * lw_exchange_stalled() - An answer that takes far longer than usual was lost, or the server hangs. A
- * request that may run twice goes elsewhere while its caller still waits.
+ * request that may run twice goes elsewhere while its caller still waits, but
+ * only where there is room: the call may just have waited long in a queue, and
+ * given up for a refusal elsewhere it is lost (502 with its server at work). A
+ * node that stops breaks nothing off.
  */
 void lw_exchange_stalled(struct ev_loop *loop, ev_timer *w, int revents)
 {
-	(void)loop;
+	lw_exchange_t *x = w->data;
+	const lw_hub_t *hub = x->engine->hub;
+
 	(void)revents;
-	sink_silent(&((lw_exchange_t *)w->data)->sink);
+	if (hub->leaving)
+		return;
+	if (lw_place_has_room(x->service, &x->tried, hub->now_us)) {
+		sink_silent(&x->sink);
+		return;
+	}
+	ev_timer_set(w, STALL_AGAIN_S, 0);
+	ev_timer_start(loop, w);
 }
 
 static void watch_for_stall(lw_exchange_t *x)
--- a/src/gate.c
+++ b/src/gate.c
@@ -33,9 +33,9 @@
 	out->level = g->level.level;
 	out->failing = (uint32_t)(g->failing * 1000);
 	out->queued = (uint32_t)g->queue.len;
-	out->limit = g->limit;
+	out->limit = g->refusing ? 0 : g->limit;
 	out->service_us = (uint32_t)g->service_us;
-	out->leaving = g->leaving || g->hub->leaving;
+	out->leaving = g->leaving || g->refusing || g->hub->peers_told;
 	out->call_failed = false;
 	out->depth = 0;
 	out->hots.n = 0;
@@ -114,6 +114,8 @@
 {
 	if (g->leaving && (!ask->target.len || lw_str_eq_c(ask->target, g->server_id)))
 		return LW_FAIL_LEAVING;
+	if (g->refusing)
+		return LW_FAIL_LEAVING;
 	if (g->queued_bytes > QUEUE_BYTES_MAX)
 		return LW_FAIL_BUSY;
 	return LW_FAIL_NONE;
@@ -161,22 +163,38 @@
 	return &j->call;
 }
 
+static void hand_back_queue(lw_gate_t *g)
+{
+	lw_waiter_t *w;
+
+	while ((w = g->queue.first) != NULL)
+		lw_job_fail(JOB_OF_WAITER(w), LW_FAIL_LEAVING);
+}
+
+/*
+ * lw_gate_refuse() - this node is about to exit: what waits is handed back,
+ * nothing new is taken, what runs goes on.
+ */
+void lw_gate_refuse(lw_gate_t *g)
+{
+	g->refusing = true;
+	hand_back_queue(g);
+}
+
 /*
  * lw_gate_set_server() - the backend server on this host as it registered
  * itself. When it is leaving, what still waits is handed back at once.
  */
 void lw_gate_set_server(lw_gate_t *g, const char *id, uint32_t slots, bool leaving)
 {
-	lw_waiter_t *w;
-
 	if (slots && slots != g->slots) {
 		g->slots = slots;
 		g->limit = lw_admit_limit(slots);
 	}
 	lw_str_copy(g->server_id, sizeof(g->server_id), lw_str_c(id));
 	g->leaving = leaving;
-	while (leaving && (w = g->queue.first) != NULL)
-		lw_job_fail(JOB_OF_WAITER(w), LW_FAIL_LEAVING);
+	if (leaving)
+		hand_back_queue(g);
 }
 
 static lw_job_t *job_by_id(const lw_gate_t *g, lw_str_t id)
--- a/src/gate.h
+++ b/src/gate.h
@@ -38,6 +38,7 @@
 	double failing; /* moving average: 0 none of its requests fails, 1 all do */
 	double service_us; /* moving average of the time a request runs */
 	bool leaving; /* the backend server takes no new work */
+	bool refusing; /* this node is about to exit */
 	char server_id[LW_NAME_MAX]; /* of the backend server that is on this host now */
 	lw_waitq_t queue;
 	size_t queued_bytes;
@@ -56,6 +57,7 @@
 void lw_gate_set_server(lw_gate_t *g, const char *id, uint32_t slots, bool leaving);
 lw_call_t *lw_gate_submit(lw_gate_t *g, lw_sink_t *sink, const lw_ask_t *ask, lw_str_t body,
 			  bool fin, lw_fail_t *why, uint32_t *retry_after_ms);
+void lw_gate_refuse(lw_gate_t *g);
 void lw_gate_load(const lw_gate_t *g, lw_load_t *out);
 bool lw_gate_parent(const lw_gate_t *g, lw_str_t id, uint32_t *rank, bool *repeat);
 void lw_gate_note_call(lw_gate_t *g, lw_str_t parent_id, const lw_load_t *load);
--- a/src/hub.h
+++ b/src/hub.h
@@ -29,7 +29,8 @@
 	const lw_wirenames_t *names;
 	uint64_t now_us; /* boot time at the start of this turn of the loop */
 	uint64_t slept_us; /* how long the host or process stood still before this turn */
-	bool leaving; /* SIGTERM came: no new work */
+	bool leaving; /* SIGTERM came: callers are told not to come */
+	bool peers_told; /* other nodes are told to send work elsewhere */
 	ev_prepare prepare;
 	ev_check check;
 	ev_timer tick;
--- a/src/place.c
+++ b/src/place.c
@@ -228,6 +228,15 @@
 	return h->load.leaving ? TIER_LEAVING : TIER_GOOD;
 }
 
+/*
+ * A node that is about to exit says that it takes nothing. A request sent all
+ * the same may meet the exit, and nobody can tell then whether it ran.
+ */
+static bool refuses(const lw_place_host_t *h, uint64_t now_us)
+{
+	return h->load_us && !h->load.limit && now_us - h->load_us < LOAD_STALE_US;
+}
+
 static double mean_service(const lw_place_service_t *s)
 {
 	double sum = 0;
@@ -258,7 +267,7 @@
 		tier_t tier = host_tier(h, ask->now_us);
 		double cost;
 
-		if (!h->listed || h->draining || was_tried(tried, h))
+		if (!h->listed || h->draining || refuses(h, ask->now_us) || was_tried(tried, h))
 			continue;
 		random = random * 1664525u + 1013904223u;
 		cost = host_cost(h, ask, mean);
@@ -274,6 +283,23 @@
 	return NULL;
 }
 
+/*
+ * lw_place_has_room() - whether a host of @s other than @tried is known to have
+ * room for a request now. Giving up a call that may yet be answered is only
+ * worth it then.
+ */
+bool lw_place_has_room(const lw_place_service_t *s, const lw_place_tried_t *tried, uint64_t now_us)
+{
+	for (const lw_place_host_t *h = s->hosts; h; h = h->next) {
+		bool known = h->load_us && now_us - h->load_us < LOAD_STALE_US;
+
+		if (known && h->listed && !h->draining && host_tier(h, now_us) == TIER_GOOD &&
+		    !was_tried(tried, h) && host_use(h, true) <= 1)
+			return true;
+	}
+	return false;
+}
+
 /* lw_place_takes() - whether @h is there and takes new work; NULL does not. */
 bool lw_place_takes(const lw_place_host_t *h)
 {
--- a/src/place.h
+++ b/src/place.h
@@ -74,6 +74,7 @@
 lw_place_service_t *lw_place_service(lw_place_t *p, const char *name);
 lw_place_host_t *lw_place_pick(lw_place_service_t *s, const lw_place_tried_t *tried,
 			       const lw_place_ask_t *ask);
+bool lw_place_has_room(const lw_place_service_t *s, const lw_place_tried_t *tried, uint64_t now_us);
 bool lw_place_takes(const lw_place_host_t *h);
 void lw_place_sent(lw_place_host_t *h);
 void lw_place_ended(lw_place_host_t *h, bool ok, uint64_t now_us);
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -12,21 +12,7 @@
 #include "log.h"
 #include "proxystats.h"
 #include "readers.h"
-
-/*
- * From SIGTERM on, callers are told not to come; they hear it within two
- * questions of the platform, one a second. Only then is it safe to leave.
- */
-#define STOP_CALLERS_US 2300000
-/*
- * Callers that come all the same are turned away from then on: a request
- * taken later could be cut off by SIGKILL, us.
- */
-#define STOP_LISTEN_US 3000000
-/* idle connections of callers are closed from then on, us */
-#define STOP_IDLE_US 1500000
-/* and this much before SIGKILL the process exits whatever is under way, us */
-#define STOP_MARGIN_US 1000000
+#include "stopplan.h"
 
 typedef struct lw_proxy {
 	lw_proxyset_t *set;
@@ -41,6 +27,7 @@
 	ev_signal interrupt;
 	ev_signal hangup;
 	uint64_t leaving_us;
+	ev_timer stopping; /* runs from then on */
 	bool had_self; /* the list has had the backend server on this host */
 	lw_serverlist_t *servers; /* in use; NULL before the first */
 	uint64_t news_us; /* when the store was last known to have been read */
@@ -202,12 +189,36 @@
 	.news = mesh_news,
 };
 
-/* SIGTERM: other nodes send nothing more, callers are told not to come */
+/* the next steps of a stop */
+static void go_on_stopping(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	lw_proxy_t *p = w->data;
+	lw_stopplan_t plan =
+		lw_stopplan(p->hub.now_us - p->leaving_us, (uint64_t)(p->set->grace_s * 1e6),
+			    p->engine.active || p->engine.gate.ncalls);
+
+	(void)revents;
+	if (plan.tell_peers && !p->hub.peers_told) {
+		p->hub.peers_told = true;
+		lw_mesh_announce(p->engine.mesh);
+	}
+	if (plan.close_idle)
+		lw_callers_close_idle(p->callers);
+	if (plan.refuse && !p->engine.gate.refusing) {
+		lw_gate_refuse(&p->engine.gate);
+		lw_mesh_announce(p->engine.mesh);
+	}
+	if (plan.close_listeners)
+		lw_callers_close_listeners(p->callers);
+	if (plan.exit)
+		ev_break(loop, EVBREAK_ALL);
+}
+
+/* SIGTERM: callers are told not to come; the rest follows by stopplan.c */
 static void on_term(struct ev_loop *loop, ev_signal *w, int revents)
 {
 	lw_proxy_t *p = w->data;
 
-	(void)loop;
 	(void)revents;
 	if (p->hub.leaving)
 		return;
@@ -215,7 +226,9 @@
 	       p->engine.gate.ncalls);
 	p->hub.leaving = true;
 	p->leaving_us = p->hub.now_us;
-	lw_mesh_announce(p->engine.mesh);
+	ev_timer_init(&p->stopping, go_on_stopping, LW_STOPPLAN_STEP_S, LW_STOPPLAN_STEP_S);
+	p->stopping.data = p;
+	ev_timer_start(loop, &p->stopping);
 }
 
 static lw_retryterms_t retry_terms(const lw_proxyset_t *set)
@@ -300,21 +313,10 @@
 static void on_tick(void *ctx)
 {
 	lw_proxy_t *p = ctx;
-	uint64_t since = p->hub.now_us - p->leaving_us;
-	uint64_t grace = (uint64_t)(p->set->grace_s * 1e6);
 
 	lw_place_each_lost(&p->engine.place, contact, p);
 	decide_reading(p);
 	publish_stats(p);
-	if (!p->hub.leaving)
-		return;
-	if (since > STOP_IDLE_US)
-		lw_callers_close_idle(p->callers);
-	if (since > STOP_LISTEN_US)
-		lw_callers_close_listeners(p->callers);
-	if ((since > STOP_CALLERS_US && !p->engine.active && !p->engine.gate.ncalls) ||
-	    since + STOP_MARGIN_US > grace)
-		ev_break(p->hub.loop, EVBREAK_ALL);
 }
 
 /*
--- /dev/null
+++ b/src/stopplan.c
@@ -0,0 +1,50 @@
+/* The steps of a stop; see stopplan.h. */
+#include "stopplan.h"
+
+/*
+ * Callers are told not to come at once; they hear it within two questions of
+ * the platform, one a second. Only then is it safe to leave, us.
+ */
+#define CALLERS_KNOW_US 2300000
+/*
+ * Other nodes send work for a while yet: the node runs on for its callers in
+ * any case, and its backend server would stand idle meanwhile. What they send
+ * last has the usual second to finish, us.
+ */
+#define TELL_PEERS_US 1300000
+/* idle connections of callers are closed from then on, us */
+#define CLOSE_IDLE_US 1500000
+/*
+ * Callers that come all the same are turned away from then on: a request
+ * taken later could be cut off by SIGKILL, us.
+ */
+#define CLOSE_LISTENERS_US 3000000
+/*
+ * Between the word that nothing is taken any more and the exit: what others
+ * sent before they heard it is handed back in that time. A request that meets
+ * the exit may have run, for all its sender knows, us.
+ */
+#define OTHERS_KNOW_US 200000
+/* and this much before SIGKILL the process exits whatever is under way, us */
+#define EXIT_MARGIN_US 1000000
+
+/*
+ * lw_stopplan() - what holds @since_us after SIGTERM, @grace_us before SIGKILL
+ * came; @busy: requests are under way. From the moment at which the node could
+ * leave it takes no work of others: where the nodes beside all servers of a
+ * service stop in turn, each would be sent work as the best one left until its
+ * exit cut it off (123 calls in 2 s of one rolling restart).
+ */
+lw_stopplan_t lw_stopplan(uint64_t since_us, uint64_t grace_us, bool busy)
+{
+	lw_stopplan_t p = {
+		.tell_peers = since_us >= TELL_PEERS_US,
+		.close_idle = since_us >= CLOSE_IDLE_US,
+		.refuse = since_us >= CALLERS_KNOW_US,
+		.close_listeners = since_us >= CLOSE_LISTENERS_US,
+	};
+
+	p.exit = (since_us >= CALLERS_KNOW_US + OTHERS_KNOW_US && !busy) ||
+		 since_us + EXIT_MARGIN_US > grace_us;
+	return p;
+}
--- /dev/null
+++ b/src/stopplan.h
@@ -0,0 +1,26 @@
+/*
+ * What a stopping node does when, from SIGTERM to its exit. Failures it guards
+ * against: callers that were not told in time, requests cut off by the exit,
+ * and a fleet restarted node by node that loses more room than it must, as
+ * each stopping node keeps its backend server idle. No I/O; the time is given.
+ */
+#ifndef LW_STOPPLAN_H
+#define LW_STOPPLAN_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* The steps are looked at so often, in seconds. */
+#define LW_STOPPLAN_STEP_S 0.1
+
+typedef struct lw_stopplan {
+	bool tell_peers; /* other nodes send work elsewhere */
+	bool close_idle; /* connections of callers that carry no request */
+	bool refuse; /* nothing new is taken, what waits goes back, not run */
+	bool close_listeners; /* no connections of callers any more */
+	bool exit;
+} lw_stopplan_t;
+
+lw_stopplan_t lw_stopplan(uint64_t since_us, uint64_t grace_us, bool busy);
+
+#endif
--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -301,6 +301,83 @@
     check(2 < time.monotonic() - start < 5.5, time.monotonic() - start)
 
 
+@test({"front": 1, "back": 2})
+async def test_all_stop_in_turn(f):
+    """Symptom: a rolling restart ends requests with 502 although every server
+    lives. Sequence: the nodes beside all servers of a service are told to stop
+    shortly after each other; requests that must not run twice go on. Cause:
+    with no better node left each is sent work until its exit cuts it off."""
+    async def slow(s, head, rid, stage):
+        if stage == "run":
+            await asyncio.sleep(0.3)
+    for n in f.nodes["back"]:
+        n.server.behave = slow
+    node = f.nodes["front"][0]
+    answers = []
+
+    async def one(i):
+        a = await node.caller().ask("POST", "/up/1", f"s{i}", body=b"x")
+        answers.append((f"s{i}", a.status))
+    tasks = []
+    start = time.monotonic()
+    while time.monotonic() - start < 5.8:
+        tasks.append(asyncio.ensure_future(one(len(tasks))))
+        if len(tasks) == 2:
+            f.nodes["back"][0].signal(signal.SIGTERM)
+        if len(tasks) == 12:
+            f.nodes["back"][1].signal(signal.SIGTERM)
+        await asyncio.sleep(0.05)
+    await asyncio.gather(*tasks)
+    bad = [a for a in answers if a[1] not in (200, 503)]
+    check(not bad, bad[:5])
+    check(not [r for r, status in answers if status == 503 and runs(f, r)], "refused but run")
+    check(len([a for a in answers if a[1] == 200]) > 30, answers)
+
+
+@test({"front": 1, "back": 2})
+async def test_stopping_node_still_works(f):
+    """Symptom: in a rolling restart under load each stop takes a server's room
+    away for three seconds. Sequence: SIGTERM; the node waits until callers have
+    heard, and its server stands idle. Cause: other nodes were told at once."""
+    node = f.nodes["front"][0]
+    victim = f.nodes["back"][0]
+
+    async def ask(i):
+        check((await node.caller().ask("GET", "/leaf/1", f"w{i}")).status == 200, i)
+    victim.signal(signal.SIGTERM)
+    since = time.monotonic()
+    i = 0
+    while time.monotonic() - since < 2:
+        i += 1
+        await ask(i)
+    early = [t for t, _ in victim.server.ran if since + 0.2 < t < since + 1]
+    late = [t - since for t, _ in victim.server.ran if t > since + 1.95]
+    check(early, "no work in the first second")
+    check(not late, late[:3])
+
+
+@test({"front": 1, "back": 2}, slots=1)
+async def test_slow_call_kept_without_room_elsewhere(f):
+    """Symptom: a call ends with 502 while its server is at work on it.
+    Sequence: the call takes far longer than usual and counts as stalled; it is
+    given up and sent to another server, which is full and refuses it. Cause:
+    the first attempt was given up without a look whether another has room."""
+    async def by_id(s, head, rid, stage):
+        if stage == "run":
+            await asyncio.sleep(2.5 if rid.startswith("block") else
+                                0.9 if rid.startswith("slow") else 0.01)
+    for n in f.nodes["back"]:
+        n.server.behave = by_id
+    node = f.nodes["front"][0]
+    for i in range(40):
+        check((await node.caller().ask("GET", "/leaf/1", f"q{i}")).status == 200, "warm-up")
+    block = asyncio.ensure_future(node.caller().ask("POST", "/up/1", "block", body=b"x"))
+    await until(lambda: runs(f, "block"), lambda n: n == 1)
+    a = await node.caller().ask("GET", "/leaf/1", "slow1")
+    check(a.status == 200 and runs(f, "slow1") == 1, a)
+    check((await block).status == 200, "block")
+
+
 @test({"front": 1})
 async def test_sighup(f):
     """SIGHUP takes over changed terms; a file that is wrong changes nothing
