--- /dev/null
+++ b/src/explain.c
@@ -0,0 +1,289 @@
+/* A request's story from logs; see explain.h. */
+#include "explain.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "call.h"
+#include "xalloc.h"
+
+#define CAP_FIRST  16
+#define VALUE_MAX  128
+#define INDENT_MAX 20
+
+/* What the values of "why" mean and where to look next. */
+static const struct {
+	const char *why;
+	const char *meaning;
+	const char *look;
+} reasons[] = {
+	{ "path_busy", "a service its work leads to is over capacity; refused where it began",
+	  "lw_gate_level and lw_gate_queued on the nodes of the service named by 'by'" },
+	{ "busy", "the servers that were asked have longer queues than it could wait",
+	  "lw_gate_running, lw_gate_limit and lw_gate_service_us on the nodes of that service" },
+	{ "leaving", "the nodes that were asked are stopping or their servers leave",
+	  "E1001 and E1208 on those nodes: too many restarts at once" },
+	{ "expired", "it waited in front of a server until it was of no use any more",
+	  "lw_gate_wait_seconds and lw_gate_service_us there" },
+	{ "no_server", "no server of the service accepts connections",
+	  "E1208 for the list of servers, and whether the server runs" },
+	{ "unsent", "no node of the service could be reached",
+	  "E1405 at that time: which node, and the network to it" },
+	{ "shed", "the servers themselves turned it away", "the servers' own logs" },
+	{ "misdirected", "the address has another server now",
+	  "E1208: how old the list of servers was" },
+	{ "broken", "the connection ended or the answer was not valid; it may have run",
+	  "E1311 on the node beside the server, E1405 if the node itself was lost" },
+	{ "timeout", "no answer within the route's timeout or the caller's deadline",
+	  "the calls above: waited_ms (queue) and ran_ms (server); none: the server was slow" },
+};
+
+/* lw_explain_init() - the story of the request @id, with no lines yet. */
+void lw_explain_init(lw_explain_t *e, const char *id)
+{
+	memset(e, 0, sizeof(*e));
+	e->id = xstrdup(id);
+}
+
+/* the value of @key in "key=value ..." into @dst; false if it has none */
+static bool field(const char *fields, const char *key, char *dst, size_t len)
+{
+	size_t klen = strlen(key);
+
+	for (const char *p = fields; p && *p; p = strchr(p, ' ')) {
+		size_t n;
+
+		while (*p == ' ')
+			p++;
+		if (strncmp(p, key, klen) != 0 || p[klen] != '=')
+			continue;
+		p += klen + 1;
+		n = strcspn(p, " ");
+		if (n >= len)
+			n = len - 1;
+		memcpy(dst, p, n);
+		dst[n] = '\0';
+		return true;
+	}
+	return false;
+}
+
+static uint64_t number(const char *fields, const char *key)
+{
+	char value[VALUE_MAX];
+
+	return field(fields, key, value, sizeof(value)) ? strtoull(value, NULL, 10) : 0;
+}
+
+/* "Mon DD HH:MM:SS.mmm" in milliseconds, all months counted as 31 days */
+static uint64_t stamp_ms(const char *stamp)
+{
+	static const char months[] = "JanFebMarAprMayJunJulAugSepOctNovDec";
+	char month[4] = "";
+	unsigned day = 0, h = 0, m = 0, s = 0, ms = 0;
+	const char *at;
+
+	if (sscanf(stamp, "%3s %u %u:%u:%u.%u", month, &day, &h, &m, &s, &ms) != 6)
+		return 0;
+	at = strstr(months, month);
+	return ((((uint64_t)(at ? (at - months) / 3 : 0) * 31 + day) * 24 + h) * 60 + m) * 60000 +
+	       s * 1000 + ms;
+}
+
+/* whether @id is the request or a call for it; ids of calls extend its id by a dot and more */
+static bool belongs(const char *id, const char *root, uint32_t *depth)
+{
+	size_t n = strlen(root);
+
+	if (strncmp(id, root, n) != 0 || (id[n] && id[n] != '.'))
+		return false;
+	*depth = 0;
+	for (const char *p = id + n; *p; p++)
+		*depth += *p == '.';
+	return true;
+}
+
+static lw_explain_line_t *new_line(lw_explain_t *e)
+{
+	if (e->nlines == e->cap) {
+		e->cap = e->cap ? e->cap * 2 : CAP_FIRST;
+		e->lines = xrealloc(e->lines, e->cap * sizeof(*e->lines));
+	}
+	memset(&e->lines[e->nlines], 0, sizeof(e->lines[0]));
+	return &e->lines[e->nlines++];
+}
+
+/*
+ * lw_explain_add() - take @line if it belongs to the request. What stands
+ * before "<priority>" is left out; a line of another form is no event.
+ */
+void lw_explain_add(lw_explain_t *e, const char *source, const char *line)
+{
+	const char *head = strchr(line, '<');
+	const char *stamp = head ? strchr(head, '>') : NULL;
+	const char *event = stamp ? strstr(stamp, "]: E") : NULL;
+	const char *name = event ? strchr(event + 4, ' ') : NULL;
+	const char *fields = name ? strchr(name + 1, ' ') : NULL;
+	char id[1024];
+	lw_explain_line_t *l;
+	uint32_t depth;
+
+	if (!fields)
+		return;
+	if (strncmp(name + 1, "log_dropped", 11) == 0)
+		e->dropped += number(fields, "lines");
+	if (!field(fields, "id", id, sizeof(id)) || !belongs(id, e->id, &depth))
+		return;
+	l = new_line(e);
+	l->at_ms = stamp_ms(stamp + 1);
+	l->seq = e->nlines;
+	l->depth = depth;
+	l->source = xstrdup(source);
+	l->stamp = xstrndup(stamp + 1, strcspn(stamp + 1, "."));
+	l->event = xstrndup(name + 1, (size_t)(fields - name - 1));
+	l->fields = xstrndup(fields + 1, strcspn(fields + 1, "\r\n"));
+}
+
+/* of events in the same millisecond: what the end of a call leads to follows it */
+static int order_of(const lw_explain_line_t *l)
+{
+	static const char *const order[] = { "path_busy", "call_ended", "request_retried",
+					     "request_ended" };
+
+	for (size_t i = 0; i < sizeof(order) / sizeof(order[0]); i++)
+		if (strcmp(order[i], l->event) == 0)
+			return (int)i;
+	return 0;
+}
+
+static int by_time(const void *a, const void *b)
+{
+	const lw_explain_line_t *x = a, *y = b;
+
+	if (x->at_ms != y->at_ms)
+		return x->at_ms < y->at_ms ? -1 : 1;
+	if (x->depth != y->depth)
+		return x->depth > y->depth ? -1 : 1;
+	if (order_of(x) != order_of(y))
+		return order_of(x) - order_of(y);
+	return x->seq < y->seq ? -1 : x->seq > y->seq;
+}
+
+/* lw_explain_sort() - bring the lines into the order of their time. */
+void lw_explain_sort(lw_explain_t *e)
+{
+	qsort(e->lines, e->nlines, sizeof(*e->lines), by_time);
+}
+
+/*
+ * lw_explain_cause() - the line that decided: the first end of the deepest
+ * call, as a failed call fails all above it. NULL if nothing ended here.
+ */
+const lw_explain_line_t *lw_explain_cause(const lw_explain_t *e)
+{
+	const lw_explain_line_t *found = NULL;
+
+	for (size_t i = 0; i < e->nlines; i++) {
+		const lw_explain_line_t *l = &e->lines[i];
+
+		if (strcmp(l->event, "request_ended") == 0 && (!found || l->depth > found->depth))
+			found = l;
+	}
+	return found;
+}
+
+static int reason_of(const lw_explain_line_t *l)
+{
+	char why[VALUE_MAX];
+
+	if (!l || !field(l->fields, "why", why, sizeof(why)))
+		return -1;
+	for (size_t i = 0; i < sizeof(reasons) / sizeof(reasons[0]); i++)
+		if (strcmp(reasons[i].why, why) == 0)
+			return (int)i;
+	return -1;
+}
+
+/* what the caller may rely on, from the status of the request itself */
+static const char *promise(const lw_explain_t *e)
+{
+	for (size_t i = e->nlines; i-- > 0;) {
+		const lw_explain_line_t *l = &e->lines[i];
+
+		if (l->depth || strcmp(l->event, "request_ended") != 0)
+			continue;
+		if (number(l->fields, "status") == 503)
+			return "not run; the caller was told when to come back";
+		return number(l->fields, "maybe_ran") ? "it may have run" : "not run";
+	}
+	return "answered by its server, or still under way";
+}
+
+/* lw_explain_print() - the story as text: one line an event, then the cause. */
+void lw_explain_print(const lw_explain_t *e, FILE *out)
+{
+	const lw_explain_line_t *cause = lw_explain_cause(e);
+	int reason = reason_of(cause);
+	char service[VALUE_MAX] = "";
+
+	fprintf(out, "request %s: %zu lines\n", e->id, e->nlines);
+	for (size_t i = 0; i < e->nlines; i++) {
+		const lw_explain_line_t *l = &e->lines[i];
+		int indent = l->depth * 2 < INDENT_MAX ? (int)l->depth * 2 : INDENT_MAX;
+
+		fprintf(out, "%s.%03" PRIu64 "  %*s%s  [%s] %s\n", l->stamp, l->at_ms % 1000,
+			indent, "", l->event, l->source, l->fields);
+	}
+	if (cause && field(cause->fields, "service", service, sizeof(service)))
+		fprintf(out, "decided at: %s level %u, service %s\n",
+			cause->depth ? "a call," : "the request itself,", cause->depth, service);
+	if (reason >= 0)
+		fprintf(out, "cause: %s: %s\nlook at: %s\n", reasons[reason].why,
+			reasons[reason].meaning, reasons[reason].look);
+	fprintf(out, "outcome: %s\n", promise(e));
+	if (e->dropped)
+		fprintf(out,
+			"note: these nodes left out %" PRIu64
+			" lines for volume; lines of this request may be among them\n",
+			e->dropped);
+}
+
+static json_t *line_json(const lw_explain_line_t *l)
+{
+	return json_pack("{s:s, s:i, s:s, s:i, s:s, s:s}", "time", l->stamp, "ms",
+			 (int)(l->at_ms % 1000), "source", l->source, "depth", (int)l->depth,
+			 "event", l->event, "fields", l->fields);
+}
+
+/* lw_explain_json() - the same for programs. */
+void lw_explain_json(const lw_explain_t *e, FILE *out)
+{
+	int reason = reason_of(lw_explain_cause(e));
+	json_t *lines = json_array();
+	json_t *doc;
+
+	for (size_t i = 0; i < e->nlines; i++)
+		json_array_append_new(lines, line_json(&e->lines[i]));
+	doc = json_pack("{s:s, s:o, s:s, s:s, s:I}", "id", e->id, "lines", lines, "cause",
+			reason >= 0 ? reasons[reason].why : "", "outcome", promise(e), "dropped",
+			(json_int_t)e->dropped);
+	json_dumpf(doc, out, JSON_INDENT(1));
+	fputc('\n', out);
+	json_decref(doc);
+}
+
+/* lw_explain_free() - release what @e holds. */
+void lw_explain_free(lw_explain_t *e)
+{
+	for (size_t i = 0; i < e->nlines; i++) {
+		free(e->lines[i].source);
+		free(e->lines[i].stamp);
+		free(e->lines[i].event);
+		free(e->lines[i].fields);
+	}
+	free(e->lines);
+	free(e->id);
+	memset(e, 0, sizeof(*e));
+}
--- a/src/lwctl.c
+++ b/src/lwctl.c
@@ -5,20 +5,28 @@
  *   lwctl status ADMIN          preset, config version, limits, peers of a node
  *   lwctl metrics ADMIN         a node's counters
  *   lwctl drain ADMIN           start a graceful stop of a node
+ *   lwctl explain ID LOG...     one request's story from nodes' logs ("-": standard input)
  *   lwctl events                the log event catalogue
- * ADMIN is the node's admin address, ip:port.
+ * ADMIN is the node's admin address, ip:port; of lwproxy the address of its
+ * metrics. --json prints explain's story for programs. Exit status: 0 done, 1
+ * the answer is no (a file is wrong, no line of the request), 2 wrong usage.
  */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "cli.h"
+#include "explain.h"
 #include "httpc.h"
 #include "log.h"
 #include "platconf.h"
+#include "proxyset.h"
 #include "settings.h"
 #include "xalloc.h"
 
+/* most words after the command: the logs of a large fleet */
+#define WORDS_MAX 4096
+
 static int read_file(const char *path, char **buf, size_t *len)
 {
 	FILE *f = fopen(path, "rb");
@@ -33,8 +41,15 @@
 	return 0;
 }
 
-static int cmd_check(const char *path)
+typedef struct args {
+	const char *const *word; /* after the command */
+	int n;
+	bool json;
+} args_t;
+
+static int cmd_check(const args_t *a)
 {
+	const char *path = a->word[0];
 	char *buf;
 	size_t len;
 	lw_platconf_t *pc;
@@ -53,10 +68,42 @@
 	return 0;
 }
 
-static int cmd_check_settings(const char *path)
+/* settings of lwproxy have a [host] table, those of lwnode do not */
+static bool for_proxy(const char *path)
+{
+	char *buf = NULL;
+	size_t len;
+	bool found;
+
+	if (read_file(path, &buf, &len))
+		return false;
+	buf[len] = '\0';
+	found = strncmp(buf, "[host]", 6) == 0 || strstr(buf, "\n[host]") != NULL;
+	free(buf);
+	return found;
+}
+
+static int check_proxy_settings(const char *path)
+{
+	lw_proxyset_t s;
+
+	lw_proxyset_defaults(&s);
+	if (lw_proxyset_load(path, &s)) {
+		fprintf(stderr, "%s\n", lw_error_last());
+		return 1;
+	}
+	printf("%s: ok: lwproxy beside service %s in %s, callers at %s\n", path, s.service, s.zone,
+	       s.callers);
+	return 0;
+}
+
+static int cmd_check_settings(const args_t *a)
 {
+	const char *path = a->word[0];
 	lw_settings_t s;
 
+	if (for_proxy(path))
+		return check_proxy_settings(path);
 	lw_settings_defaults(&s);
 	if (lw_settings_load(path, &s)) {
 		fprintf(stderr, "%s\n", lw_error_last());
@@ -66,21 +113,120 @@
 	return 0;
 }
 
-static int cmd_http(const char *admin, const char *method, const char *path)
+static int call_admin(const char *admin, const char *method, const char *path)
 {
 	return lw_httpc_command("lwctl", admin, method, path, (lw_str_t){ NULL, 0 });
 }
 
+static int cmd_status(const args_t *a)
+{
+	return call_admin(a->word[0], "GET", "/status");
+}
+
+static int cmd_metrics(const args_t *a)
+{
+	return call_admin(a->word[0], "GET", "/metrics");
+}
+
+static int cmd_drain(const args_t *a)
+{
+	return call_admin(a->word[0], "POST", "/drain");
+}
+
+static int read_log(lw_explain_t *e, const char *path)
+{
+	bool standard = strcmp(path, "-") == 0;
+	FILE *f = standard ? stdin : fopen(path, "r");
+	const char *slash = strrchr(path, '/');
+	char *line = NULL;
+	size_t cap = 0;
+
+	if (!f) {
+		fprintf(stderr, "lwctl: cannot open %s; check the path\n", path);
+		return 2;
+	}
+	while (getline(&line, &cap, f) > 0)
+		lw_explain_add(e, slash ? slash + 1 : path, line);
+	free(line);
+	if (!standard)
+		fclose(f);
+	return 0;
+}
+
+static int cmd_explain(const args_t *a)
+{
+	lw_explain_t e;
+	int rc = 0;
+
+	lw_explain_init(&e, a->word[0]);
+	for (int i = 1; i < a->n && !rc; i++)
+		rc = read_log(&e, a->word[i]);
+	if (!rc && !e.nlines) {
+		fprintf(stderr,
+			"lwctl: no line of request %s; served requests leave none, and "
+			"%llu lines were left out for volume\n",
+			a->word[0], (unsigned long long)e.dropped);
+		rc = 1;
+	}
+	if (!rc) {
+		lw_explain_sort(&e);
+		if (a->json)
+			lw_explain_json(&e, stdout);
+		else
+			lw_explain_print(&e, stdout);
+	}
+	lw_explain_free(&e);
+	return rc;
+}
+
+static int cmd_events(const args_t *a)
+{
+	(void)a;
+	lw_log_catalogue();
+	return 0;
+}
+
+static const struct {
+	const char *name;
+	int (*run)(const args_t *a);
+	int words; /* at least */
+	const char *usage;
+} commands[] = {
+	{ "check", cmd_check, 1, "check FILE" },
+	{ "check-settings", cmd_check_settings, 1, "check-settings FILE" },
+	{ "status", cmd_status, 1, "status ADMIN" },
+	{ "metrics", cmd_metrics, 1, "metrics ADMIN" },
+	{ "drain", cmd_drain, 1, "drain ADMIN" },
+	{ "explain", cmd_explain, 2, "explain ID LOG..." },
+	{ "events", cmd_events, 0, "events" },
+};
+
+static int run(const char *name, const args_t *a)
+{
+	for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++) {
+		if (strcmp(commands[i].name, name) != 0)
+			continue;
+		if (a->n >= commands[i].words)
+			return commands[i].run(a);
+		fprintf(stderr, "lwctl: usage: lwctl %s\n", commands[i].usage);
+		return 2;
+	}
+	fprintf(stderr, "lwctl: unknown command '%s'; see 'lwctl --help'\n", name);
+	return 2;
+}
+
 int main(int argc, char **argv)
 {
 	lw_cli_t cli = lw_cli_new("lwctl");
-	struct arg_str *cmd = arg_str0(NULL, NULL, "COMMAND",
-				       "check, check-settings, status, metrics, drain, events");
-	struct arg_str *what =
-		arg_str0(NULL, NULL, "FILE|ADMIN", "file to check or node admin ip:port");
-	void *table[] = { cli.help, cli.version, cmd, what, cli.end };
+	struct arg_str *cmd =
+		arg_str0(NULL, NULL, "COMMAND",
+			 "check, check-settings, status, metrics, drain, explain, events");
+	struct arg_str *what = arg_strn(NULL, NULL, "ARG", 0, WORDS_MAX,
+					"FILE, node admin ip:port, or request id and logs");
+	struct arg_lit *json = arg_lit0(NULL, "json", "explain: print JSON");
+	void *table[] = { cli.help, cli.version, json, cmd, what, cli.end };
 	int rc = lw_cli_parse(&cli, argc, argv, table);
-	const char *c, *w;
+	args_t a;
 
 	if (rc != LW_CLI_RUN)
 		return rc;
@@ -88,26 +234,6 @@
 		fprintf(stderr, "lwctl: give a command; see 'lwctl --help'\n");
 		return 2;
 	}
-	c = cmd->sval[0];
-	w = what->count ? what->sval[0] : NULL;
-	if (strcmp(c, "events") == 0) {
-		lw_log_catalogue();
-		return 0;
-	}
-	if (!w) {
-		fprintf(stderr, "lwctl: %s needs an argument; see 'lwctl --help'\n", c);
-		return 2;
-	}
-	if (strcmp(c, "check") == 0)
-		return cmd_check(w);
-	if (strcmp(c, "check-settings") == 0)
-		return cmd_check_settings(w);
-	if (strcmp(c, "status") == 0)
-		return cmd_http(w, "GET", "/status");
-	if (strcmp(c, "metrics") == 0)
-		return cmd_http(w, "GET", "/metrics");
-	if (strcmp(c, "drain") == 0)
-		return cmd_http(w, "POST", "/drain");
-	fprintf(stderr, "lwctl: unknown command '%s'; see 'lwctl --help'\n", c);
-	return 2;
+	a = (args_t){ what->sval, what->count, json->count > 0 };
+	return run(cmd->sval[0], &a);
 }
