A stopping node takes work until its exit can follow

Change: nothing is taken from 2.3 s on only when what is under way is younger than a second; else from two seconds before SIGKILL on, as the exit has to wait.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -3,6 +3,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #include "comeback.h"
 #include "log.h"
@@ -15,6 +16,15 @@
 /* a refused caller is told to come back after this if no server said better, ms */
 #define COMEBACK_DEFAULT_MS 250
 
+/* lw_engine_oldest_us() - age of the oldest request under way, at least 1; 0: there is none. */
+uint64_t lw_engine_oldest_us(const lw_engine_t *e)
+{
+	const lw_exchange_t *x = e->exchanges;
+
+	/* one that is just being taken up has no time yet */
+	return x ? e->hub->now_us - (x->started_us ? x->started_us : e->hub->now_us) + 1 : 0;
+}
+
 /* lw_exchange_left_ms() - milliseconds until @until_us, 0 if it has passed. */
 uint32_t lw_exchange_left_ms(const lw_exchange_t *x, uint64_t until_us)
 {
@@ -41,6 +51,7 @@
 	ev_timer_stop(x->engine->hub->loop, &x->timer);
 	ev_timer_stop(x->engine->hub->loop, &x->hold);
 	x->engine->active--;
+	DL_DELETE(x->engine->exchanges, x);
 	lw_bytebuf_free(&x->head);
 	lw_bytebuf_free(&x->body);
 	free(x->request_id);
@@ -294,6 +305,7 @@
 	ev_timer_init(&x->hold, lw_exchange_hold_over, 0, 0);
 	ev_timer_init(&x->stall, lw_exchange_stalled, 0, 0);
 	e->active++;
+	DL_APPEND(e->exchanges, x);
 	e->stats.requests++;
 	if (fc && apply_route(x, ask, fc)) {
 		find_parent(x);
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -66,6 +66,7 @@
 	lw_hotpath_t *hotpath;
 	lw_fleetconf_t *conf; /* in force; NULL before the first */
 	uint32_t active;
+	lw_exchange_t *exchanges; /* the oldest first */
 	lw_engine_stats_t stats;
 	lw_routestats_t routes;
 } lw_engine_t;
@@ -77,6 +78,7 @@
 	uint64_t late_us; /* it lay unread so long while the host was suspended */
 } lw_exchange_ask_t;
 
+uint64_t lw_engine_oldest_us(const lw_engine_t *e);
 lw_exchange_t *lw_exchange_start(lw_engine_t *e, lw_reply_t *reply, const lw_exchange_ask_t *ask);
 void lw_exchange_send(lw_exchange_t *x);
 void lw_exchange_body(lw_exchange_t *x, lw_str_t data, bool fin);
--- a/src/exchange_int.h
+++ b/src/exchange_int.h
@@ -13,6 +13,7 @@
 struct lw_exchange {
 	lw_sink_t sink;
 	lw_engine_t *engine;
+	struct lw_exchange *prev, *next; /* of the engine's, by age */
 	lw_reply_t *reply; /* NULL once the caller has its answer or is gone */
 	lw_call_t *call; /* the lw_exchange_attempt under way */
 	lw_place_host_t *host; /* it went to */
--- a/src/gate.c
+++ b/src/gate.c
@@ -163,6 +163,13 @@
 	return &j->call;
 }
 
+/* lw_gate_oldest_us() - age of the oldest call here, at least 1; 0: there is none. */
+uint64_t lw_gate_oldest_us(const lw_gate_t *g)
+{
+	/* the table keeps the order of insertion */
+	return g->by_id ? g->hub->now_us - g->by_id->came_us + 1 : 0;
+}
+
 static void hand_back_queue(lw_gate_t *g)
 {
 	lw_waiter_t *w;
--- a/src/gate.h
+++ b/src/gate.h
@@ -57,6 +57,7 @@
 void lw_gate_set_server(lw_gate_t *g, const char *id, uint32_t slots, bool leaving);
 lw_call_t *lw_gate_submit(lw_gate_t *g, lw_sink_t *sink, const lw_ask_t *ask, lw_str_t body,
 			  bool fin, lw_fail_t *why, uint32_t *retry_after_ms);
+uint64_t lw_gate_oldest_us(const lw_gate_t *g);
 void lw_gate_refuse(lw_gate_t *g);
 void lw_gate_load(const lw_gate_t *g, lw_load_t *out);
 bool lw_gate_parent(const lw_gate_t *g, lw_str_t id, uint32_t *rank, bool *repeat);
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -190,13 +190,25 @@
 	.news = mesh_news,
 };
 
+/* age of the oldest request under way, of callers or of other nodes; 0: there is none */
+static uint64_t oldest_request_us(const lw_proxy_t *p)
+{
+	uint64_t theirs = lw_gate_oldest_us(&p->engine.gate);
+	uint64_t ours = lw_engine_oldest_us(&p->engine);
+
+	return ours > theirs ? ours : theirs;
+}
+
 /* the next steps of a stop */
 static void go_on_stopping(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	lw_proxy_t *p = w->data;
-	lw_stopplan_t plan =
-		lw_stopplan(p->hub.now_us - p->leaving_us, (uint64_t)(p->set->grace_s * 1e6),
-			    p->engine.active || p->engine.gate.ncalls);
+	lw_stopstate_t state = {
+		.since_us = p->hub.now_us - p->leaving_us,
+		.grace_us = (uint64_t)(p->set->grace_s * 1e6),
+		.oldest_us = oldest_request_us(p),
+	};
+	lw_stopplan_t plan = lw_stopplan(&state);
 
 	(void)revents;
 	if (plan.tell_peers && !p->hub.peers_told) {
--- a/src/stopplan.c
+++ b/src/stopplan.c
@@ -29,22 +29,37 @@
 #define EXIT_MARGIN_US 1000000
 
 /*
- * lw_stopplan() - what holds @since_us after SIGTERM, @grace_us before SIGKILL
- * came; @busy: requests are under way. From the moment at which the node could
+ * A request under way for longer than this may last until its deadline, as
+ * when its answer is lost, and the exit has to wait for it. Refusing work
+ * meanwhile leaves the backend server idle for nothing (2.7 s of one rolling
+ * restart, in which a service had no other node), us.
+ */
+#define STRAGGLER_US 1000000
+
+/* nothing new is taken once what is under way will end soon, or must */
+static bool time_to_refuse(const lw_stopstate_t *s)
+{
+	if (s->since_us + EXIT_MARGIN_US + STRAGGLER_US > s->grace_us)
+		return true;
+	return s->since_us >= CALLERS_KNOW_US && s->oldest_us < STRAGGLER_US;
+}
+
+/*
+ * lw_stopplan() - what to do now. From the moment at which the node could
  * leave it takes no work of others: where the nodes beside all servers of a
  * service stop in turn, each would be sent work as the best one left until its
  * exit cut it off (123 calls in 2 s of one rolling restart).
  */
-lw_stopplan_t lw_stopplan(uint64_t since_us, uint64_t grace_us, bool busy)
+lw_stopplan_t lw_stopplan(const lw_stopstate_t *s)
 {
 	lw_stopplan_t p = {
-		.tell_peers = since_us >= TELL_PEERS_US,
-		.close_idle = since_us >= CLOSE_IDLE_US,
-		.refuse = since_us >= CALLERS_KNOW_US,
-		.close_listeners = since_us >= CLOSE_LISTENERS_US,
+		.tell_peers = s->since_us >= TELL_PEERS_US,
+		.close_idle = s->since_us >= CLOSE_IDLE_US,
+		.refuse = time_to_refuse(s),
+		.close_listeners = s->since_us >= CLOSE_LISTENERS_US,
 	};
 
-	p.exit = (since_us >= CALLERS_KNOW_US + OTHERS_KNOW_US && !busy) ||
-		 since_us + EXIT_MARGIN_US > grace_us;
+	p.exit = (s->since_us >= CALLERS_KNOW_US + OTHERS_KNOW_US && !s->oldest_us) ||
+		 s->since_us + EXIT_MARGIN_US > s->grace_us;
 	return p;
 }
--- a/src/stopplan.h
+++ b/src/stopplan.h
@@ -21,6 +21,13 @@
 	bool exit;
 } lw_stopplan_t;
 
-lw_stopplan_t lw_stopplan(uint64_t since_us, uint64_t grace_us, bool busy);
+/* What a step depends on. */
+typedef struct lw_stopstate {
+	uint64_t since_us; /* SIGTERM */
+	uint64_t grace_us; /* from SIGTERM to SIGKILL */
+	uint64_t oldest_us; /* age of the oldest request under way; 0: none is */
+} lw_stopstate_t;
+
+lw_stopplan_t lw_stopplan(const lw_stopstate_t *s);
 
 #endif
--- a/tests/decide_retry.c
+++ b/tests/decide_retry.c
@@ -135,10 +135,11 @@
 	say_waiter(w, lw_waitq_expired(&w->queue, ms(a, 1)));
 }
 
-/* stop SINCE GRACE busy|idle: what a stopping node does then */
+/* stop SINCE GRACE OLDEST: what a stopping node does then; OLDEST 0: nothing is under way */
 static void do_stop(world_t *w, const words_t *a)
 {
-	lw_stopplan_t p = lw_stopplan(ms(a, 1), ms(a, 2), has(a, "busy"));
+	lw_stopstate_t state = { ms(a, 1), ms(a, 2), ms(a, 3) };
+	lw_stopplan_t p = lw_stopplan(&state);
 
 	say(w, "%s%s%s%s%s", p.tell_peers ? "tell_peers " : "", p.close_idle ? "close_idle " : "",
 	    p.refuse ? "refuse " : "", p.close_listeners ? "close_listeners " : "",
