--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -736,9 +736,9 @@
 
 @test({"front": 1, "back": 1})
 async def test_big_bodies_bounded(f):
-    """A 32 MiB upload to a server that reads slowly, and a caller that reads a
+    """A 64 MiB upload to a server that reads slowly, and a caller that reads a
     long answer slowly, hold no more than a few windows in memory."""
-    big = b"u" * (32 << 20)
+    big = b"u" * (64 << 20)
 
     async def answer(s, head, rid, stage):
         return (None, 200, b"a" * (8 << 20)) if stage == "run" and rid == "down" else None
