--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 PROXY_SRC = src/proxyset.c src/hub.c src/bytebuf.c src/httphead.c src/call.c src/fleetconf.c \
 	src/serverset.c src/mailbox.c src/admit.c src/level.c src/hotpath.c src/waitq.c src/bconn.c src/gate.c src/gatejob.c src/gateconn.c src/place.c \
 	src/retrylimit.c src/retryrule.c src/comeback.c src/meshframe.c src/mesh.pb-c.c src/mesh.c src/meshlink.c src/meshcall.c src/meshnews.c src/meshfate.c \
-	src/exchange.c src/exchattempt.c src/caller.c src/callerread.c src/callerreply.c src/feed.c src/readers.c src/histogram.c src/routestats.c src/proxystats.c src/proxystatus.c src/explain.c src/stopplan.c src/proxy.c
+	src/exchange.c src/exchattempt.c src/caller.c src/callerread.c src/callerreply.c src/feed.c src/readers.c src/histogram.c src/routestats.c src/proxystats.c src/proxystatus.c src/explain.c src/stopplan.c src/proxynews.c src/proxystop.c src/proxy.c
 PLATFORM_SRC = platform/names.c platform/documents.c platform/store.c platform/platform.c
 LIB_OBJ = $(patsubst src/%.c,$(BUILD)/%.o,$(LIB_SRC) $(PROXY_SRC)) $(BUILD)/tomlshim.o
 PLATFORM_OBJ = $(patsubst platform/%.c,$(BUILD)/platform/%.o,$(PLATFORM_SRC))
@@ -60,7 +60,7 @@
 	$(CC) -o $@ $^ $(LDLIBS)
 $(BUILD)/lwburn: $(BUILD)/lwburn.o $(BUILD)/liblw.a
 	$(CC) -o $@ $^ $(LDLIBS) -lcairo
-$(BUILD)/lwload: $(BUILD)/lwload.o $(BUILD)/liblw.a
+$(BUILD)/lwload: $(BUILD)/lwload.o $(BUILD)/lwloadreport.o $(BUILD)/liblw.a
 	$(CC) -o $@ $^ $(LDLIBS)
 $(BUILD)/lwstub-config: $(BUILD)/lwstub_config.o $(BUILD)/liblw.a
 	$(CC) -o $@ $^ $(LDLIBS)
@@ -70,7 +70,7 @@
 $(BUILD)/lwstub-relay: $(BUILD)/lwstub_relay.o $(BUILD)/liblw.a
 	$(CC) -o $@ $^ $(LDLIBS)
 
-SIM_OBJ = $(patsubst %,$(BUILD)/%.o,lwsim simfleet simqueue simresult simload simplot)
+SIM_OBJ = $(patsubst %,$(BUILD)/%.o,lwsim simfleet simserver simqueue simresult simload simplot)
 $(BUILD)/lwsim: $(SIM_OBJ) $(BUILD)/liblw.a
 	$(CC) -o $@ $^ $(LDLIBS) -lcairo
 $(BUILD)/simplot.o: src/simplot.c src/simplot.h src/simfleet.h
--- a/src/lwload.c
+++ b/src/lwload.c
@@ -19,72 +19,12 @@
 #include "cli.h"
 #include "httpc.h"
 #include "linux/clock.h"
+#include "lwload_int.h"
 #include "platconf.h"
 #include "policy.h"
 #include "xalloc.h"
 
-#define ROUTES_MAX  16
-#define TARGETS_MAX 64
-#define SECONDS_MAX 600
-
-/* where requests are sent: a node's caller port, a node's outbound port
- * (both node passes of a call between services), or a backend directly */
-typedef enum path_mode { PATH_CALL, PATH_OUT, PATH_DIRECT } path_mode_t;
-
-typedef struct route {
-	char service[LW_NAME_MAX];
-	char name[LW_NAME_MAX];
-	double weight;
-	bool keyed; /* not idempotent: send an idempotency key */
-	bool sheddable;
-	uint64_t n[3];
-	uint64_t good;
-} route_t;
-
-typedef struct target {
-	char service[LW_NAME_MAX];
-	char addr[LW_NAME_MAX];
-} target_t;
-
-/* one finished request */
-typedef struct sample {
-	uint16_t second; /* it was due in */
-	bool good;
-	uint32_t lat_us;
-} sample_t;
-
-typedef struct job {
-	uint64_t id;
-	int route;
-	uint64_t due_ms;
-} job_t;
-
-static struct {
-	route_t routes[ROUTES_MAX];
-	int nroutes;
-	target_t targets[TARGETS_MAX];
-	int ntargets;
-	double rate;
-	double seconds;
-	int workers;
-	unsigned deadline_ms;
-	int client_retries;
-	double surge_from, surge_to, surge_mult;
-	FILE *history;
-	pthread_mutex_t lock;
-	pthread_cond_t more;
-	job_t *queue;
-	size_t qhead, qlen, qcap;
-	bool done_generating;
-	uint64_t t0;
-	sample_t *samples;
-	size_t nsamples, capsamples;
-	uint64_t dropped;
-	uint64_t attempts;
-	uint64_t crossed; /* answers that were not this caller's */
-	char run[32]; /* this run's nonce, part of every id and key */
-	path_mode_t path_mode;
-} ld = { .lock = PTHREAD_MUTEX_INITIALIZER, .more = PTHREAD_COND_INITIALIZER };
+lw_load_run_t ld = { .lock = PTHREAD_MUTEX_INITIALIZER, .more = PTHREAD_COND_INITIALIZER };
 
 static int parse_mix(const char *spec)
 {
@@ -346,107 +286,6 @@
 	return NULL;
 }
 
-static int cmp_latency(const void *a, const void *b)
-{
-	uint32_t x = ((const sample_t *)a)->lat_us, y = ((const sample_t *)b)->lat_us;
-
-	return x < y ? -1 : x > y;
-}
-
-static int cmp_second(const void *a, const void *b)
-{
-	const sample_t *x = a, *y = b;
-
-	return x->second != y->second ? (int)x->second - (int)y->second : cmp_latency(a, b);
-}
-
-/* what a stretch of seconds looked like */
-typedef struct stretch {
-	double success; /* share of good answers */
-	double p99_ms;
-} stretch_t;
-
-/* of the seconds @from up to @to; samples are sorted by second */
-static stretch_t stretch_of(size_t from, size_t to)
-{
-	size_t first = 0, n = 0, good = 0, p99;
-	sample_t *part;
-	stretch_t s = { 1, 0 };
-
-	while (first < ld.nsamples && ld.samples[first].second < from)
-		first++;
-	while (first + n < ld.nsamples && ld.samples[first + n].second < to)
-		good += ld.samples[first + n++].good;
-	if (n == 0)
-		return s;
-	part = xcalloc(n, sizeof(*part));
-	memcpy(part, &ld.samples[first], n * sizeof(*part));
-	qsort(part, n, sizeof(*part), cmp_latency);
-	s.success = (double)good / (double)n;
-	p99 = n * 99 / 100;
-	s.p99_ms = part[p99].lat_us / 1000.0;
-	free(part);
-	return s;
-}
-
-/*
- * Recovery time: from the end of the surge until the first second whose
- * success ratio and p99 are both back within 10% (or 10 ms) of before it;
- * -1 when that does not come within the run.
- */
-static int recovery_s(void)
-{
-	size_t to = (size_t)ld.surge_to;
-	stretch_t before = stretch_of(0, (size_t)ld.surge_from);
-
-	for (size_t s = to; s < (size_t)ld.seconds; s++) {
-		stretch_t now = stretch_of(s, s + 1);
-
-		if (now.success >= before.success * 0.9 &&
-		    (now.p99_ms <= before.p99_ms * 1.1 || now.p99_ms <= before.p99_ms + 10))
-			return (int)(s - to);
-	}
-	return -1;
-}
-
-static void report(void)
-{
-	uint64_t tot[3] = { 0 }, good = 0;
-
-	for (int i = 0; i < ld.nroutes; i++) {
-		route_t *r = &ld.routes[i];
-
-		printf("%-28s %llu done, %llu not_run, %llu unknown\n", r->name,
-		       (unsigned long long)r->n[0], (unsigned long long)r->n[1],
-		       (unsigned long long)r->n[2]);
-		for (int k = 0; k < 3; k++)
-			tot[k] += r->n[k];
-		good += r->good;
-	}
-	printf("%-28s %llu done, %llu not_run, %llu unknown\n", "total", (unsigned long long)tot[0],
-	       (unsigned long long)tot[1], (unsigned long long)tot[2]);
-	uint64_t all = tot[0] + tot[1] + tot[2];
-
-	printf("goodput %llu of %llu (%.1f%%), %.1f/s\n", (unsigned long long)good,
-	       (unsigned long long)all, 100.0 * (double)good / (double)(all ? all : 1),
-	       (double)good / ld.seconds);
-	if (ld.nsamples) {
-		size_t n = ld.nsamples, p50 = n / 2, p99 = n * 99 / 100;
-
-		qsort(ld.samples, n, sizeof(*ld.samples), cmp_latency);
-		printf("latency_ms p50 %.2f p99 %.2f max %.2f\n", ld.samples[p50].lat_us / 1000.0,
-		       ld.samples[p99].lat_us / 1000.0, ld.samples[n - 1].lat_us / 1000.0);
-		qsort(ld.samples, n, sizeof(*ld.samples), cmp_second);
-	}
-	printf("attempts %llu client_dropped %llu crossed %llu\n", (unsigned long long)ld.attempts,
-	       (unsigned long long)ld.dropped, (unsigned long long)ld.crossed);
-	for (int i = 0; i < ld.nroutes; i++)
-		printf("goodput_route %s/%s %llu\n", ld.routes[i].service, ld.routes[i].name,
-		       (unsigned long long)ld.routes[i].good);
-	if (ld.surge_mult > 1)
-		printf("recovery_s %d\n", recovery_s());
-}
-
 int main(int argc, char **argv)
 {
 	lw_cli_t cli = lw_cli_new("lwload");
@@ -511,6 +350,6 @@
 		pthread_join(ws[i], NULL);
 	if (ld.history)
 		fclose(ld.history);
-	report();
+	lw_load_report();
 	return 0;
 }
--- /dev/null
+++ b/src/proxy_int.h
@@ -0,0 +1,41 @@
+/* Shared by the files of the proxy module only; others use proxy.h. */
+#ifndef LW_PROXY_INT_H
+#define LW_PROXY_INT_H
+
+#include <ev.h>
+
+#include "caller.h"
+#include "exchange.h"
+#include "proxy.h"
+
+typedef struct lw_proxy {
+	lw_proxyset_t *set;
+	const char *path; /* of the settings file */
+	const lw_platform_t *platform;
+	lw_hub_t hub;
+	lw_engine_t engine;
+	lw_callers_t *callers;
+	lw_feed_t feed;
+	ev_async fed;
+	ev_signal term;
+	ev_signal interrupt;
+	ev_signal hangup;
+	uint64_t leaving_us;
+	ev_timer stopping; /* runs from then on */
+	bool had_self; /* the list has had the backend server on this host */
+	lw_serverlist_t *servers; /* in use; NULL before the first */
+	uint64_t news_us; /* when the store was last known to have been read */
+	uint64_t hurried_us; /* when the store was last asked out of turn */
+	uint64_t reading_us; /* when this node last had to read the store itself */
+	bool reader; /* this node reads the store for others */
+} lw_proxy_t;
+
+extern const lw_mesh_ops_t lw_proxy_mesh_ops;
+lw_status_t lw_proxy_start_feed(lw_proxy_t *p);
+void lw_proxy_list_is_old(void *ctx);
+void lw_proxy_decide_reading(lw_proxy_t *p);
+void lw_proxy_contact_lost(lw_proxy_t *p);
+uint32_t lw_proxy_news_age_ms(const lw_proxy_t *p);
+void lw_proxy_on_term(struct ev_loop *loop, ev_signal *w, int revents);
+
+#endif
--- /dev/null
+++ b/src/proxystop.c
@@ -0,0 +1,58 @@
+/* The stop of the proxy: what stopplan.c decides is done here. */
+#include "log.h"
+#include "proxy_int.h"
+#include "stopplan.h"
+
+/* age of the oldest request under way, of callers or of other nodes; 0: there is none */
+static uint64_t oldest_request_us(const lw_proxy_t *p)
+{
+	uint64_t theirs = lw_gate_oldest_us(&p->engine.gate);
+	uint64_t ours = lw_engine_oldest_us(&p->engine);
+
+	return ours > theirs ? ours : theirs;
+}
+
+/* the next steps of a stop */
+static void go_on_stopping(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	lw_proxy_t *p = w->data;
+	lw_stopstate_t state = {
+		.since_us = p->hub.now_us - p->leaving_us,
+		.grace_us = (uint64_t)(p->set->grace_s * 1e6),
+		.oldest_us = oldest_request_us(p),
+	};
+	lw_stopplan_t plan = lw_stopplan(&state);
+
+	(void)revents;
+	if (plan.tell_peers && !p->hub.peers_told) {
+		p->hub.peers_told = true;
+		lw_mesh_announce(p->engine.mesh);
+	}
+	if (plan.close_idle)
+		lw_callers_close_idle(p->callers);
+	if (plan.refuse && !p->engine.gate.refusing) {
+		lw_gate_refuse(&p->engine.gate);
+		lw_mesh_announce(p->engine.mesh);
+	}
+	if (plan.close_listeners)
+		lw_callers_close_listeners(p->callers);
+	if (plan.exit)
+		ev_break(loop, EVBREAK_ALL);
+}
+
+/* lw_proxy_on_term() - SIGTERM: callers are told not to come; the rest follows by stopplan.c. */
+void lw_proxy_on_term(struct ev_loop *loop, ev_signal *w, int revents)
+{
+	lw_proxy_t *p = w->data;
+
+	(void)revents;
+	if (p->hub.leaving)
+		return;
+	lw_log(LW_LOG_stopping, "signal=%d active=%u running=%u", w->signum, p->engine.active,
+	       p->engine.gate.ncalls);
+	p->hub.leaving = true;
+	p->leaving_us = p->hub.now_us;
+	ev_timer_init(&p->stopping, go_on_stopping, LW_STOPPLAN_STEP_S, LW_STOPPLAN_STEP_S);
+	p->stopping.data = p;
+	ev_timer_start(loop, &p->stopping);
+}
--- a/src/simfleet.c
+++ b/src/simfleet.c
@@ -7,123 +7,24 @@
  * processor time of the nodes, and faults other than a slow server and
  * servers that shed at random.
  */
-#include "simfleet.h"
-
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "admit.h"
-#include "call.h"
 #include "comeback.h"
-#include "hotpath.h"
-#include "level.h"
-#include "place.h"
-#include "retrylimit.h"
-#include "retryrule.h"
-#include "simqueue.h"
-#include "waitq.h"
+#include "simfleet_int.h"
 #include "xalloc.h"
 
-/* useful wait before a server, percent of the target, as in exchange.c */
-#define QUEUE_NEW_PERCENT    35
-#define QUEUE_NESTED_PERCENT 60
-/* when a refused caller comes back if no server said better, ms, as there */
+/* when a refused caller comes back if no server said better, ms, as in exchange.c */
 #define COMEBACK_DEFAULT_MS 250
-/* weight of a run in a node's average service time, as in gate.c */
-#define SERVICE_EWMA	 0.05
+/* first guess of a node's service time, us, as in gate.c */
 #define SERVICE_FIRST_US 50000
-/* work spreads around its mean by this (log-normal sigma) */
-#define WORK_SIGMA    0.3
-#define LATENCIES_MAX 200000
-#define NODES_MAX     (LW_SIM_SERVICES_MAX * LW_SIM_SERVERS_MAX)
-
-typedef struct run run_t;
-typedef struct req req_t;
-
-/* a server and the node beside it */
-typedef struct sim_node {
-	uint32_t service;
-	uint32_t index;
-	uint32_t running;
-	uint32_t limit;
-	uint32_t slots;
-	double speed;
-	double service_us;
-	lw_waitq_t queue;
-	lw_level_t level;
-	lw_place_t place; /* what this node knows of the others */
-	lw_hotpath_t *hot;
-	char id[LW_NAME_MAX];
-} sim_node_t;
-
-/* one request, of a user or a call, with its attempt under way */
-struct req {
-	lw_waiter_t waiter; /* first, so that a waiter is its request */
-	lw_sim_kind_t *kind;
-	req_t *parent;
-	sim_node_t *origin; /* node where it began */
-	sim_node_t *at; /* node that runs it */
-	lw_place_host_t *host;
-	lw_place_tried_t tried;
-	lw_attempts_t attempts;
-	uint32_t rank;
-	uint64_t first_us; /* the user's first try */
-	uint64_t begun_us;
-	uint64_t give_up_us;
-	uint64_t queued_us;
-	uint64_t started_us;
-	uint32_t tries_left;
-	uint32_t calls_left;
-	uint32_t above;
-	double work_done_ms; /* at servers, calls included */
-	lw_hots_t hots;
-	uint32_t depth;
-	bool queued;
-	bool call_failed;
-	bool over; /* answered to whoever waits */
-};
-
-struct run {
-	lw_sim_t *sim;
-	uint64_t now;
-	uint64_t seq;
-	uint64_t rng;
-	lw_simqueue_t events;
-	sim_node_t node[NODES_MAX];
-	size_t nnodes;
-	lw_retryterms_t terms;
-	uint64_t ids;
-};
-
-static uint64_t rnd(run_t *r)
-{
-	r->rng ^= r->rng >> 12;
-	r->rng ^= r->rng << 25;
-	r->rng ^= r->rng >> 27;
-	return r->rng * 2685821657736338717ULL;
-}
+#define LATENCIES_MAX	 200000
 
-static double rnd01(run_t *r)
-{
-	return ((rnd(r) >> 11) + 0.5) / 9007199254740992.0;
-}
-
-static double work_of(run_t *r, const lw_sim_kind_t *k)
-{
-	double normal = sqrt(-2 * log(rnd01(r))) * cos(2 * M_PI * rnd01(r));
-
-	return k->work_ms * exp(WORK_SIGMA * normal - WORK_SIGMA * WORK_SIGMA / 2);
-}
-
-static lw_simevent_t *push(run_t *r, lw_simevent_kind_t kind, uint64_t at_us, req_t *q)
-{
-	lw_simevent_t *e = lw_simqueue_push(&r->events, kind, at_us);
-
-	e->req = q;
-	return e;
-}
+static void attempt(run_t *r, req_t *q, lw_fail_t last);
+static void resend(run_t *r, req_t *q);
 
 static lw_sim_kind_t *kind_by_name(lw_sim_t *s, const char *name)
 {
@@ -133,130 +34,6 @@
 	return NULL;
 }
 
-static void load_of(const sim_node_t *n, lw_load_t *out)
-{
-	memset(out, 0, sizeof(*out));
-	out->running = n->running;
-	out->queued = (uint32_t)n->queue.len;
-	out->limit = n->limit;
-	out->service_us = (uint32_t)n->service_us;
-	out->level = n->level.level;
-}
-
-static void attempt(run_t *r, req_t *q, lw_fail_t last);
-static void resend(run_t *r, req_t *q);
-static void dispatch(run_t *r, sim_node_t *n);
-
-static void send_answer(run_t *r, req_t *q, lw_fail_t why, bool bad, uint32_t room_ms)
-{
-	uint64_t at = r->now + (uint64_t)(r->sim->net_ms * 1000);
-	lw_simevent_t *e = push(r, LW_SIM_ANSWER, at, q);
-
-	e->why = why;
-	e->bad = bad;
-	e->room_ms = room_ms;
-	load_of(q->at, &e->load);
-	e->load.hots = q->hots;
-	e->load.depth = q->depth;
-	e->load.call_failed = q->call_failed;
-}
-
-static uint32_t left_ms(const run_t *r, const req_t *q)
-{
-	return q->give_up_us > r->now ? (uint32_t)((q->give_up_us - r->now) / 1000) : 0;
-}
-
-/* own work of a request: slower when the server is nearly full */
-static void start_work(run_t *r, req_t *q)
-{
-	sim_node_t *n = q->at;
-	const lw_sim_service_t *sv = &r->sim->services[n->service];
-	double ms = work_of(r, q->kind) / n->speed;
-
-	if (sv->knee > 0 && n->running > sv->knee * n->slots)
-		ms *= sv->knee_x;
-	q->queued = false;
-	q->started_us = r->now;
-	q->work_done_ms += ms;
-	r->sim->total.spent_ms += ms;
-	if (r->now >= r->sim->burst_at_s * 1e6 &&
-	    r->now < (r->sim->burst_at_s + r->sim->burst_for_s) * 1e6)
-		r->sim->busy_ms[n->service] += ms * n->speed;
-	n->running++;
-	q->calls_left = q->kind->call[0] ? q->kind->calls : 0;
-	push(r, LW_SIM_WORKED, r->now + (uint64_t)(ms * 1000), q);
-}
-
-static uint32_t queue_ms(const req_t *q)
-{
-	return q->kind->target_ms * (q->parent ? QUEUE_NESTED_PERCENT : QUEUE_NEW_PERCENT) / 100;
-}
-
-static void at_node(run_t *r, req_t *q)
-{
-	sim_node_t *n = q->at;
-	bool naive = r->sim->policy == LW_SIM_NAIVE;
-	lw_ask_t ask = { .deadline_ms = left_ms(r, q), .queue_ms = queue_ms(q) };
-	lw_admit_state_t st;
-	lw_fail_t why;
-
-	lw_level_arrival(&n->level, q->rank);
-	load_of(n, &st.load);
-	q->waiter.priority = r->sim->policy >= LW_SIM_FIFO ? 0 : q->rank / LW_RANKS_PER_PRIORITY;
-	q->waiter.expires_us = r->now + (uint64_t)lw_admit_wait_ms(&st, &ask) * 1000;
-	if (r->sim->policy >= LW_SIM_FIFO)
-		q->waiter.expires_us =
-			naive ? q->give_up_us : r->now + (uint64_t)queue_ms(q) * 1000;
-	st.ahead = (uint32_t)lw_waitq_ahead(&n->queue, &q->waiter);
-	why = naive ? LW_FAIL_NONE : lw_admit(&st, &ask);
-	if (why) {
-		send_answer(r, q, why, false, lw_admit_retry_after_ms(&st.load));
-		return;
-	}
-	q->queued = true;
-	q->queued_us = r->now;
-	lw_waitq_push(&n->queue, &q->waiter);
-	dispatch(r, n);
-}
-
-/* a server that sheds turns requests away at random, however little it has to do */
-static bool shed(run_t *r, req_t *q)
-{
-	const lw_sim_t *s = r->sim;
-	double t = (double)r->now / 1e6;
-
-	if (t < s->shed_at_s || t >= s->shed_at_s + s->shed_for_s ||
-	    strcmp(s->shed_service, q->kind->service) != 0 || rnd01(r) >= s->shed_part)
-		return false;
-	q->queued = false;
-	send_answer(r, q, LW_FAIL_SHED, false, 0);
-	return true;
-}
-
-static void dispatch(run_t *r, sim_node_t *n)
-{
-	uint32_t limit = r->sim->policy == LW_SIM_NAIVE ? n->slots : n->limit;
-
-	while (n->queue.first && n->running < limit) {
-		req_t *q = (req_t *)(void *)lw_waitq_pop(&n->queue);
-
-		if (q->give_up_us <= r->now && r->sim->policy != LW_SIM_NAIVE)
-			continue;
-		if (!shed(r, q))
-			start_work(r, q);
-	}
-}
-
-static void run_over(run_t *r, req_t *q, bool bad)
-{
-	sim_node_t *n = q->at;
-
-	n->running--;
-	n->service_us += SERVICE_EWMA * ((double)(r->now - q->started_us) - n->service_us);
-	send_answer(r, q, LW_FAIL_NONE, bad, 0);
-	dispatch(r, n);
-}
-
 static req_t *new_req(run_t *r, lw_sim_kind_t *k, sim_node_t *origin, req_t *parent)
 {
 	req_t *q = xcalloc(1, sizeof(*q));
@@ -278,7 +55,7 @@
 		if (q->give_up_us > parent->give_up_us)
 			q->give_up_us = parent->give_up_us;
 	} else {
-		snprintf(id, sizeof(id), "%llx", (unsigned long long)rnd(r));
+		snprintf(id, sizeof(id), "%llx", (unsigned long long)lw_sim_random(r));
 		q->rank = lw_rank(k->priority, lw_str_c(id));
 		q->tries_left = k->retries;
 	}
@@ -291,14 +68,14 @@
 	lw_place_service_t *s = lw_place_service(&q->origin->place, q->kind->service);
 
 	lw_retrylimit_request(&s->retries, &r->terms, r->now);
-	push(r, LW_SIM_TIMEOUT, q->give_up_us, q);
+	lw_sim_push(r, LW_SIM_TIMEOUT, q->give_up_us, q);
 	attempt(r, q, LW_FAIL_NO_SERVER);
 }
 
 static void next_call(run_t *r, req_t *q)
 {
 	if (q->call_failed || !q->calls_left) {
-		run_over(r, q, q->call_failed);
+		lw_sim_run_over(r, q, q->call_failed);
 		return;
 	}
 	q->calls_left--;
@@ -325,7 +102,7 @@
 		if (!p->over)
 			next_call(r, p);
 		else
-			run_over(r, p, true);
+			lw_sim_run_over(r, p, true);
 		return;
 	}
 	if (refused && q->tries_left) {
@@ -333,8 +110,9 @@
 					q->kind->deadline_ms - (uint32_t)took_ms :
 					0;
 		uint32_t ms = lw_comeback_ms(room_ms ? room_ms : COMEBACK_DEFAULT_MS,
-					     q->kind->priority, left, (uint32_t)rnd(r));
-		lw_simevent_t *e = push(r, LW_SIM_RETURN, r->now + (uint64_t)ms * 1000, NULL);
+					     q->kind->priority, left, (uint32_t)lw_sim_random(r));
+		lw_simevent_t *e =
+			lw_sim_push(r, LW_SIM_RETURN, r->now + (uint64_t)ms * 1000, NULL);
 
 		e->of = q->kind;
 		e->req = q;
@@ -402,7 +180,7 @@
 		finish(r, q, true, false, 0);
 		return;
 	}
-	q->attempts.left_ms = left_ms(r, q);
+	q->attempts.left_ms = lw_sim_left_ms(r, q);
 	if (e->why == LW_FAIL_NONE) {
 		q->attempts.given++;
 		if (!e->load.call_failed && lw_retry_answer(&q->attempts, 500) && take_retry(r, q))
@@ -435,18 +213,18 @@
 	q->call_failed = false;
 	q->at = node_of(r, q->host->id);
 	lw_place_sent(q->host);
-	push(r, LW_SIM_AT_NODE, r->now + (q->host->self ? 0 : (uint64_t)(r->sim->net_ms * 1000)),
-	     q);
+	lw_sim_push(r, LW_SIM_AT_NODE,
+		    r->now + (q->host->self ? 0 : (uint64_t)(r->sim->net_ms * 1000)), q);
 }
 
 static void attempt(run_t *r, req_t *q, lw_fail_t last)
 {
 	lw_place_service_t *s = lw_place_service(&q->origin->place, q->kind->service);
-	lw_place_ask_t ask = { r->now, 0, (uint32_t)rnd(r) };
+	lw_place_ask_t ask = { r->now, 0, (uint32_t)lw_sim_random(r) };
 	lw_place_host_t *h = lw_place_pick(s, &q->tried, &ask);
 
 	if (r->sim->policy == LW_SIM_NAIVE && !q->tried.n) {
-		uint32_t skip = (uint32_t)(rnd(r) % 64);
+		uint32_t skip = (uint32_t)(lw_sim_random(r) % 64);
 
 		for (h = s->hosts; skip--;)
 			h = h->next ? h->next : s->hosts;
@@ -469,7 +247,7 @@
 
 static void begin(run_t *r, lw_sim_kind_t *k, uint64_t first_us, uint32_t tries_left)
 {
-	sim_node_t *origin = &r->node[rnd(r) % r->nnodes];
+	sim_node_t *origin = &r->node[lw_sim_random(r) % r->nnodes];
 	req_t *q = new_req(r, k, origin, NULL);
 	lw_hot_t by;
 
@@ -493,7 +271,7 @@
 
 static void on_arrive(run_t *r, lw_sim_kind_t *k)
 {
-	double gap = -log(rnd01(r)) / rate_now(r->sim, k, r->now);
+	double gap = -log(lw_sim_random01(r)) / rate_now(r->sim, k, r->now);
 	uint32_t second = (uint32_t)(r->now / 1000000);
 	lw_simevent_t *e;
 
@@ -503,7 +281,7 @@
 	if (second < LW_SIM_SECONDS_MAX)
 		r->sim->asked_at[second]++;
 	begin(r, k, r->now, k->retries);
-	e = push(r, LW_SIM_ARRIVE, r->now + (uint64_t)(gap * 1e6), NULL);
+	e = lw_sim_push(r, LW_SIM_ARRIVE, r->now + (uint64_t)(gap * 1e6), NULL);
 	e->of = k;
 }
 
@@ -520,13 +298,13 @@
 			lw_load_t load;
 
 			lw_waitq_remove(&n->queue, w);
-			load_of(n, &load);
-			send_answer(r, (req_t *)(void *)w, LW_FAIL_EXPIRED, false,
-				    lw_admit_retry_after_ms(&load));
+			lw_sim_load_of(n, &load);
+			lw_sim_send_answer(r, (req_t *)(void *)w, LW_FAIL_EXPIRED, false,
+					   lw_admit_retry_after_ms(&load));
 		}
 	}
 	if ((double)r->now / 1e6 < r->sim->length_s + 10)
-		push(r, LW_SIM_STEP, r->now + LW_LEVEL_STEP_MS * 1000, NULL);
+		lw_sim_push(r, LW_SIM_STEP, r->now + LW_LEVEL_STEP_MS * 1000, NULL);
 }
 
 static void on_timeout(run_t *r, req_t *q)
@@ -550,7 +328,7 @@
 		break;
 	case LW_SIM_AT_NODE:
 		if (!q->over)
-			at_node(r, q);
+			lw_sim_at_node(r, q);
 		break;
 	case LW_SIM_WORKED:
 		next_call(r, q);
@@ -573,7 +351,7 @@
 static void build_nodes(run_t *r)
 {
 	lw_sim_t *s = r->sim;
-	lw_serverlist_t sl = { .servers = xcalloc(NODES_MAX, sizeof(lw_server_entry_t)) };
+	lw_serverlist_t sl = { .servers = xcalloc(LW_SIM_NODES_MAX, sizeof(lw_server_entry_t)) };
 
 	for (size_t i = 0; i < s->nservices; i++)
 		for (uint32_t k = 0; k < s->services[i].servers; k++) {
@@ -617,8 +395,9 @@
 	build_nodes(r);
 	for (size_t i = 0; i < s->nkinds; i++)
 		if (s->kinds[i].rate > 0)
-			push(r, LW_SIM_ARRIVE, (uint64_t)(rnd01(r) * 1e5), NULL)->of = &s->kinds[i];
-	push(r, LW_SIM_STEP, LW_LEVEL_STEP_MS * 1000, NULL);
+			lw_sim_push(r, LW_SIM_ARRIVE, (uint64_t)(lw_sim_random01(r) * 1e5), NULL)
+				->of = &s->kinds[i];
+	lw_sim_push(r, LW_SIM_STEP, LW_LEVEL_STEP_MS * 1000, NULL);
 	while (r->events.len) {
 		lw_simevent_t e = lw_simqueue_pop(&r->events);
 
--- /dev/null
+++ b/src/simfleet_int.h
@@ -0,0 +1,83 @@
+/* Shared by the files of the model only; others use simfleet.h. */
+#ifndef LW_SIMFLEET_INT_H
+#define LW_SIMFLEET_INT_H
+
+#include "hotpath.h"
+#include "level.h"
+#include "place.h"
+#include "retrylimit.h"
+#include "retryrule.h"
+#include "simfleet.h"
+#include "simqueue.h"
+#include "waitq.h"
+
+#define LW_SIM_NODES_MAX (LW_SIM_SERVICES_MAX * LW_SIM_SERVERS_MAX)
+
+typedef struct run run_t;
+typedef struct req req_t;
+
+/* a server and the node beside it */
+typedef struct sim_node {
+	uint32_t service;
+	uint32_t index;
+	uint32_t running;
+	uint32_t limit;
+	uint32_t slots;
+	double speed;
+	double service_us;
+	lw_waitq_t queue;
+	lw_level_t level;
+	lw_place_t place; /* what this node knows of the others */
+	lw_hotpath_t *hot;
+	char id[LW_NAME_MAX];
+} sim_node_t;
+
+/* one request, of a user or a call, with its attempt under way */
+struct req {
+	lw_waiter_t waiter; /* first, so that a waiter is its request */
+	lw_sim_kind_t *kind;
+	req_t *parent;
+	sim_node_t *origin; /* node where it began */
+	sim_node_t *at; /* node that runs it */
+	lw_place_host_t *host;
+	lw_place_tried_t tried;
+	lw_attempts_t attempts;
+	uint32_t rank;
+	uint64_t first_us; /* the user's first try */
+	uint64_t begun_us;
+	uint64_t give_up_us;
+	uint64_t queued_us;
+	uint64_t started_us;
+	uint32_t tries_left;
+	uint32_t calls_left;
+	uint32_t above;
+	double work_done_ms; /* at servers, calls included */
+	lw_hots_t hots;
+	uint32_t depth;
+	bool queued;
+	bool call_failed;
+	bool over; /* answered to whoever waits */
+};
+
+struct run {
+	lw_sim_t *sim;
+	uint64_t now;
+	uint64_t seq;
+	uint64_t rng;
+	lw_simqueue_t events;
+	sim_node_t node[LW_SIM_NODES_MAX];
+	size_t nnodes;
+	lw_retryterms_t terms;
+	uint64_t ids;
+};
+
+uint64_t lw_sim_random(run_t *r);
+double lw_sim_random01(run_t *r);
+lw_simevent_t *lw_sim_push(run_t *r, lw_simevent_kind_t kind, uint64_t at_us, req_t *q);
+uint32_t lw_sim_left_ms(const run_t *r, const req_t *q);
+void lw_sim_load_of(const sim_node_t *n, lw_load_t *out);
+void lw_sim_send_answer(run_t *r, req_t *q, lw_fail_t why, bool bad, uint32_t room_ms);
+void lw_sim_at_node(run_t *r, req_t *q);
+void lw_sim_run_over(run_t *r, req_t *q, bool bad);
+
+#endif
--- /dev/null
+++ b/src/simserver.c
@@ -0,0 +1,175 @@
+/*
+ * The model's servers and the nodes beside them: admission, queue, work. The
+ * decisions are the real ones.
+ */
+#include <math.h>
+#include <string.h>
+
+#include "admit.h"
+#include "simfleet_int.h"
+
+/* useful wait before a server, percent of the target, as in exchange.c */
+#define QUEUE_NEW_PERCENT    35
+#define QUEUE_NESTED_PERCENT 60
+/* weight of a run in a node's average service time, as in gate.c */
+#define SERVICE_EWMA 0.05
+/* work spreads around its mean by this (log-normal sigma) */
+#define WORK_SIGMA 0.3
+
+/* lw_sim_random() - 64 random bits (xorshift64*). */
+uint64_t lw_sim_random(run_t *r)
+{
+	r->rng ^= r->rng >> 12;
+	r->rng ^= r->rng << 25;
+	r->rng ^= r->rng >> 27;
+	return r->rng * 2685821657736338717ULL;
+}
+
+/* lw_sim_random01() - a random number between 0 and 1, never either. */
+double lw_sim_random01(run_t *r)
+{
+	return ((lw_sim_random(r) >> 11) + 0.5) / 9007199254740992.0;
+}
+
+static double work_of(run_t *r, const lw_sim_kind_t *k)
+{
+	double normal = sqrt(-2 * log(lw_sim_random01(r))) * cos(2 * M_PI * lw_sim_random01(r));
+
+	return k->work_ms * exp(WORK_SIGMA * normal - WORK_SIGMA * WORK_SIGMA / 2);
+}
+
+/* lw_sim_push() - an event of @q at @at_us. */
+lw_simevent_t *lw_sim_push(run_t *r, lw_simevent_kind_t kind, uint64_t at_us, req_t *q)
+{
+	lw_simevent_t *e = lw_simqueue_push(&r->events, kind, at_us);
+
+	e->req = q;
+	return e;
+}
+
+/* lw_sim_load_of() - what a node tells of its server. */
+void lw_sim_load_of(const sim_node_t *n, lw_load_t *out)
+{
+	memset(out, 0, sizeof(*out));
+	out->running = n->running;
+	out->queued = (uint32_t)n->queue.len;
+	out->limit = n->limit;
+	out->service_us = (uint32_t)n->service_us;
+	out->level = n->level.level;
+}
+
+/* lw_sim_send_answer() - the outcome of @q, on its way to where it began. */
+void lw_sim_send_answer(run_t *r, req_t *q, lw_fail_t why, bool bad, uint32_t room_ms)
+{
+	uint64_t at = r->now + (uint64_t)(r->sim->net_ms * 1000);
+	lw_simevent_t *e = lw_sim_push(r, LW_SIM_ANSWER, at, q);
+
+	e->why = why;
+	e->bad = bad;
+	e->room_ms = room_ms;
+	lw_sim_load_of(q->at, &e->load);
+	e->load.hots = q->hots;
+	e->load.depth = q->depth;
+	e->load.call_failed = q->call_failed;
+}
+
+/* lw_sim_left_ms() - what the request's caller still waits. */
+uint32_t lw_sim_left_ms(const run_t *r, const req_t *q)
+{
+	return q->give_up_us > r->now ? (uint32_t)((q->give_up_us - r->now) / 1000) : 0;
+}
+
+/* own work of a request: slower when the server is nearly full */
+static void start_work(run_t *r, req_t *q)
+{
+	sim_node_t *n = q->at;
+	const lw_sim_service_t *sv = &r->sim->services[n->service];
+	double ms = work_of(r, q->kind) / n->speed;
+
+	if (sv->knee > 0 && n->running > sv->knee * n->slots)
+		ms *= sv->knee_x;
+	q->queued = false;
+	q->started_us = r->now;
+	q->work_done_ms += ms;
+	r->sim->total.spent_ms += ms;
+	if (r->now >= r->sim->burst_at_s * 1e6 &&
+	    r->now < (r->sim->burst_at_s + r->sim->burst_for_s) * 1e6)
+		r->sim->busy_ms[n->service] += ms * n->speed;
+	n->running++;
+	q->calls_left = q->kind->call[0] ? q->kind->calls : 0;
+	lw_sim_push(r, LW_SIM_WORKED, r->now + (uint64_t)(ms * 1000), q);
+}
+
+static uint32_t queue_ms(const req_t *q)
+{
+	return q->kind->target_ms * (q->parent ? QUEUE_NESTED_PERCENT : QUEUE_NEW_PERCENT) / 100;
+}
+
+static void dispatch(run_t *r, sim_node_t *n);
+
+/* lw_sim_at_node() - a request reaches the node beside its server. */
+void lw_sim_at_node(run_t *r, req_t *q)
+{
+	sim_node_t *n = q->at;
+	bool naive = r->sim->policy == LW_SIM_NAIVE;
+	lw_ask_t ask = { .deadline_ms = lw_sim_left_ms(r, q), .queue_ms = queue_ms(q) };
+	lw_admit_state_t st;
+	lw_fail_t why;
+
+	lw_level_arrival(&n->level, q->rank);
+	lw_sim_load_of(n, &st.load);
+	q->waiter.priority = r->sim->policy >= LW_SIM_FIFO ? 0 : q->rank / LW_RANKS_PER_PRIORITY;
+	q->waiter.expires_us = r->now + (uint64_t)lw_admit_wait_ms(&st, &ask) * 1000;
+	if (r->sim->policy >= LW_SIM_FIFO)
+		q->waiter.expires_us =
+			naive ? q->give_up_us : r->now + (uint64_t)queue_ms(q) * 1000;
+	st.ahead = (uint32_t)lw_waitq_ahead(&n->queue, &q->waiter);
+	why = naive ? LW_FAIL_NONE : lw_admit(&st, &ask);
+	if (why) {
+		lw_sim_send_answer(r, q, why, false, lw_admit_retry_after_ms(&st.load));
+		return;
+	}
+	q->queued = true;
+	q->queued_us = r->now;
+	lw_waitq_push(&n->queue, &q->waiter);
+	dispatch(r, n);
+}
+
+/* a server that sheds turns requests away at random, however little it has to do */
+static bool shed(run_t *r, req_t *q)
+{
+	const lw_sim_t *s = r->sim;
+	double t = (double)r->now / 1e6;
+
+	if (t < s->shed_at_s || t >= s->shed_at_s + s->shed_for_s ||
+	    strcmp(s->shed_service, q->kind->service) != 0 || lw_sim_random01(r) >= s->shed_part)
+		return false;
+	q->queued = false;
+	lw_sim_send_answer(r, q, LW_FAIL_SHED, false, 0);
+	return true;
+}
+
+static void dispatch(run_t *r, sim_node_t *n)
+{
+	uint32_t limit = r->sim->policy == LW_SIM_NAIVE ? n->slots : n->limit;
+
+	while (n->queue.first && n->running < limit) {
+		req_t *q = (req_t *)(void *)lw_waitq_pop(&n->queue);
+
+		if (q->give_up_us <= r->now && r->sim->policy != LW_SIM_NAIVE)
+			continue;
+		if (!shed(r, q))
+			start_work(r, q);
+	}
+}
+
+/* lw_sim_run_over() - a server has answered; the next request may start. */
+void lw_sim_run_over(run_t *r, req_t *q, bool bad)
+{
+	sim_node_t *n = q->at;
+
+	n->running--;
+	n->service_us += SERVICE_EWMA * ((double)(r->now - q->started_us) - n->service_us);
+	lw_sim_send_answer(r, q, LW_FAIL_NONE, bad, 0);
+	dispatch(r, n);
+}
