Reading the change: what was asked for long ago is forgotten; resends counted right

Found reading the diff. After twenty seconds without traffic the record of a past fault still held repeats back (the longer script fails before); a request that was sent again to a server that shed it and then went elsewhere was counted with one server too few; a long answer under way was looked at ten times a second by the stall timer.

--- a/src/exchattempt.c
+++ b/src/exchattempt.c
@@ -286,7 +286,7 @@
 	const lw_hub_t *hub = x->engine->hub;
 
 	(void)revents;
-	if (hub->leaving)
+	if (hub->leaving || x->answering)
 		return;
 	if (lw_place_has_room(x->service, &x->tried, hub->now_us)) {
 		sink_silent(&x->sink);
@@ -424,5 +424,6 @@
 	if (x->tried.n || x->attempts.given)
 		log_retry(x, last);
 	x->tried.host[x->tried.n++] = x->host;
+	x->resending = false;
 	lw_exchange_give(x);
 }
--- a/src/retrylimit.c
+++ b/src/retrylimit.c
@@ -63,7 +63,7 @@
 	uint64_t slice = (uint64_t)((double)now_us / (t->window_s * 1e6 / LW_RETRY_SLICES));
 
 	if (slice - l->newest >= LW_RETRY_KEPT) {
-		memset(l->slices, 0, sizeof(l->slices));
+		memset(l, 0, sizeof(*l));
 		l->newest = slice;
 	}
 	while (l->newest < slice) {
