--- a/src/exchattempt.c
+++ b/src/exchattempt.c
@@ -30,7 +30,7 @@
 static bool take_retry(lw_exchange_t *x)
 {
 	lw_engine_t *e = x->engine;
-	lw_retryplace_t at = { e->place.nhosts, x->above, lw_hotpath_depth(e->hotpath, x->route),
+	lw_retryplace_t at = { e->place.nsharing, x->above, lw_hotpath_depth(e->hotpath, x->route),
 			       x->rank };
 
 	if (lw_retrylimit_take(&x->service->retries, &e->place.terms, &at, e->hub->now_us)) {
@@ -96,7 +96,8 @@
 		lw_exchange_attempt(x, why);
 	} else if (v == LW_VERDICT_AGAIN_COUNTED && take_retry(x)) {
 		lw_exchange_attempt(x, why);
-	} else if (v == LW_VERDICT_SAME_COUNTED && lw_place_takes(x->shed_by) && take_retry(x)) {
+	} else if (v == LW_VERDICT_SAME_COUNTED && 
+		   lw_place_takes(x->shed_by, x->engine->hub->now_us) && take_retry(x)) {
 		resend(x, why);
 	} else {
 		lw_exchange_answer_verdict(x, lw_retry_final(&x->attempts, why), why);
--- a/src/feed.c
+++ b/src/feed.c
@@ -79,10 +79,26 @@
 	pthread_mutex_unlock(&f->lock);
 }
 
+/* lw_feed_asked() - from the reader: a call begins that the store may hold for @wait_ms. */
+void lw_feed_asked(lw_feed_t *f, uint32_t wait_ms)
+{
+	uint64_t due = lw_now_boot_us() + (uint64_t)wait_ms * 1000;
+
+	__atomic_store_n(&f->due_us, due, __ATOMIC_RELEASE);
+}
+
+/* lw_feed_failed() - from the reader: the call failed. */
+void lw_feed_failed(lw_feed_t *f)
+{
+	__atomic_store_n(&f->failed_us, lw_now_boot_us(), __ATOMIC_RELEASE);
+	__atomic_store_n(&f->due_us, 0, __ATOMIC_RELEASE);
+}
+
 /* lw_feed_read() - from the reader: the store has answered just now. */
 void lw_feed_read(lw_feed_t *f)
 {
 	__atomic_store_n(&f->read_us, lw_now_boot_us(), __ATOMIC_RELEASE);
+	__atomic_store_n(&f->due_us, 0, __ATOMIC_RELEASE);
 	ev_async_send(f->conf.loop, f->conf.wake);
 }
 
@@ -108,3 +124,16 @@
 {
 	return __atomic_load_n(&f->read_us, __ATOMIC_ACQUIRE);
 }
+
+/*
+ * lw_feed_last_failure_us() - boot time at which a call was last known to
+ * fail; one that has no answer after @pending_us counts as failing. 0: none did.
+ */
+uint64_t lw_feed_last_failure_us(const lw_feed_t *f, uint64_t pending_us)
+{
+	uint64_t failed = __atomic_load_n(&f->failed_us, __ATOMIC_ACQUIRE);
+	uint64_t due = __atomic_load_n(&f->due_us, __ATOMIC_ACQUIRE);
+	uint64_t now = lw_now_boot_us();
+
+	return due && now > due + pending_us ? now : failed;
+}
--- a/src/feed.h
+++ b/src/feed.h
@@ -27,6 +27,8 @@
 	lw_mailbox_t servers; /* lw_serverlist_t */
 	uint32_t wanted; /* the loop wants the store to be read; by lw_feed_want() */
 	uint64_t read_us; /* boot time of the last successful read; atomic */
+	uint64_t due_us; /* boot time from which the call under way is waited for; 0: none is; atomic */
+	uint64_t failed_us; /* boot time of the last failed call; atomic */
 	uint64_t others_us; /* boot time of another node's last read, as told; atomic */
 	bool hurry; /* what was read last is known to be old; under the lock */
 	pthread_mutex_t lock;
@@ -50,9 +52,12 @@
 bool lw_feed_wait_wanted(lw_feed_t *f);
 void lw_feed_hurry(lw_feed_t *f);
 void lw_feed_pause(lw_feed_t *f, uint32_t ms);
+void lw_feed_asked(lw_feed_t *f, uint32_t wait_ms);
+void lw_feed_failed(lw_feed_t *f);
 void lw_feed_read(lw_feed_t *f);
 void lw_feed_others_read(lw_feed_t *f, uint64_t at_us);
 bool lw_feed_others_read_lately(const lw_feed_t *f);
 uint64_t lw_feed_last_read_us(const lw_feed_t *f);
+uint64_t lw_feed_last_failure_us(const lw_feed_t *f, uint64_t pending_us);
 
 #endif
--- a/src/fleetconf.c
+++ b/src/fleetconf.c
@@ -26,6 +26,7 @@
 		free(fc->routes[i].splits);
 	}
 	free(fc->routes);
+	free(fc->services);
 	free(fc->text);
 	free(fc);
 }
@@ -65,6 +66,27 @@
 	s->weight = weight;
 }
 
+/* lw_fleetconf_add_service() - add a service; @health: path of its health check or empty. */
+void lw_fleetconf_add_service(lw_fleetconf_t *fc, lw_str_t name, lw_str_t health)
+{
+	lw_fleet_service_t *s;
+
+	fc->services = xrealloc(fc->services, (fc->nservices + 1) * sizeof(*s));
+	s = &fc->services[fc->nservices++];
+	memset(s, 0, sizeof(*s));
+	lw_str_copy(s->name, sizeof(s->name), name);
+	lw_str_copy(s->health, sizeof(s->health), health);
+}
+
+/* lw_fleetconf_service() - the service @name, NULL if the configuration has none. */
+const lw_fleet_service_t *lw_fleetconf_service(const lw_fleetconf_t *fc, const char *name)
+{
+	for (size_t i = 0; i < fc->nservices; i++)
+		if (strcmp(fc->services[i].name, name) == 0)
+			return &fc->services[i];
+	return NULL;
+}
+
 static int key_cmp(const char *a, size_t alen, const char *b, size_t blen)
 {
 	int c = memcmp(a, b, alen < blen ? alen : blen);
--- a/src/fleetconf.h
+++ b/src/fleetconf.h
@@ -34,6 +34,12 @@
 	size_t nsplits;
 } lw_fleet_route_t;
 
+/* A service whose backend servers register themselves. */
+typedef struct lw_fleet_service {
+	char name[LW_NAME_MAX];
+	char health[LW_NAME_MAX]; /* path of its health check; empty: none told */
+} lw_fleet_service_t;
+
 /* What callers may send. */
 typedef struct lw_fleet_limits {
 	uint32_t max_header_bytes;
@@ -47,13 +53,16 @@
 	lw_fleet_limits_t limits;
 	lw_fleet_route_t *routes; /* sorted by key */
 	size_t nroutes;
+	lw_fleet_service_t *services;
+	size_t nservices;
 	char *text; /* the document as published, for other nodes */
 	size_t textlen;
 } lw_fleetconf_t;
 
 /* A backend server as it registered itself. */
 typedef struct lw_server_entry {
-	char id[LW_NAME_MAX]; /* of this start of it */
+	char id[LW_NAME_MAX]; /* kept when it starts anew */
+	uint64_t born_ms; /* Unix time of its start: tells its processes apart; 0: not told */
 	char service[LW_NAME_MAX];
 	char addr[LW_NAME_MAX]; /* "ip:port" of the backend server itself */
 	char zone[LW_NAME_MAX];
@@ -73,6 +82,8 @@
 void lw_fleetconf_free(lw_fleetconf_t *fc);
 lw_fleet_route_t *lw_fleetconf_add(lw_fleetconf_t *fc, lw_str_t host, lw_str_t prefix);
 void lw_fleet_route_split(lw_fleet_route_t *r, lw_str_t service, uint32_t weight);
+void lw_fleetconf_add_service(lw_fleetconf_t *fc, lw_str_t name, lw_str_t health);
+const lw_fleet_service_t *lw_fleetconf_service(const lw_fleetconf_t *fc, const char *name);
 void lw_fleetconf_seal(lw_fleetconf_t *fc);
 lw_fleet_route_t *lw_fleetconf_match(const lw_fleetconf_t *fc, lw_str_t host, lw_str_t path);
 const char *lw_fleet_route_next(lw_fleet_route_t *r);
--- a/src/gate.c
+++ b/src/gate.c
@@ -190,17 +190,37 @@
 	hand_back_queue(g);
 }
 
+/* what was learned of the process before says nothing of the new one */
+static void forget_server(lw_gate_t *g)
+{
+	g->replaced_id[0] = '\0';
+	g->failing = 0;
+	g->told_busy = 0;
+	g->since_told = 0;
+}
+
 /*
  * lw_gate_set_server() - the backend server on this host as it registered
  * itself. When it is leaving, what still waits is handed back at once.
  */
-void lw_gate_set_server(lw_gate_t *g, const char *id, uint32_t slots, bool leaving)
+void lw_gate_set_server(lw_gate_t *g, const lw_place_host_t *server)
 {
-	if (slots && slots != g->slots) {
-		g->slots = slots;
-		g->limit = lw_admit_limit(slots);
+	bool other = strcmp(g->server_id, server->id) != 0;
+
+	if (server->slots && server->slots != g->slots) {
+		g->slots = server->slots;
+		g->limit = lw_admit_limit(server->slots);
 	}
-	lw_str_copy(g->server_id, sizeof(g->server_id), lw_str_c(id));
+	if (other || (g->server_born_ms && server->born_ms != g->server_born_ms))
+		forget_server(g);
+	lw_str_copy(g->server_id, sizeof(g->server_id), lw_str_c(server->id));
+	g->server_born_ms = server->born_ms;
+	lw_gate_set_leaving(g, server->draining);
+}
+
+/* lw_gate_set_leaving() - whether the backend server takes no new work. */
+void lw_gate_set_leaving(lw_gate_t *g, bool leaving)
+{
 	g->leaving = leaving;
 	if (leaving)
 		hand_back_queue(g);
--- a/src/gate.h
+++ b/src/gate.h
@@ -15,6 +15,7 @@
 #include "histogram.h"
 #include "hub.h"
 #include "level.h"
+#include "place.h"
 #include "waitq.h"
 
 typedef struct lw_gate_stats {
@@ -39,6 +40,7 @@
 	double service_us; /* moving average of the time a request runs */
 	bool leaving; /* the backend server takes no new work */
 	bool refusing; /* this node is about to exit */
+	uint64_t server_born_ms; /* start of its process; 0: not told */
 	char server_id[LW_NAME_MAX]; /* of the backend server that is on this host now */
 	char replaced_id[LW_NAME_MAX]; /* the backend server said that it is not this one */
 	lw_waitq_t queue;
@@ -55,7 +57,8 @@
 } lw_gate_t;
 
 void lw_gate_init(lw_gate_t *g, lw_hub_t *hub);
-void lw_gate_set_server(lw_gate_t *g, const char *id, uint32_t slots, bool leaving);
+void lw_gate_set_server(lw_gate_t *g, const lw_place_host_t *server);
+void lw_gate_set_leaving(lw_gate_t *g, bool leaving);
 lw_call_t *lw_gate_submit(lw_gate_t *g, lw_sink_t *sink, const lw_ask_t *ask, lw_str_t body,
 			  bool fin, lw_fail_t *why, uint32_t *retry_after_ms);
 uint64_t lw_gate_oldest_us(const lw_gate_t *g);
--- /dev/null
+++ b/src/lease.c
@@ -0,0 +1,145 @@
+/* The lease of the backend server on this host; see lease.h. */
+#include "lease.h"
+
+/*
+ * Evidence of a cut comes within this, or there is none: a failing call to the
+ * store shows after LW_LEASE_PENDING_US, the server answers in milliseconds, us.
+ */
+#define EVIDENCE_US 1200000
+/* a server is asked twice a second; two answers may be missed, us */
+#define HEALTHY_US 1600000
+/* a failure of the store this long before the entry was missed belongs to it, us */
+#define FAILED_BEFORE_US 2000000
+/*
+ * A living server writes its entry again within about two seconds of reaching
+ * the store; one that left in the meantime must be without work by then, us.
+ */
+#define RETURN_US 1800000
+
+static bool move_to(lw_lease_t *l, lw_lease_state_t state, lw_lease_cause_t cause)
+{
+	l->state = state;
+	l->cause = cause;
+	return true;
+}
+
+/* lw_lease_found() - the entry is in the newest list. */
+void lw_lease_found(lw_lease_t *l)
+{
+	*l = (lw_lease_t){ .state = LW_LEASE_HELD, .cause = LW_LEASE_BY_LIST };
+}
+
+/* lw_lease_missing() - the entry is not in the newest list and was before. */
+void lw_lease_missing(lw_lease_t *l, uint64_t now_us)
+{
+	if (l->state != LW_LEASE_HELD)
+		return;
+	l->lapsed_us = now_us;
+	l->left = false;
+	move_to(l, LW_LEASE_LAPSED, LW_LEASE_BY_LIST);
+}
+
+/* the last call to the store failed, and lately */
+static bool cut_off(const lw_lease_t *l, const lw_lease_evidence_t *ev)
+{
+	return ev->failed_us > ev->read_us && ev->failed_us + FAILED_BEFORE_US > l->lapsed_us;
+}
+
+static bool healthy(const lw_lease_evidence_t *ev)
+{
+	return ev->healthy_us && ev->now_us - ev->healthy_us < HEALTHY_US;
+}
+
+static bool leave(lw_lease_t *l, lw_lease_cause_t cause)
+{
+	l->left = cause != LW_LEASE_BY_TIME;
+	return move_to(l, LW_LEASE_GONE, cause);
+}
+
+static bool step_lapsed(lw_lease_t *l, const lw_lease_evidence_t *ev)
+{
+	if (ev->read_us > l->lapsed_us)
+		return leave(l, LW_LEASE_BY_STORE);
+	if (cut_off(l, ev) && healthy(ev))
+		return move_to(l, LW_LEASE_CUT, LW_LEASE_BY_STORE);
+	if (ev->now_us - l->lapsed_us > EVIDENCE_US)
+		return leave(l, LW_LEASE_BY_TIME);
+	return false;
+}
+
+static bool step_cut(lw_lease_t *l, const lw_lease_evidence_t *ev)
+{
+	if (ev->read_us <= l->lapsed_us || cut_off(l, ev))
+		return false;
+	/* an answer that was only slow shows that the entry is missing */
+	if (ev->read_us - l->lapsed_us < EVIDENCE_US)
+		return leave(l, LW_LEASE_BY_STORE);
+	l->returned_us = ev->now_us;
+	return move_to(l, LW_LEASE_RETURNING, LW_LEASE_BY_STORE);
+}
+
+static bool step_returning(lw_lease_t *l, const lw_lease_evidence_t *ev)
+{
+	if (cut_off(l, ev) && ev->failed_us > l->returned_us)
+		return move_to(l, LW_LEASE_CUT, LW_LEASE_BY_STORE);
+	if (ev->now_us - l->returned_us > RETURN_US)
+		return leave(l, LW_LEASE_BY_STORE);
+	return false;
+}
+
+/* without certainty, evidence that came late still counts */
+static bool step_gone(lw_lease_t *l, const lw_lease_evidence_t *ev)
+{
+	if (!l->left && cut_off(l, ev) && healthy(ev))
+		return move_to(l, LW_LEASE_CUT, LW_LEASE_BY_STORE);
+	return false;
+}
+
+/* lw_lease_step() - take @ev into account; true if the state changed. */
+bool lw_lease_step(lw_lease_t *l, const lw_lease_evidence_t *ev)
+{
+	if (l->state == LW_LEASE_HELD)
+		return false;
+	if (ev->leaving && l->state != LW_LEASE_GONE)
+		return leave(l, LW_LEASE_BY_SERVER);
+	l->left |= ev->leaving;
+	switch (l->state) {
+	case LW_LEASE_LAPSED:
+		return step_lapsed(l, ev);
+	case LW_LEASE_CUT:
+		return step_cut(l, ev);
+	case LW_LEASE_RETURNING:
+		return step_returning(l, ev);
+	default:
+		return step_gone(l, ev);
+	}
+}
+
+/* lw_lease_in_use() - whether the server on this host may have new work. */
+bool lw_lease_in_use(const lw_lease_t *l)
+{
+	return l->state != LW_LEASE_GONE;
+}
+
+/* lw_lease_vouches() - whether other nodes may be told to use the server on. */
+bool lw_lease_vouches(const lw_lease_t *l, const lw_lease_evidence_t *ev)
+{
+	return (l->state == LW_LEASE_CUT || l->state == LW_LEASE_RETURNING) && healthy(ev);
+}
+
+/* lw_lease_state_name() - for the log and the status page. */
+const char *lw_lease_state_name(lw_lease_state_t s)
+{
+	static const char *const names[LW_LEASE_STATES] = { "held", "lapsed", "cut", "returning",
+							    "gone" };
+
+	return s < LW_LEASE_STATES ? names[s] : "unknown";
+}
+
+/* lw_lease_cause_name() - for the log. */
+const char *lw_lease_cause_name(lw_lease_cause_t c)
+{
+	static const char *const names[] = { "list", "server", "store", "time" };
+
+	return names[c];
+}
--- a/src/log.h
+++ b/src/log.h
@@ -36,6 +36,12 @@
 	X(1207, store_history_lost, LOG_NOTICE,                                                    \
 	  "the configuration service dropped its history; everything is read anew")                \
 	X(1208, servers_changed, LOG_NOTICE, "the list of backend servers changed")                \
+	X(1209, entry_rejected, LOG_WARNING,                                                       \
+	  "an entry in the store names no server: a field is missing or of another type")          \
+	X(1210, lease_changed, LOG_NOTICE,                                                         \
+	  "what this node knows of its backend server's entry changed, and why")                   \
+	X(1211, server_vouched, LOG_NOTICE,                                                        \
+	  "a node says that its backend server lives although its entry lapsed")                   \
 	X(1300, request_shed, LOG_INFO, "a request was refused at admission (not run)")            \
 	X(1301, deadline_rejected, LOG_INFO,                                                       \
 	  "a request was refused because its deadline cannot be met")                              \
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -18,6 +18,8 @@
 /* What the mesh tells the rest of the node; @ctx is given to lw_mesh_new(). */
 typedef struct lw_mesh_ops {
 	void (*load)(void *ctx, const char *node, const lw_load_t *load);
+	/* the node says that its backend server lives though its entry lapsed */
+	void (*vouched)(void *ctx, const char *node, const char *server, uint64_t born_ms);
 	void (*lost)(void *ctx, const char *node);
 	uint64_t (*config_version)(void *ctx);
 	/* the document in force; empty if there is none */
@@ -49,6 +51,7 @@
 lw_call_t *lw_mesh_call(lw_mesh_t *m, const char *node, lw_sink_t *sink, const lw_ask_t *ask,
 			lw_str_t body, bool fin);
 void lw_mesh_announce(lw_mesh_t *m);
+void lw_mesh_vouch(lw_mesh_t *m, const char *server, uint64_t born_ms);
 void lw_mesh_spread(lw_mesh_t *m);
 void lw_mesh_contact(lw_mesh_t *m, const char *node);
 const lw_mesh_stats_t *lw_mesh_stats(const lw_mesh_t *m);
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -946,7 +946,7 @@
   (ProtobufCMessageInit) lw__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__open__field_descriptors[11] =
+static const ProtobufCFieldDescriptor lw__open__field_descriptors[12] =
 {
   {
     "stream",
@@ -1080,6 +1080,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target_left_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Open, target_left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__open__field_indices_by_name[] = {
   9,   /* field[9] = body */
@@ -1093,12 +1105,13 @@
   7,   /* field[7] = request_id */
   0,   /* field[0] = stream */
   8,   /* field[8] = target */
+  11,   /* field[11] = target_left_ms */
 };
 static const ProtobufCIntRange lw__open__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor lw__open__descriptor =
 {
@@ -1108,7 +1121,7 @@
   "Lw__Open",
   "lw",
   sizeof(Lw__Open),
-  11,
+  12,
   lw__open__field_descriptors,
   lw__open__field_indices_by_name,
   2,  lw__open__number_ranges,
@@ -1461,7 +1474,7 @@
   (ProtobufCMessageInit) lw__failed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__status__field_descriptors[6] =
+static const ProtobufCFieldDescriptor lw__status__field_descriptors[8] =
 {
   {
     "is_reply",
@@ -1535,10 +1548,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lapsed_id",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Status, lapsed_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lapsed_born_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Status, lapsed_born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__status__field_indices_by_name[] = {
   4,   /* field[4] = incarnation */
   0,   /* field[0] = is_reply */
+  7,   /* field[7] = lapsed_born_ms */
+  6,   /* field[6] = lapsed_id */
   5,   /* field[5] = link */
   1,   /* field[1] = load */
   2,   /* field[2] = news_age_ms */
@@ -1548,7 +1587,7 @@
 {
   { 1, 0 },
   { 3, 1 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lw__status__descriptor =
 {
@@ -1558,7 +1597,7 @@
   "Lw__Status",
   "lw",
   sizeof(Lw__Status),
-  6,
+  8,
   lw__status__field_descriptors,
   lw__status__field_indices_by_name,
   2,  lw__status__number_ranges,
@@ -1744,7 +1783,7 @@
   (ProtobufCMessageInit) lw__fates__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__server_entry__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lw__server_entry__field_descriptors[8] =
 {
   {
     "id",
@@ -1830,9 +1869,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lw__ServerEntry, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__server_entry__field_indices_by_name[] = {
   2,   /* field[2] = address */
+  7,   /* field[7] = born_ms */
   5,   /* field[5] = cold_ms */
   6,   /* field[6] = draining */
   0,   /* field[0] = id */
@@ -1843,7 +1895,7 @@
 static const ProtobufCIntRange lw__server_entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lw__server_entry__descriptor =
 {
@@ -1853,7 +1905,7 @@
   "Lw__ServerEntry",
   "lw",
   sizeof(Lw__ServerEntry),
-  7,
+  8,
   lw__server_entry__field_descriptors,
   lw__server_entry__field_indices_by_name,
   1,  lw__server_entry__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -143,6 +143,10 @@
    * of the user request it is part of; the lowest is the most urgent
    */
   uint32_t rank;
+  /*
+   * until the user request misses its latency objective
+   */
+  uint32_t target_left_ms;
   /*
    * it, or a request it is part of, was sent before
    */
@@ -171,7 +175,7 @@
 };
 #define LW__OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__open__descriptor) \
-    , 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0 }
 
 
 struct  Lw__Answer
@@ -268,6 +272,14 @@
    * of the sender's process
    */
   uint64_t incarnation;
+  /*
+   * the sender's backend server lives though its entry lapsed; empty: no
+   */
+  char *lapsed_id;
+  /*
+   * start of that server's process
+   */
+  uint64_t lapsed_born_ms;
   /*
    * drawn by the side that opened the connection; names it
    */
@@ -275,7 +287,7 @@
 };
 #define LW__STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__status__descriptor) \
-    , 0, NULL, 0, 0, 0, 0 }
+    , 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -339,10 +351,14 @@
   uint32_t slots;
   uint32_t cold_ms;
   protobuf_c_boolean draining;
+  /*
+   * start of its process; 0: not told
+   */
+  uint64_t born_ms;
 };
 #define LW__SERVER_ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__server_entry__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Lw__Servers
--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -79,6 +79,8 @@
 	uint64_t refused[LW_MESH_REFUSED]; /* names of connections that may bring nothing more */
 	uint32_t nrefused;
 	uint64_t incarnation; /* of this process */
+	char lapsed_id[LW_NAME_MAX]; /* of the backend server here, while its entry lapsed */
+	uint64_t lapsed_born_ms;
 	ev_timer watch; /* runs while requests are under way */
 	lw_link_t *dirty;
 	uint64_t config_us; /* when the configuration in force was first announced */
--- a/src/meshframe.c
+++ b/src/meshframe.c
@@ -165,6 +165,7 @@
 		entry[i].slots = e->slots;
 		entry[i].cold_ms = e->cold_ms;
 		entry[i].draining = e->draining;
+		entry[i].born_ms = e->born_ms;
 		list[i] = &entry[i];
 	}
 	servers.revision = sl->revision;
@@ -195,6 +196,7 @@
 		e->slots = w->slots;
 		e->cold_ms = w->cold_ms;
 		e->draining = w->draining;
+		e->born_ms = w->born_ms;
 	}
 	return sl;
 }
--- a/src/meshnews.c
+++ b/src/meshnews.c
@@ -36,6 +36,8 @@
 	status.news_age_ms = l->mesh->ops->news_age_ms(l->mesh->ctx);
 	status.servers_revision = own_revision(l->mesh);
 	status.incarnation = l->mesh->incarnation;
+	status.lapsed_id = l->mesh->lapsed_id;
+	status.lapsed_born_ms = l->mesh->lapsed_born_ms;
 	status.link = l->outgoing ? l->name : 0;
 	f.body_case = LW__MESH_FRAME__BODY_STATUS;
 	f.status = &status;
@@ -106,6 +108,8 @@
 	lw_meshframe_read_load(w->load, &load);
 	if (w->load)
 		l->peer_version = w->load->config_version;
+	if (l->outgoing && w->lapsed_id[0])
+		l->mesh->ops->vouched(l->mesh->ctx, l->node, w->lapsed_id, w->lapsed_born_ms);
 	if (l->outgoing && w->load)
 		l->mesh->ops->load(l->mesh->ctx, l->node, &load);
 	l->peer_revision = w->servers_revision;
@@ -117,6 +121,16 @@
 		lw_mesh_send_status(l, true);
 }
 
+/*
+ * lw_mesh_vouch() - from now on tell with every status that @server lives
+ * although its entry lapsed; empty: no more.
+ */
+void lw_mesh_vouch(lw_mesh_t *m, const char *server, uint64_t born_ms)
+{
+	lw_str_copy(m->lapsed_id, sizeof(m->lapsed_id), lw_str_c(server));
+	m->lapsed_born_ms = born_ms;
+}
+
 /* lw_mesh_announce() - tell every connected node this node's state now. */
 void lw_mesh_announce(lw_mesh_t *m)
 {
--- a/src/place.c
+++ b/src/place.c
@@ -2,13 +2,9 @@
 #include "place.h"
 
 #include <math.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
-#include "admit.h"
 #include "level.h"
-#include "xalloc.h"
 
 /*
  * Cost factors. A host in another availability zone must be this much better
@@ -69,97 +65,6 @@
 	p->terms = terms;
 }
 
-/* lw_place_service() - the service @name, made if it is new. */
-lw_place_service_t *lw_place_service(lw_place_t *p, const char *name)
-{
-	lw_place_service_t *s;
-
-	for (s = p->services; s; s = s->next)
-		if (strcmp(s->name, name) == 0)
-			return s;
-	s = xcalloc(1, sizeof(*s));
-	lw_str_copy(s->name, sizeof(s->name), lw_str_c(name));
-	s->next = p->services;
-	p->services = s;
-	return s;
-}
-
-static lw_place_host_t *host_find(lw_place_service_t *s, const char *id)
-{
-	for (lw_place_host_t *h = s->hosts; h; h = h->next)
-		if (strcmp(h->id, id) == 0)
-			return h;
-	return NULL;
-}
-
-/* the node beside a backend server has the same IP and the fleet's mesh port */
-static void node_addr(char *dst, size_t len, const char *backend, uint32_t mesh_port)
-{
-	const char *colon = strrchr(backend, ':');
-	int ip = colon ? (int)(colon - backend) : (int)strlen(backend);
-
-	snprintf(dst, len, "%.*s:%u", ip, backend, mesh_port);
-}
-
-static lw_place_host_t *host_add(lw_place_t *p, const lw_server_entry_t *e, uint64_t now_us)
-{
-	lw_place_service_t *s = lw_place_service(p, e->service);
-	lw_place_host_t *h = xcalloc(1, sizeof(*h));
-
-	lw_str_copy(h->id, sizeof(h->id), lw_str_c(e->id));
-	node_addr(h->node, sizeof(h->node), e->addr, p->mesh_port);
-	h->service = s;
-	h->self = strcmp(e->addr, p->backend) == 0;
-	h->same_zone = strcmp(e->zone, p->zone) == 0;
-	h->slots = e->slots;
-	h->load.limit = lw_admit_limit(e->slots);
-	h->cold_until_us = now_us + (uint64_t)e->cold_ms * 1000;
-	h->next = s->hosts;
-	s->hosts = h;
-	return h;
-}
-
-static void drop_unlisted(lw_place_t *p)
-{
-	for (lw_place_service_t *s = p->services; s; s = s->next) {
-		lw_place_host_t **at = &s->hosts;
-
-		while (*at) {
-			lw_place_host_t *h = *at;
-
-			if (h->listed || h->refs) {
-				at = &h->next;
-				continue;
-			}
-			*at = h->next;
-			free(h);
-		}
-	}
-}
-
-/*
- * lw_place_update() - take over the list of backend servers. What is known of
- * a host belongs to its id: another server at the same address starts afresh.
- */
-void lw_place_update(lw_place_t *p, const lw_serverlist_t *sl, uint64_t now_us)
-{
-	for (lw_place_service_t *s = p->services; s; s = s->next)
-		for (lw_place_host_t *h = s->hosts; h; h = h->next)
-			h->listed = false;
-	p->nhosts = 0;
-	for (size_t i = 0; i < sl->nservers; i++) {
-		const lw_server_entry_t *e = &sl->servers[i];
-		lw_place_host_t *h = host_find(lw_place_service(p, e->service), e->id);
-
-		if (!h)
-			h = host_add(p, e, now_us);
-		h->listed = true;
-		h->draining = e->draining;
-		p->nhosts++;
-	}
-	drop_unlisted(p);
-}
-
 static bool was_tried(const lw_place_tried_t *tried, const lw_place_host_t *h)
 {
 	for (size_t i = 0; i < tried->n; i++)
@@ -248,7 +153,7 @@
 	uint32_t n = 0;
 
 	for (const lw_place_host_t *h = s->hosts; h; h = h->next)
-		if (h->listed && h->load.service_us) {
+		if ((h->listed || h->use_until_us) && h->load.service_us) {
 			sum += h->load.service_us;
 			n++;
 		}
@@ -272,7 +177,7 @@
 		tier_t tier = host_tier(h, ask->now_us);
 		double cost;
 
-		if (!h->listed || h->draining || refuses(h, ask->now_us) ||
+		if (!lw_place_usable(h, ask->now_us) || h->draining || refuses(h, ask->now_us) ||
 		    ask->now_us < h->replaced_until_us || was_tried(tried, h))
 			continue;
 		random = random * 1664525u + 1013904223u;
@@ -299,7 +204,8 @@
 	for (const lw_place_host_t *h = s->hosts; h; h = h->next) {
 		bool known = h->load_us && now_us - h->load_us < LOAD_STALE_US;
 
-		if (known && h->listed && !h->draining && host_tier(h, now_us) == TIER_GOOD &&
+		if (known && lw_place_usable(h, now_us) && !h->draining &&
+		    host_tier(h, now_us) == TIER_GOOD &&
 		    !was_tried(tried, h) && host_use(h, true) <= 1)
 			return true;
 	}
@@ -307,9 +213,9 @@
 }
 
 /* lw_place_takes() - whether @h is there and takes new work; NULL does not. */
-bool lw_place_takes(const lw_place_host_t *h)
+bool lw_place_takes(const lw_place_host_t *h, uint64_t now_us)
 {
-	return h && h->listed && !h->draining && !h->load.leaving;
+	return h && lw_place_usable(h, now_us) && !h->draining && !h->load.leaving;
 }
 
 /* lw_place_sent() - a request goes to @h; lw_place_ended() must follow. */
@@ -358,7 +264,8 @@
 {
 	for (lw_place_service_t *s = p->services; s; s = s->next)
 		for (lw_place_host_t *h = s->hosts; h; h = h->next)
-			if (h->listed && !h->draining && strcmp(h->node, node) == 0) {
+			if (lw_place_usable(h, now_us) && !h->draining &&
+			    strcmp(h->node, node) == 0) {
 				lw_place_told(h, load, now_us);
 				h->suspect_until_us = 0;
 				h->backoff_ms = 0;
@@ -383,27 +290,6 @@
 		}
 }
 
-/*
- * lw_place_each_lost() - call @fn with the node of each suspected host: a
- * short test by the caller finds out whether it is back before work is risked.
- */
-void lw_place_each_lost(const lw_place_t *p, lw_place_node_fn fn, void *ctx)
-{
-	for (const lw_place_service_t *s = p->services; s; s = s->next)
-		for (const lw_place_host_t *h = s->hosts; h; h = h->next)
-			if (h->listed && !h->self && h->backoff_ms)
-				fn(ctx, h->node);
-}
-
-/* lw_place_each() - call @fn with the node of each host but this one. */
-void lw_place_each(const lw_place_t *p, lw_place_node_fn fn, void *ctx)
-{
-	for (const lw_place_service_t *s = p->services; s; s = s->next)
-		for (const lw_place_host_t *h = s->hosts; h; h = h->next)
-			if (h->listed && !h->self)
-				fn(ctx, h->node);
-}
-
 /*
  * lw_place_level() - the first rank the service as a whole refuses: the mean
  * of its hosts' levels by the work they can do. One host that is full while
@@ -417,7 +303,7 @@
 	for (const lw_place_host_t *h = s->hosts; h; h = h->next) {
 		double capacity;
 
-		if (!h->listed || h->draining || !h->load_us || !h->load.service_us ||
+		if (!lw_place_usable(h, now_us) || h->draining || !h->load_us || !h->load.service_us ||
 		    now_us - h->load_us > LOAD_STALE_US)
 			continue;
 		capacity = h->load.limit / (double)h->load.service_us;
@@ -432,19 +318,3 @@
 	level = sum / (all - open) + OPEN_LIFTS * LW_RANKS_PER_PRIORITY * open / all;
 	return level < LW_LEVEL_OPEN ? (uint32_t)level : LW_LEVEL_OPEN;
 }
-
-/*
- * lw_place_self() - the backend server on this host in the list, the one that
- * is not draining if there are two; NULL if none. @known: the list has one.
- */
-const lw_place_host_t *lw_place_self(const lw_place_t *p, bool *known)
-{
-	const lw_place_host_t *found = NULL;
-
-	for (const lw_place_service_t *s = p->services; s; s = s->next)
-		for (const lw_place_host_t *h = s->hosts; h; h = h->next)
-			if (h->self && h->listed && (!found || found->draining))
-				found = h;
-	*known = found != NULL;
-	return found;
-}
--- a/src/place.h
+++ b/src/place.h
@@ -18,11 +18,14 @@
 /* A backend server and what is known of it. Valid while listed or referenced. */
 typedef struct lw_place_host {
 	char id[LW_NAME_MAX];
+	uint64_t born_ms; /* start of its process; 0: not told */
 	char node[LW_NAME_MAX]; /* mesh address of the node beside it */
 	struct lw_place_service *service;
 	bool self; /* the backend server on this host */
 	bool same_zone;
 	bool listed; /* in the newest list */
+	uint64_t removed_us; /* when its entry was found missing; 0: it is not */
+	uint64_t use_until_us; /* it may have work until then although it is not listed */
 	bool draining; /* as the list says */
 	uint32_t slots;
 	lw_load_t load; /* as its node told last */
@@ -51,7 +54,8 @@
 	char zone[LW_NAME_MAX];
 	char backend[LW_NAME_MAX]; /* of this host */
 	uint32_t mesh_port;
-	uint32_t nhosts;
+	uint32_t nhosts; /* listed */
+	uint32_t nsharing; /* of which the nodes may send repeats: listed, or lately so */
 	lw_retryterms_t terms;
 } lw_place_t;
 
@@ -71,12 +75,17 @@
 
 void lw_place_init(lw_place_t *p, const char *zone, const char *backend, uint32_t mesh_port,
 		   lw_retryterms_t terms);
-void lw_place_update(lw_place_t *p, const lw_serverlist_t *sl, uint64_t now_us);
+void lw_place_update(lw_place_t *p, const lw_serverlist_t *sl, uint64_t now_us,
+		     uint64_t lapsed_until_us);
+bool lw_place_usable(const lw_place_host_t *h, uint64_t now_us);
+bool lw_place_vouched(lw_place_t *p, const char *node, const char *id, uint64_t born_ms,
+		      uint64_t now_us);
+void lw_place_node_addr(char *dst, size_t len, const char *backend, uint32_t mesh_port);
 lw_place_service_t *lw_place_service(lw_place_t *p, const char *name);
 lw_place_host_t *lw_place_pick(lw_place_service_t *s, const lw_place_tried_t *tried,
 			       const lw_place_ask_t *ask);
 bool lw_place_has_room(const lw_place_service_t *s, const lw_place_tried_t *tried, uint64_t now_us);
-bool lw_place_takes(const lw_place_host_t *h);
+bool lw_place_takes(const lw_place_host_t *h, uint64_t now_us);
 void lw_place_sent(lw_place_host_t *h);
 void lw_place_ended(lw_place_host_t *h, bool ok, uint64_t now_us);
 void lw_place_replaced(lw_place_host_t *h, uint64_t now_us);
@@ -84,7 +93,7 @@
 void lw_place_node_told(lw_place_t *p, const char *node, const lw_load_t *load, uint64_t now_us);
 void lw_place_node_lost(lw_place_t *p, const char *node, uint64_t now_us);
 typedef void (*lw_place_node_fn)(void *ctx, const char *node);
-void lw_place_each(const lw_place_t *p, lw_place_node_fn fn, void *ctx);
+void lw_place_each(const lw_place_t *p, lw_place_node_fn fn, void *ctx, uint64_t now_us);
 void lw_place_each_lost(const lw_place_t *p, lw_place_node_fn fn, void *ctx);
 uint32_t lw_place_level(const lw_place_service_t *s, uint64_t now_us);
 const lw_place_host_t *lw_place_self(const lw_place_t *p, bool *known);
--- /dev/null
+++ b/src/placelist.c
@@ -0,0 +1,226 @@
+/* Placement: which hosts there are; see place.h. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "admit.h"
+#include "place.h"
+#include "xalloc.h"
+
+/*
+ * How long a node's word holds that its server lives; it is given twice a
+ * second, so that one lost message does not end it, us.
+ */
+#define VOUCHED_US 1300000
+/* a host that is not listed is remembered so long: its entry may have lapsed, us */
+#define FORGET_US 30000000
+/* lw_place_service() - the service @name, made if it is new. */
+lw_place_service_t *lw_place_service(lw_place_t *p, const char *name)
+{
+	lw_place_service_t *s;
+
+	for (s = p->services; s; s = s->next)
+		if (strcmp(s->name, name) == 0)
+			return s;
+	s = xcalloc(1, sizeof(*s));
+	lw_str_copy(s->name, sizeof(s->name), lw_str_c(name));
+	s->next = p->services;
+	p->services = s;
+	return s;
+}
+
+/* a start time that is not told matches any */
+static bool same_process(const lw_place_host_t *h, const char *id, uint64_t born_ms)
+{
+	return strcmp(h->id, id) == 0 && (!h->born_ms || !born_ms || h->born_ms == born_ms);
+}
+
+static lw_place_host_t *host_find(lw_place_service_t *s, const lw_server_entry_t *e)
+{
+	for (lw_place_host_t *h = s->hosts; h; h = h->next)
+		if (same_process(h, e->id, e->born_ms))
+			return h;
+	return NULL;
+}
+
+/*
+ * lw_place_node_addr() - mesh address of the node beside @backend: the same IP
+ * and the fleet's mesh port.
+ */
+void lw_place_node_addr(char *dst, size_t len, const char *backend, uint32_t mesh_port)
+{
+	const char *colon = strrchr(backend, ':');
+	int ip = colon ? (int)(colon - backend) : (int)strlen(backend);
+
+	snprintf(dst, len, "%.*s:%u", ip, backend, mesh_port);
+}
+
+static lw_place_host_t *host_add(lw_place_t *p, const lw_server_entry_t *e, uint64_t now_us)
+{
+	lw_place_service_t *s = lw_place_service(p, e->service);
+	lw_place_host_t *h = xcalloc(1, sizeof(*h));
+
+	lw_str_copy(h->id, sizeof(h->id), lw_str_c(e->id));
+	h->born_ms = e->born_ms;
+	lw_place_node_addr(h->node, sizeof(h->node), e->addr, p->mesh_port);
+	h->service = s;
+	h->self = strcmp(e->addr, p->backend) == 0;
+	h->same_zone = strcmp(e->zone, p->zone) == 0;
+	h->slots = e->slots;
+	h->load.limit = lw_admit_limit(e->slots);
+	h->cold_until_us = now_us + (uint64_t)e->cold_ms * 1000;
+	h->next = s->hosts;
+	s->hosts = h;
+	return h;
+}
+
+static void drop_forgotten(lw_place_t *p, uint64_t now_us)
+{
+	for (lw_place_service_t *s = p->services; s; s = s->next) {
+		lw_place_host_t **at = &s->hosts;
+
+		while (*at) {
+			lw_place_host_t *h = *at;
+
+			if (h->listed || h->refs || now_us - h->removed_us < FORGET_US) {
+				at = &h->next;
+				continue;
+			}
+			*at = h->next;
+			free(h);
+		}
+	}
+}
+
+static bool address_taken(const lw_place_t *p, const lw_place_host_t *gone)
+{
+	for (const lw_place_service_t *s = p->services; s; s = s->next)
+		for (const lw_place_host_t *h = s->hosts; h; h = h->next)
+			if (h->listed && strcmp(h->node, gone->node) == 0)
+				return true;
+	return false;
+}
+
+/* what follows for hosts that are not in the new list */
+static void mark_removed(lw_place_t *p, uint64_t now_us, uint64_t lapsed_until_us)
+{
+	for (lw_place_service_t *s = p->services; s; s = s->next)
+		for (lw_place_host_t *h = s->hosts; h; h = h->next) {
+			if (h->listed || h->removed_us) {
+				h->use_until_us = address_taken(p, h) ? 0 : h->use_until_us;
+				continue;
+			}
+			h->removed_us = now_us;
+			h->use_until_us =
+				h->draining || address_taken(p, h) ? 0 : lapsed_until_us;
+		}
+}
+
+/*
+ * The nodes that may send repeats. One whose entry lapsed goes on sending: were
+ * it not counted, the others' shares would add up to more than the allowance.
+ */
+static uint32_t count_sharing(const lw_place_t *p)
+{
+	uint32_t n = 0;
+
+	for (const lw_place_service_t *s = p->services; s; s = s->next)
+		for (const lw_place_host_t *h = s->hosts; h; h = h->next)
+			n += h->listed || (!h->draining && !address_taken(p, h));
+	return n;
+}
+
+/*
+ * lw_place_update() - take over the list of backend servers. What is known of
+ * a host belongs to its process: another server at the same address, or the
+ * same one started anew, starts afresh. An entry that is missing without a
+ * drain has lapsed or its server left; until @lapsed_until_us, when a server
+ * that left may still have work, the host is used on: by then the node beside
+ * it says which it is.
+ */
+void lw_place_update(lw_place_t *p, const lw_serverlist_t *sl, uint64_t now_us,
+		     uint64_t lapsed_until_us)
+{
+	for (lw_place_service_t *s = p->services; s; s = s->next)
+		for (lw_place_host_t *h = s->hosts; h; h = h->next)
+			h->listed = false;
+	p->nhosts = 0;
+	for (size_t i = 0; i < sl->nservers; i++) {
+		const lw_server_entry_t *e = &sl->servers[i];
+		lw_place_host_t *h = host_find(lw_place_service(p, e->service), e);
+
+		if (!h)
+			h = host_add(p, e, now_us);
+		h->listed = true;
+		h->removed_us = 0;
+		h->draining = e->draining;
+		p->nhosts++;
+	}
+	mark_removed(p, now_us, lapsed_until_us);
+	drop_forgotten(p, now_us);
+	p->nsharing = count_sharing(p);
+}
+
+/* lw_place_usable() - whether @h counts as there: listed, or not known to be gone. */
+bool lw_place_usable(const lw_place_host_t *h, uint64_t now_us)
+{
+	return h->listed || now_us < h->use_until_us;
+}
+
+/*
+ * lw_place_vouched() - the node beside a server says that it lives although
+ * its entry lapsed, as the node cannot reach the store. True if the host is
+ * known, was not draining, and had not been used any more.
+ */
+bool lw_place_vouched(lw_place_t *p, const char *node, const char *id, uint64_t born_ms,
+		      uint64_t now_us)
+{
+	for (lw_place_service_t *s = p->services; s; s = s->next)
+		for (lw_place_host_t *h = s->hosts; h; h = h->next) {
+			bool again = now_us >= h->use_until_us;
+
+			if (h->listed || h->draining || strcmp(h->node, node) != 0 ||
+			    !same_process(h, id, born_ms) || address_taken(p, h))
+				continue;
+			h->use_until_us = now_us + VOUCHED_US;
+			return again;
+		}
+	return false;
+}
+
+/*
+ * lw_place_each_lost() - call @fn with the node of each suspected host: a
+ * short test by the caller finds out whether it is back before work is risked.
+ */
+void lw_place_each_lost(const lw_place_t *p, lw_place_node_fn fn, void *ctx)
+{
+	for (const lw_place_service_t *s = p->services; s; s = s->next)
+		for (const lw_place_host_t *h = s->hosts; h; h = h->next)
+			if (h->listed && !h->self && h->backoff_ms)
+				fn(ctx, h->node);
+}
+
+/* lw_place_each() - call @fn with the node of each host but this one. */
+void lw_place_each(const lw_place_t *p, lw_place_node_fn fn, void *ctx, uint64_t now_us)
+{
+	for (const lw_place_service_t *s = p->services; s; s = s->next)
+		for (const lw_place_host_t *h = s->hosts; h; h = h->next)
+			if (lw_place_usable(h, now_us) && !h->self)
+				fn(ctx, h->node);
+}
+
+/*
+ * lw_place_self() - the backend server on this host in the list, the one that
+ * is not draining if there are two; NULL if none. @known: the list has one.
+ */
+const lw_place_host_t *lw_place_self(const lw_place_t *p, bool *known)
+{
+	const lw_place_host_t *found = NULL;
+
+	for (const lw_place_service_t *s = p->services; s; s = s->next)
+		for (const lw_place_host_t *h = s->hosts; h; h = h->next)
+			if (h->self && h->listed && (!found || found->draining))
+				found = h;
+	*known = found != NULL;
+	return found;
+}
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -159,6 +159,8 @@
 	p->engine.hub = &p->hub;
 	p->engine.list_is_old = lw_proxy_list_is_old;
 	p->engine.ctx = p;
+	lw_place_node_addr(p->mesh_addr, sizeof(p->mesh_addr), set->backend, set->mesh_port);
+	lw_proxy_lease_init(p);
 	lw_place_init(&p->engine.place, set->zone, set->backend, set->mesh_port, retry_terms(set));
 	lw_gate_init(&p->engine.gate, &p->hub);
 	p->engine.hotpath = lw_hotpath_new();
--- a/src/proxy_int.h
+++ b/src/proxy_int.h
@@ -6,6 +6,8 @@
 
 #include "caller.h"
 #include "exchange.h"
+#include "lease.h"
+#include "probe.h"
 #include "proxy.h"
 
 typedef struct lw_proxy {
@@ -28,11 +30,20 @@
 	uint64_t hurried_us; /* when the store was last asked out of turn */
 	uint64_t reading_us; /* when this node last had to read the store itself */
 	bool reader; /* this node reads the store for others */
+	char mesh_addr[LW_NAME_MAX]; /* of this node, as others know it */
+	lw_lease_t lease; /* of the backend server on this host */
+	lw_probe_t probe; /* while its entry is missing */
+	ev_timer lease_step; /* likewise */
+	uint64_t round_us; /* when the server was last asked and others told */
+	uint64_t born_ms; /* start of the server's process; 0: not told */
 } lw_proxy_t;
 
 extern const lw_mesh_ops_t lw_proxy_mesh_ops;
 lw_status_t lw_proxy_start_feed(lw_proxy_t *p);
 void lw_proxy_list_is_old(void *ctx);
+void lw_proxy_lease_init(lw_proxy_t *p);
+void lw_proxy_lease_missing(lw_proxy_t *p);
+void lw_proxy_lease_found(lw_proxy_t *p, uint64_t born_ms);
 void lw_proxy_decide_reading(lw_proxy_t *p);
 void lw_proxy_contact_lost(lw_proxy_t *p);
 uint32_t lw_proxy_news_age_ms(const lw_proxy_t *p);
--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -9,6 +9,11 @@
 
 /* the store is asked out of turn at most so often: its calls are few, us */
 #define HURRY_AGAIN_US 200000
+/*
+ * A server that left gets its last new work this much before its drain time
+ * ends, in seconds: what waits in front of it must still reach it in time.
+ */
+#define LAPSED_MARGIN_S 0.45
 
 static void apply_config(lw_proxy_t *p, lw_fleetconf_t *fc, const char *from)
 {
@@ -24,6 +29,18 @@
 	lw_fleetconf_free(old);
 }
 
+/*
+ * Until when an entry that is missing now may still be a lapsed one, us. It
+ * was there when the store was last read; a server that left just after that
+ * may have work until its drain time is over.
+ */
+static uint64_t lapsed_until_us(const lw_proxy_t *p)
+{
+	double use_s = p->set->drain_s - LAPSED_MARGIN_S;
+
+	return use_s > 0 ? p->news_us + (uint64_t)(use_s * 1e6) : 0;
+}
+
 static void apply_servers(lw_proxy_t *p, lw_serverlist_t *sl)
 {
 	const lw_place_host_t *self;
@@ -33,14 +50,18 @@
 		lw_serverlist_free(sl);
 		return;
 	}
-	lw_place_update(&p->engine.place, sl, p->hub.now_us);
+	lw_place_update(&p->engine.place, sl, p->hub.now_us, lapsed_until_us(p));
 	self = lw_place_self(&p->engine.place, &known);
 	lw_log(LW_LOG_servers_changed, "servers=%zu self=%s draining=%d", sl->nservers,
 	       known ? self->id : "", known && self->draining);
-	if (known)
-		lw_gate_set_server(&p->engine.gate, self->id, self->slots, self->draining);
-	else if (p->had_self)
-		lw_gate_set_server(&p->engine.gate, p->engine.gate.server_id, 0, true);
+	if (known) {
+		lw_gate_set_server(&p->engine.gate, self);
+		lw_proxy_lease_found(p, self->born_ms);
+	} else if (p->had_self && p->engine.gate.leaving) {
+		/* it drained before its entry went */
+	} else if (p->had_self) {
+		lw_proxy_lease_missing(p);
+	}
 	p->had_self |= known;
 	lw_serverlist_free(p->servers);
 	p->servers = sl;
@@ -81,6 +102,14 @@
 	lw_place_node_told(&p->engine.place, node, load, p->hub.now_us);
 }
 
+static void mesh_vouched(void *ctx, const char *node, const char *server, uint64_t born_ms)
+{
+	lw_proxy_t *p = ctx;
+
+	if (lw_place_vouched(&p->engine.place, node, server, born_ms, p->hub.now_us))
+		lw_log(LW_LOG_server_vouched, "server=%s node=%s", server, node);
+}
+
 static void mesh_lost(void *ctx, const char *node)
 {
 	lw_proxy_t *p = ctx;
@@ -159,6 +188,7 @@
 
 const lw_mesh_ops_t lw_proxy_mesh_ops = {
 	.load = mesh_load,
+	.vouched = mesh_vouched,
 	.lost = mesh_lost,
 	.config_version = mesh_config_version,
 	.config_text = mesh_config_text,
@@ -215,7 +245,7 @@
 	lately = now - p->reading_us < LW_READ_LEAST_MS * 1000;
 	lw_feed_want(&p->feed, p->reader || lately);
 	if (p->reader)
-		lw_place_each(&p->engine.place, contact, p);
+		lw_place_each(&p->engine.place, contact, p, now);
 }
 
 static void free_conf(void *fc)
--- a/src/proxystatus.c
+++ b/src/proxystatus.c
@@ -8,7 +8,7 @@
 
 static const char *state_of(const lw_place_host_t *h, uint64_t now_us)
 {
-	if (!h->listed)
+	if (!lw_place_usable(h, now_us))
 		return "gone";
 	if (h->draining)
 		return "draining";
@@ -16,6 +16,8 @@
 		return "unreachable";
 	if (h->load.leaving)
 		return "node_stopping";
+	if (!h->listed)
+		return "lapsed";
 	return now_us < h->cold_until_us ? "starting" : "ok";
 }
 
--- a/src/serverset.c
+++ b/src/serverset.c
@@ -35,6 +35,7 @@
 	uint64_t hold_until_us; /* missing entries still count until then */
 	bool held; /* some entries are missing and still count */
 	bool changed;
+	lw_fleetconf_t *known; /* services that the configuration names; NULL: not told yet */
 };
 
 /* lw_serverset_new() - no entries. */
@@ -58,30 +59,68 @@
 	{
 		member_free(s, m);
 	}
+	lw_fleetconf_free(s->known);
 	free(s);
 }
 
+/*
+ * lw_serverset_know() - entries count only if @fc names their service. An
+ * entry of another writer with the address of a living server and a service
+ * that does not exist would otherwise take that server's place.
+ */
+void lw_serverset_know(lw_serverset_t *s, const lw_fleetconf_t *fc)
+{
+	lw_fleetconf_free(s->known);
+	s->known = lw_fleetconf_new();
+	for (size_t i = 0; i < fc->nservices; i++)
+		lw_fleetconf_add_service(s->known, lw_str_c(fc->services[i].name),
+					 lw_str_c(fc->services[i].health));
+	s->changed = true;
+}
+
+static bool counts(const lw_serverset_t *s, const lw_member_t *m)
+{
+	return !s->known || !s->known->nservices ||
+	       lw_fleetconf_service(s->known, m->entry.service);
+}
+
 /* a heartbeat rewrites the entry; only some of its parts matter */
 static bool differs(const lw_server_entry_t *a, const lw_server_entry_t *b)
 {
 	return strcmp(a->addr, b->addr) || strcmp(a->service, b->service) ||
-	       strcmp(a->zone, b->zone) || a->slots != b->slots || a->draining != b->draining;
+	       strcmp(a->zone, b->zone) || a->slots != b->slots || a->draining != b->draining ||
+	       a->born_ms != b->born_ms;
 }
 
-/* lw_serverset_put() - an entry was written. A drain is never taken back. */
+/* @a was written by an earlier process of the server than @b; unknown starts are equal */
+static bool is_older(const lw_server_entry_t *a, const lw_server_entry_t *b)
+{
+	return a->born_ms && b->born_ms && a->born_ms < b->born_ms;
+}
+
+/*
+ * lw_serverset_put() - an entry was written. A process never takes its drain
+ * back; one that started later under the same id begins anew, and what an
+ * earlier one wrote late says nothing.
+ */
 void lw_serverset_put(lw_serverset_t *s, const lw_server_entry_t *e)
 {
 	lw_member_t *m;
 	bool draining = e->draining;
 
 	HASH_FIND_STR(s->members, e->id, m);
+	if (m && is_older(e, &m->entry)) {
+		m->seen = true;
+		return;
+	}
 	if (!m) {
 		m = xcalloc(1, sizeof(*m));
 		m->entry = *e;
 		HASH_ADD_STR(s->members, entry.id, m);
 		s->changed = true;
 	}
-	draining |= m->entry.draining;
+	if (!is_older(&m->entry, e))
+		draining |= m->entry.draining;
 	if (differs(&m->entry, e) || m->missing)
 		s->changed = true;
 	m->entry = *e;
@@ -181,6 +220,8 @@
 	lw_member_t *newest = NULL, *m, *other;
 
 	for (m = s->members; m; m = m->hh.next) {
+		if (!counts(s, m))
+			continue;
 		HASH_FIND(by_addr, newest, m->entry.addr, strlen(m->entry.addr), other);
 		if (other && other->entry.created >= m->entry.created)
 			continue;
--- a/src/serverset.h
+++ b/src/serverset.h
@@ -15,6 +15,7 @@
 
 lw_serverset_t *lw_serverset_new(void);
 void lw_serverset_free(lw_serverset_t *s);
+void lw_serverset_know(lw_serverset_t *s, const lw_fleetconf_t *fc);
 void lw_serverset_put(lw_serverset_t *s, const lw_server_entry_t *e);
 void lw_serverset_remove(lw_serverset_t *s, const char *id, uint64_t revision);
 void lw_serverset_begin(lw_serverset_t *s);
--- a/src/simfleet.c
+++ b/src/simfleet.c
@@ -379,7 +379,7 @@
 	for (size_t i = 0; i < r->nnodes; i++) {
 		lw_place_init(&r->node[i].place, sl.servers[i].zone, sl.servers[i].addr, 7000,
 			      r->terms);
-		lw_place_update(&r->node[i].place, &sl, 0);
+		lw_place_update(&r->node[i].place, &sl, 0, 0);
 	}
 	free(sl.servers);
 }
--- a/tests/decide.c
+++ b/tests/decide.c
@@ -17,6 +17,7 @@
 	decide_route_commands,
 	decide_retry_commands,
 	decide_place_commands,
+	decide_lease_commands,
 };
 
 /* word() - word @i of the command, empty if there is none. */
--- a/tests/decide.h
+++ b/tests/decide.h
@@ -12,6 +12,7 @@
 #include "bytebuf.h"
 #include "fleetconf.h"
 #include "hotpath.h"
+#include "lease.h"
 #include "level.h"
 #include "place.h"
 #include "retrylimit.h"
@@ -28,6 +29,7 @@
 	lw_retrylimit_t retries;
 	lw_place_t place;
 	lw_serverset_t *entries;
+	lw_lease_t lease;
 	lw_serverlist_t list;
 	lw_waitq_t queue;
 	struct {
@@ -52,6 +54,7 @@
 extern const command_t decide_route_commands[];
 extern const command_t decide_retry_commands[];
 extern const command_t decide_place_commands[];
+extern const command_t decide_lease_commands[];
 extern const lw_retryterms_t decide_retry_terms;
 
 const char *word(const words_t *a, int i);
--- a/tests/decide_place.c
+++ b/tests/decide_place.c
@@ -6,7 +6,7 @@
 #include "readers.h"
 #include "xalloc.h"
 
-/* entry ID SERVICE ADDR ZONE SLOTS CREATED [draining] | entry-gone ID | entry-list AT ... */
+/* entry ID SERVICE ADDR ZONE SLOTS CREATED [draining] [born N] | entry-gone ID | entry-list AT ... */
 static lw_server_entry_t entry_of(const words_t *a)
 {
 	lw_server_entry_t e = { .slots = (uint32_t)num(a, 5), .created = (uint64_t)num(a, 6) };
@@ -16,6 +16,9 @@
 	lw_str_copy(e.addr, sizeof(e.addr), lw_str_c(word(a, 3)));
 	lw_str_copy(e.zone, sizeof(e.zone), lw_str_c(word(a, 4)));
 	e.draining = has(a, "draining");
+	for (int i = 7; i + 1 < a->n; i++)
+		if (strcmp(word(a, i), "born") == 0)
+			e.born_ms = (uint64_t)num(a, i + 1);
 	return e;
 }
 
@@ -47,6 +50,17 @@
 	lw_serverset_resume(w->entries);
 }
 
+/* services NAME...: those of the configuration */
+static void do_services(world_t *w, const words_t *a)
+{
+	lw_fleetconf_t *fc = lw_fleetconf_new();
+
+	for (int i = 1; i < a->n; i++)
+		lw_fleetconf_add_service(fc, lw_str_c(word(a, i)), LW_STR(""));
+	lw_serverset_know(w->entries, fc);
+	lw_fleetconf_free(fc);
+}
+
 static void do_reread(world_t *w, const words_t *a)
 {
 	if (strcmp(word(a, 1), "begin") == 0)
@@ -77,7 +91,7 @@
 	lw_serverlist_free(sl);
 }
 
-/* host ...: as entry, into the list of placement | hosts-apply AT */
+/* host ...: as entry, into the list of placement | hosts-apply AT [LAPSED-UNTIL] */
 static void do_host(world_t *w, const words_t *a)
 {
 	w->list.servers =
@@ -87,7 +101,7 @@
 
 static void do_hosts_apply(world_t *w, const words_t *a)
 {
-	lw_place_update(&w->place, &w->list, ms(a, 1));
+	lw_place_update(&w->place, &w->list, ms(a, 1), ms(a, 2));
 	w->list.nservers = 0;
 }
 
@@ -112,6 +126,16 @@
 	lw_place_node_told(&w->place, host_of(w, word(a, 1))->node, &load, ms(a, 6));
 }
 
+/* vouch ID AT [born N]: the node beside the server says that it lives */
+static void do_vouch(world_t *w, const words_t *a)
+{
+	uint64_t born = strcmp(word(a, 3), "born") == 0 ? (uint64_t)num(a, 4) : 0;
+	bool again = lw_place_vouched(&w->place, host_of(w, word(a, 1))->node, word(a, 1), born,
+				      ms(a, 2));
+
+	say(w, "%s", again ? "used again" : "no change");
+}
+
 static void do_lost(world_t *w, const words_t *a)
 {
 	lw_place_node_lost(&w->place, host_of(w, word(a, 1))->node, ms(a, 2));
@@ -173,6 +197,8 @@
 const command_t decide_place_commands[] = {
 	{ "entry", do_entry },
 	{ "entry-gone", do_entry_gone },
+	{ "services", do_services },
+	{ "vouch", do_vouch },
 	{ "store-back", do_store_back },
 	{ "resume", do_resume },
 	{ "store-away", do_store_away },
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -1,4 +1,5 @@
 /* Documents of the platform's store and the settings of lwproxy. */
+#include <stdio.h>
 #include <string.h>
 
 #include "../platform/documents.h"
@@ -53,7 +54,8 @@
 {
 	static const char text[] =
 		"{\"address\":\"10.0.0.9:8080\",\"info\":{\"service\":\"s1\",\"zone\":\"a\","
-		"\"slots\":125},\"status\":{\"state\":\"draining\",\"cold_remaining_s\":1.5}}";
+		"\"slots\":125},\"status\":{\"state\":\"draining\",\"cold_remaining_s\":1.5,"
+		"\"sequence\":7},\"born\":1700000000123}";
 	lw_server_entry_t e;
 
 	CU_ASSERT_EQUAL_FATAL(lw_document_server(text, strlen(text), "i-1", &e), LW_OK);
@@ -61,9 +63,116 @@
 	CU_ASSERT_EQUAL(e.slots, 125);
 	CU_ASSERT_EQUAL(e.cold_ms, 1500);
 	CU_ASSERT_TRUE(e.draining);
+	CU_ASSERT_EQUAL(e.born_ms, 1700000000123);
 	CU_ASSERT_EQUAL(lw_document_server("{}", 2, "i-1", &e), LW_ERR_CONFIG);
 }
 
+#define ENTRY(address, info, status, born)                                              \
+	"{\"address\":" address ",\"info\":" info ",\"status\":" status ",\"born\":" born \
+	"}"
+#define ADDRESS "\"10.0.0.9:8080\""
+#define INFO	"{\"service\":\"s1\",\"zone\":\"a\",\"slots\":125}"
+#define STATUS	"{\"state\":\"ready\",\"cold_remaining_s\":0,\"sequence\":4}"
+
+/*
+ * Symptom: work goes to a server that does not exist, or a server that drains
+ * counts as ready. Sequence: an entry of another writer, with fields missing
+ * or of another type, is read with defaults in their place. Cause: defaults.
+ */
+static void test_server_refused(void)
+{
+	static const struct {
+		const char *text;
+		const char *says;
+	} bad[] = {
+		{ ENTRY("4", INFO, STATUS, "1"), "address" },
+		{ ENTRY("\"\"", INFO, STATUS, "1"), "address" },
+		{ ENTRY("\"nowhere\"", INFO, STATUS, "1"), "address" },
+		{ ENTRY(ADDRESS, "[]", STATUS, "1"), "info" },
+		{ ENTRY(ADDRESS, "{\"zone\":\"a\",\"slots\":1}", STATUS, "1"), "service" },
+		{ ENTRY(ADDRESS, "{\"service\":1,\"zone\":\"a\",\"slots\":1}", STATUS, "1"),
+		  "service" },
+		{ ENTRY(ADDRESS, "{\"service\":\"s\",\"slots\":1}", STATUS, "1"), "zone" },
+		{ ENTRY(ADDRESS, "{\"service\":\"s\",\"zone\":\"a\",\"slots\":\"1\"}", STATUS,
+			"1"),
+		  "slots" },
+		{ ENTRY(ADDRESS, INFO, "{\"cold_remaining_s\":0,\"sequence\":4}", "1"), "state" },
+		{ ENTRY(ADDRESS, INFO,
+			"{\"state\":\"asleep\",\"cold_remaining_s\":0,\"sequence\":4}", "1"),
+		  "state" },
+		{ ENTRY(ADDRESS, INFO, "{\"state\":\"ready\",\"sequence\":4}", "1"),
+		  "cold_remaining_s" },
+		{ ENTRY(ADDRESS, INFO, "{\"state\":\"ready\",\"cold_remaining_s\":0}", "1"),
+		  "sequence" },
+		{ ENTRY(ADDRESS, INFO, STATUS, "1.5"), "born" },
+		{ ENTRY(ADDRESS, INFO, STATUS, "\"1\""), "born" },
+		{ "[1]", "info" },
+		{ "\xff\xfe", "JSON" },
+	};
+	lw_server_entry_t e;
+
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		const char *text = bad[i].text;
+
+		CU_ASSERT_EQUAL(lw_document_server(text, strlen(text), "i-1", &e), LW_ERR_CONFIG);
+		CU_ASSERT_PTR_NOT_NULL(strstr(lw_error_last(), bad[i].says));
+		CU_ASSERT_PTR_NOT_NULL(strstr(lw_error_last(), "i-1"));
+	}
+}
+
+/*
+ * Symptom: a node is ended by an entry, or takes a spoiled one for good.
+ * Sequence: a valid entry with any one byte changed. Cause: none known; the
+ * document either is refused or says something that a server may say.
+ */
+static void test_server_mutated(void)
+{
+	static const char good[] = ENTRY(ADDRESS, INFO, STATUS, "1700000000123");
+	char text[sizeof(good)];
+	lw_server_entry_t e;
+
+	for (size_t i = 0; i < sizeof(good) - 1; i++)
+		for (int byte = 0; byte < 256; byte += 5) {
+			memcpy(text, good, sizeof(good));
+			text[i] = (char)byte;
+			if (lw_document_server(text, sizeof(good) - 1, "i-1", &e))
+				continue;
+			CU_ASSERT_STRING_EQUAL(e.id, "i-1");
+			CU_ASSERT_TRUE(e.addr[0] && e.service[0] && e.zone[0]);
+		}
+}
+
+/*
+ * Symptom: a route loses its timeout, or a split half of its weight, by one
+ * spoiled document. Sequence: a field of another type is read as its default.
+ * Cause: defaults; now the error names the field and the old version stays.
+ */
+static void test_config_field_types(void)
+{
+	static const struct {
+		const char *from, *to, *says;
+	} change[] = {
+		{ "\"priority\":2", "\"priority\":\"2\"", "priority" },
+		{ "\"timeout_s\":0.8", "\"timeout_s\":[]", "timeout_s" },
+		{ "\"weight\":90", "\"weight\":\"9\"", "weight" },
+		{ "\"service\":\"s3\"", "\"service\":33", "service" },
+		{ "\"max_body_bytes\":1000", "\"max_body_bytes\":{}", "max_body_bytes" },
+		{ "\"kind\":\"safe\"", "\"kind\":1", "kind" },
+	};
+
+	for (size_t i = 0; i < sizeof(change) / sizeof(change[0]); i++) {
+		const char *at = strstr(config_text, change[i].from);
+		char text[sizeof(config_text) + 64];
+		lw_fleetconf_t *fc;
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(at);
+		snprintf(text, sizeof(text), "%.*s%s%s", (int)(at - config_text), config_text,
+			 change[i].to, at + strlen(change[i].from));
+		CU_ASSERT_EQUAL(lw_document_config(text, strlen(text), &fc), LW_ERR_CONFIG);
+		CU_ASSERT_PTR_NOT_NULL(strstr(lw_error_last(), change[i].says));
+	}
+}
+
 #define GOOD                                                                            \
 	"[host]\nip=\"10.0.0.1\"\nzone=\"a\"\nservice=\"s\"\nbackend=\"10.0.0.1:80\"\n" \
 	"[listen]\ncallers=\"10.0.0.1:81\"\nready=\"10.0.0.1:82\"\nmesh_port=7000\n"    \
@@ -96,5 +205,8 @@
 	CU_add_test(s, "a configuration is read", test_config);
 	CU_add_test(s, "a malformed configuration is refused", test_config_refused);
 	CU_add_test(s, "a server's entry is read", test_server);
+	CU_add_test(s, "an entry of another writer names no server", test_server_refused);
+	CU_add_test(s, "an entry with a spoiled byte is refused or whole", test_server_mutated);
+	CU_add_test(s, "a field of the wrong type is named", test_config_field_types);
 	CU_add_test(s, "settings are checked", test_settings);
 }
