Ranks weighed by the work a route makes at the full service

Hypothesis: among requests of one priority the ones that cost the bottleneck least per request should go first; a confirmation that runs at the leaf once was refused as often as a lookup with eight calls there, and one that came back was late. Change: answers tell how long a request and its calls ran at services that refuse some; where a route makes less than the most costly one of its priority, its ranks are lowered in proportion, to a third at most.

--- a/src/call.h
+++ b/src/call.h
@@ -48,6 +48,7 @@
 	uint32_t failing; /* per mille of its requests that failed of late */
 	bool leaving;
 	bool call_failed; /* a call made for the request failed: so will its repeat */
+	uint32_t ran_us; /* time the request ran there; 0: it did not, or is not over */
 	uint32_t depth; /* levels of calls below the request */
 	uint32_t retry_used; /* per mille of the repeats allowed that those calls use */
 	lw_hots_t hots; /* services on the path of the request that refuse some work */
--- a/src/exchattempt.c
+++ b/src/exchattempt.c
@@ -102,8 +102,11 @@
 	}
 }
 
-/* the node told its load: placement, and the levels along the request's path */
-static void took_load(lw_exchange_t *x, const lw_load_t *load)
+/*
+ * The node told its load: placement, and the levels along the request's path.
+ * @served: with a whole answer, so that what it ran at each service is known.
+ */
+static void took_load(lw_exchange_t *x, const lw_load_t *load, bool served)
 {
 	lw_engine_t *e = x->engine;
 	uint32_t used = lw_retrylimit_used(&x->service->retries, &e->place.terms, e->place.nsharing,
@@ -112,8 +115,11 @@
 
 	if (x->host)
 		lw_place_told(x->host, load, e->hub->now_us);
-	lw_place_tell(x->service, x->nested, e->hub->now_us, &path.hots);
+	lw_place_tell(x->service, x->nested, load->ran_us, e->hub->now_us, &path.hots);
 	lw_hotpath_told(e->hotpath, x->route, &path.hots, path.depth, e->hub->now_us);
+	if (served && !x->nested)
+		lw_hotpath_worked(e->hotpath, x->route, x->rank / LW_RANKS_PER_PRIORITY,
+				  &path.hots, e->hub->now_us);
 	lw_hotpath_used(e->hotpath, x->route, path.retry_used);
 	if (used > path.retry_used)
 		path.retry_used = used;
@@ -137,7 +143,7 @@
 	if (x->dead)
 		return;
 	if (load)
-		took_load(x, load);
+		took_load(x, load, false);
 	if (retry_after_ms && (!x->room_ms || retry_after_ms < x->room_ms))
 		x->room_ms = retry_after_ms;
 	x->shed_by = why == LW_FAIL_SHED ? x->host : NULL;
@@ -211,7 +217,7 @@
 	if (x->dead)
 		return;
 	if (load)
-		took_load(x, load);
+		took_load(x, load, fin && a->status < 500);
 	if (!(load && load->call_failed) && try_elsewhere(x, a->status)) {
 		x->attempts.given++;
 		x->attempts.maybe_ran = true;
@@ -355,8 +361,10 @@
 {
 	lw_engine_t *e = x->engine;
 	lw_load_t shut = { .level = LW_LEVEL_SHUT };
+	lw_hot_t hot = { .level = LW_LEVEL_SHUT };
 
-	lw_hots_add(&shut.hots, x->service->name, false, LW_LEVEL_SHUT);
+	lw_str_copy(hot.service, sizeof(hot.service), lw_str_c(x->service->name));
+	lw_hots_add(&shut.hots, &hot);
 	lw_hotpath_told(e->hotpath, x->route, &shut.hots, 0, e->hub->now_us);
 	if (x->parent_id.len)
 		lw_gate_note_call(&e->gate, x->parent_id, &shut);
--- a/src/gate.c
+++ b/src/gate.c
@@ -38,6 +38,7 @@
 	out->service_us = (uint32_t)g->service_us;
 	out->leaving = g->leaving || g->refusing || g->hub->peers_told;
 	out->call_failed = false;
+	out->ran_us = 0;
 	out->depth = 0;
 	out->retry_used = 0;
 	out->hots.n = 0;
@@ -274,8 +275,7 @@
 	if (load->retry_used > j->retry_used)
 		j->retry_used = load->retry_used;
 	for (uint32_t i = 0; i < load->hots.n; i++)
-		lw_hots_add(&j->hots, load->hots.hot[i].service, load->hots.hot[i].calls,
-			    load->hots.hot[i].level);
+		lw_hots_add(&j->hots, &load->hots.hot[i]);
 }
 
 /* lw_gate_note_failure() - a call made for request @parent_id failed. */
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -21,11 +21,11 @@
 {
 	lw_gate_load(j->gate, out);
 	out->call_failed = j->call_failed;
+	out->ran_us = j->started_us ? (uint32_t)(j->gate->hub->now_us - j->started_us) : 0;
 	out->depth = j->depth;
 	out->retry_used = j->retry_used;
 	for (uint32_t i = 0; i < j->hots.n; i++)
-		lw_hots_add(&out->hots, j->hots.hot[i].service, j->hots.hot[i].calls,
-			    j->hots.hot[i].level);
+		lw_hots_add(&out->hots, &j->hots.hot[i]);
 }
 
 static void job_release(lw_job_t *j)
--- a/src/hotpath.c
+++ b/src/hotpath.c
@@ -31,6 +31,13 @@
 #define RISE_SHUT_FACTOR 6
 /* a route that was not led to a service for so long does not lead there, us */
 #define ROUTE_FORGETS_US 3000000
+/* weight of one more request in the work its route makes at a service */
+#define WORK_EWMA 0.05
+/*
+ * Ranks are lowered to this part at most: of the kind that costs the most at
+ * least a third as many are let in as of any other of its priority.
+ */
+#define WEIGHED_LEAST 0.34
 /* one answer lowers the told use of the allowance by this part (1/n) of the difference */
 #define USED_FADES 10
 /* routes of which the levels are kept; more are refused by their server only */
@@ -47,6 +54,11 @@
 	double level;
 	uint64_t told_us;
 	bool known; /* a level was told */
+	struct { /* by priority: the route that makes the most work there */
+		const struct lw_hot_route *route;
+		double work_us;
+		uint64_t seen_us;
+	} most[LW_PRIORITIES_MAX];
 	bool shut; /* as told last */
 	UT_hash_handle hh;
 } lw_hot_service_t;
@@ -58,6 +70,7 @@
 	struct {
 		lw_hot_service_t *service;
 		uint64_t seen_us;
+		double work_us; /* moving average: time a request and its calls run there */
 	} leads_to[LW_HOTS_MAX];
 	UT_hash_handle hh;
 } lw_hot_route_t;
@@ -67,32 +80,46 @@
 	lw_hot_route_t *routes;
 };
 
+static lw_hot_t *find_hot(lw_hots_t *h, const lw_hot_t *hot)
+{
+	for (uint32_t i = 0; i < h->n; i++)
+		if (h->hot[i].calls == hot->calls && strcmp(h->hot[i].service, hot->service) == 0)
+			return &h->hot[i];
+	return NULL;
+}
+
+/* the place for one more: where there is none, that of the highest level */
+static lw_hot_t *place_for(lw_hots_t *h, uint32_t level)
+{
+	lw_hot_t *highest = &h->hot[0];
+
+	if (h->n < LW_HOTS_MAX)
+		return &h->hot[h->n++];
+	for (uint32_t i = 1; i < h->n; i++)
+		if (h->hot[i].level > highest->level)
+			highest = &h->hot[i];
+	return highest->level > level ? highest : NULL;
+}
+
 /*
- * lw_hots_add() - note that @service refuses ranks from @level on; @calls:
- * only of requests whose calls lead there.
+ * lw_hots_add() - note a service that refuses ranks. Of one that is noted
+ * already the lower level counts, and the work adds up.
  */
-void lw_hots_add(lw_hots_t *h, const char *service, bool calls, uint32_t level)
+void lw_hots_add(lw_hots_t *h, const lw_hot_t *hot)
 {
-	uint32_t highest = 0;
+	lw_hot_t *known = find_hot(h, hot);
 
-	if (level >= LW_LEVEL_OPEN)
+	if (hot->level >= LW_LEVEL_OPEN)
 		return;
-	for (uint32_t i = 0; i < h->n; i++) {
-		if (h->hot[i].calls == calls && strcmp(h->hot[i].service, service) == 0) {
-			if (level < h->hot[i].level)
-				h->hot[i].level = level;
-			return;
-		}
-		if (h->hot[i].level > h->hot[highest].level)
-			highest = i;
-	}
-	if (h->n < LW_HOTS_MAX)
-		highest = h->n++;
-	else if (h->hot[highest].level <= level)
+	if (known) {
+		known->work_us += hot->work_us;
+		if (hot->level < known->level)
+			known->level = hot->level;
 		return;
-	lw_str_copy(h->hot[highest].service, LW_NAME_MAX, lw_str_c(service));
-	h->hot[highest].calls = calls;
-	h->hot[highest].level = level;
+	}
+	known = place_for(h, hot->level);
+	if (known)
+		*known = *hot;
 }
 
 /* lw_hotpath_new() - nothing is refused. */
@@ -145,6 +172,7 @@
 	}
 	r->leads_to[oldest].service = s;
 	r->leads_to[oldest].seen_us = now_us;
+	r->leads_to[oldest].work_us = 0;
 }
 
 /* the level as it is now: without news it has risen */
@@ -194,6 +222,90 @@
 	}
 }
 
+static uint32_t known_priority(uint32_t priority)
+{
+	return priority < LW_PRIORITIES_MAX ? priority : LW_PRIORITIES_MAX - 1;
+}
+
+/* the average work of @r at @s is @work_us now: is that the most of its priority? */
+static void compare_work(lw_hot_service_t *s, uint32_t priority, const lw_hot_route_t *r,
+			 double work_us, uint64_t now_us)
+{
+	uint32_t p = known_priority(priority);
+	bool forgotten = now_us - s->most[p].seen_us >= ROUTE_FORGETS_US;
+
+	if (s->most[p].route != r && !forgotten && work_us <= s->most[p].work_us)
+		return;
+	s->most[p].route = r;
+	s->most[p].work_us = work_us;
+	s->most[p].seen_us = now_us;
+}
+
+static void took_work(lw_hot_route_t *r, lw_hot_service_t *s, uint32_t priority, uint32_t told_us,
+		      uint64_t now_us)
+{
+	for (int i = 0; i < LW_HOTS_MAX; i++) {
+		double *work_us = &r->leads_to[i].work_us;
+
+		if (r->leads_to[i].service != s)
+			continue;
+		*work_us += *work_us > 0 ? WORK_EWMA * (told_us - *work_us) : told_us;
+		compare_work(s, priority, r, *work_us, now_us);
+	}
+}
+
+/*
+ * lw_hotpath_worked() - a user request on @route was served; @hots tells how
+ * long it and its calls ran at services that refuse some.
+ */
+void lw_hotpath_worked(lw_hotpath_t *p, const char *route, uint32_t priority,
+		       const lw_hots_t *hots, uint64_t now_us)
+{
+	lw_hot_route_t *r;
+
+	HASH_FIND_STR(p->routes, route, r);
+	for (uint32_t i = 0; r && i < hots->n; i++) {
+		lw_hot_service_t *s = service_of(p, &hots->hot[i]);
+
+		if (!hots->hot[i].work_us)
+			continue;
+		leads_to(r, s, now_us);
+		took_work(r, s, priority, hots->hot[i].work_us, now_us);
+	}
+}
+
+/*
+ * lw_hotpath_weighed() - @rank, drawn from a request's id, lowered within its
+ * priority for a route whose requests make less work than others at the
+ * services that are full: for what one lookup with eight calls to a leaf
+ * costs, two and a half confirmations that run there once can be served.
+ */
+uint32_t lw_hotpath_weighed(const lw_hotpath_t *p, const char *route, uint32_t rank,
+			    uint64_t now_us)
+{
+	uint32_t priority = rank / LW_RANKS_PER_PRIORITY;
+	uint32_t within = rank % LW_RANKS_PER_PRIORITY;
+	const lw_hot_route_t *r;
+	double part = 0;
+
+	HASH_FIND_STR(p->routes, route, r);
+	for (int i = 0; r && i < LW_HOTS_MAX; i++) {
+		const lw_hot_service_t *s = r->leads_to[i].service;
+		double most = s ? s->most[known_priority(priority)].work_us : 0;
+
+		if (most <= 0 || !r->leads_to[i].work_us ||
+		    now_us - r->leads_to[i].seen_us >= ROUTE_FORGETS_US)
+			continue;
+		if (r->leads_to[i].work_us / most > part)
+			part = r->leads_to[i].work_us / most;
+	}
+	if (part <= 0 || part > 1)
+		return rank;
+	if (part < WEIGHED_LEAST)
+		part = WEIGHED_LEAST;
+	return priority * LW_RANKS_PER_PRIORITY + (uint32_t)(within * part);
+}
+
 /* lw_hotpath_depth() - levels of calls below a request on @route, as far as seen. */
 uint32_t lw_hotpath_depth(const lw_hotpath_t *p, const char *route)
 {
--- a/src/hotpath.h
+++ b/src/hotpath.h
@@ -20,6 +20,7 @@
 	char service[LW_NAME_MAX];
 	bool calls; /* of requests whose calls lead there */
 	uint32_t level;
+	uint32_t work_us; /* time that the request and its calls ran there */
 } lw_hot_t;
 
 /* More services than these on one path are left out, the highest levels first. */
@@ -32,10 +33,14 @@
 
 typedef struct lw_hotpath lw_hotpath_t;
 
-void lw_hots_add(lw_hots_t *h, const char *service, bool calls, uint32_t level);
+void lw_hots_add(lw_hots_t *h, const lw_hot_t *hot);
 lw_hotpath_t *lw_hotpath_new(void);
 void lw_hotpath_told(lw_hotpath_t *p, const char *route, const lw_hots_t *hots, uint32_t depth,
 		     uint64_t now_us);
+void lw_hotpath_worked(lw_hotpath_t *p, const char *route, uint32_t priority,
+		       const lw_hots_t *hots, uint64_t now_us);
+uint32_t lw_hotpath_weighed(const lw_hotpath_t *p, const char *route, uint32_t rank,
+			    uint64_t now_us);
 uint32_t lw_hotpath_depth(const lw_hotpath_t *p, const char *route);
 void lw_hotpath_used(lw_hotpath_t *p, const char *route, uint32_t permille);
 uint32_t lw_hotpath_retry_used(const lw_hotpath_t *p, const char *route);
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -727,7 +727,7 @@
   assert(message->base.descriptor == &lw__mesh_frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lw__hot__field_descriptors[3] =
+static const ProtobufCFieldDescriptor lw__hot__field_descriptors[4] =
 {
   {
     "service",
@@ -765,16 +765,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "work_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Hot, work_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__hot__field_indices_by_name[] = {
   2,   /* field[2] = calls */
   1,   /* field[1] = level */
   0,   /* field[0] = service */
+  3,   /* field[3] = work_us */
 };
 static const ProtobufCIntRange lw__hot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor lw__hot__descriptor =
 {
@@ -784,14 +797,14 @@
   "Lw__Hot",
   "lw",
   sizeof(Lw__Hot),
-  3,
+  4,
   lw__hot__field_descriptors,
   lw__hot__field_indices_by_name,
   1,  lw__hot__number_ranges,
   (ProtobufCMessageInit) lw__hot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__load__field_descriptors[13] =
+static const ProtobufCFieldDescriptor lw__load__field_descriptors[14] =
 {
   {
     "running",
@@ -949,6 +962,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ran_us",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Load, ran_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__load__field_indices_by_name[] = {
   7,   /* field[7] = call_failed */
@@ -960,6 +985,7 @@
   9,   /* field[9] = level */
   2,   /* field[2] = limit */
   1,   /* field[1] = queued */
+  13,   /* field[13] = ran_us */
   11,   /* field[11] = retry_level */
   12,   /* field[12] = retry_used */
   0,   /* field[0] = running */
@@ -968,7 +994,7 @@
 static const ProtobufCIntRange lw__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor lw__load__descriptor =
 {
@@ -978,7 +1004,7 @@
   "Lw__Load",
   "lw",
   sizeof(Lw__Load),
-  13,
+  14,
   lw__load__field_descriptors,
   lw__load__field_indices_by_name,
   1,  lw__load__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -65,10 +65,14 @@
    * only of requests whose calls lead there
    */
   protobuf_c_boolean calls;
+  /*
+   * time that the request and its calls ran there
+   */
+  uint32_t work_us;
 };
 #define LW__HOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__hot__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
@@ -122,6 +126,10 @@
    * per mille of the repeats allowed that those calls use
    */
   uint32_t retry_used;
+  /*
+   * time the request ran; 0: it did not, or is not over
+   */
+  uint32_t ran_us;
   /*
    * per mille of its requests that failed of late
    */
@@ -133,7 +141,7 @@
 };
 #define LW__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/meshframe.c
+++ b/src/meshframe.c
@@ -112,6 +112,7 @@
 	out->load.retry_level = load->retry_level;
 	out->load.failing = load->failing;
 	out->load.call_failed = load->call_failed;
+	out->load.ran_us = load->ran_us;
 	out->load.depth = load->depth;
 	out->load.retry_used = load->retry_used;
 	out->load.n_hots = load->hots.n;
@@ -121,6 +122,7 @@
 		out->hot[i].service = (char *)(uintptr_t)load->hots.hot[i].service;
 		out->hot[i].calls = load->hots.hot[i].calls;
 		out->hot[i].level = load->hots.hot[i].level;
+		out->hot[i].work_us = load->hots.hot[i].work_us;
 		out->list[i] = &out->hot[i];
 	}
 }
@@ -140,11 +142,17 @@
 	out->retry_level = in->retry_level;
 	out->failing = in->failing;
 	out->call_failed = in->call_failed;
+	out->ran_us = in->ran_us;
 	out->depth = in->depth;
 	out->retry_used = in->retry_used;
-	for (size_t i = 0; i < in->n_hots; i++)
-		lw_hots_add(&out->hots, in->hots[i]->service, in->hots[i]->calls,
-			    in->hots[i]->level);
+	for (size_t i = 0; i < in->n_hots; i++) {
+		lw_hot_t hot = { .calls = in->hots[i]->calls,
+				 .level = in->hots[i]->level,
+				 .work_us = in->hots[i]->work_us };
+
+		lw_str_copy(hot.service, sizeof(hot.service), lw_str_c(in->hots[i]->service));
+		lw_hots_add(&out->hots, &hot);
+	}
 }
 
 static char *text(const char *s)
--- a/src/place.c
+++ b/src/place.c
@@ -341,11 +341,17 @@
 
 /*
  * lw_place_tell() - add the levels of @s to what is passed on up the call
- * graph by a request that called it; @nested: the request was a call itself.
+ * graph by a request that ran there for @work_us; @nested: it was a call itself.
  */
-void lw_place_tell(const lw_place_service_t *s, bool nested, uint64_t now_us, lw_hots_t *out)
+void lw_place_tell(const lw_place_service_t *s, bool nested, uint32_t work_us, uint64_t now_us,
+		   lw_hots_t *out)
 {
-	lw_hots_add(out, s->name, false, lw_place_level(s, now_us));
+	lw_hot_t hot = { .level = lw_place_level(s, now_us), .work_us = work_us };
+
+	lw_str_copy(hot.service, sizeof(hot.service), lw_str_c(s->name));
+	lw_hots_add(out, &hot);
+	hot.calls = true;
+	hot.level = lw_place_retry_level(s, now_us);
 	if (nested)
-		lw_hots_add(out, s->name, true, lw_place_retry_level(s, now_us));
+		lw_hots_add(out, &hot);
 }
--- a/src/place.h
+++ b/src/place.h
@@ -97,7 +97,8 @@
 void lw_place_each_lost(const lw_place_t *p, lw_place_node_fn fn, void *ctx);
 uint32_t lw_place_level(const lw_place_service_t *s, uint64_t now_us);
 uint32_t lw_place_retry_level(const lw_place_service_t *s, uint64_t now_us);
-void lw_place_tell(const lw_place_service_t *s, bool nested, uint64_t now_us, lw_hots_t *out);
+void lw_place_tell(const lw_place_service_t *s, bool nested, uint32_t work_us, uint64_t now_us,
+		   lw_hots_t *out);
 const lw_place_host_t *lw_place_self(const lw_place_t *p, bool *known);
 
 #endif
--- a/src/simfleet.c
+++ b/src/simfleet.c
@@ -58,6 +58,8 @@
 	} else {
 		snprintf(id, sizeof(id), "%llx", (unsigned long long)lw_sim_random(r));
 		q->rank = lw_rank(k->priority, lw_str_c(id));
+		if (r->sim->policy == LW_SIM_FULL)
+			q->rank = lw_hotpath_weighed(origin->hot, k->name, q->rank, r->now);
 		q->tries_left = k->retries;
 	}
 	return q;
@@ -137,16 +139,19 @@
 	}
 }
 
-static void took_load(run_t *r, req_t *q, const lw_load_t *load)
+static void took_load(run_t *r, req_t *q, const lw_load_t *load, bool served)
 {
 	lw_load_t path = *load;
 	lw_place_service_t *s = q->host->service;
 	uint32_t used;
 
 	lw_place_told(q->host, load, r->now);
-	lw_place_tell(s, q->parent != NULL, r->now, &path.hots);
+	lw_place_tell(s, q->parent != NULL, load->ran_us, r->now, &path.hots);
 	lw_hotpath_told(q->origin->hot, q->kind->name, &path.hots, path.depth, r->now);
 	lw_hotpath_used(q->origin->hot, q->kind->name, path.retry_used);
+	if (served && !q->parent)
+		lw_hotpath_worked(q->origin->hot, q->kind->name, q->kind->priority, &path.hots,
+				  r->now);
 	if (!q->parent)
 		return;
 	used = lw_retrylimit_used(&s->retries, &r->terms, (uint32_t)r->nnodes, r->now);
@@ -157,8 +162,7 @@
 	if (path.depth + 1 > q->parent->depth)
 		q->parent->depth = path.depth + 1;
 	for (uint32_t i = 0; i < path.hots.n; i++)
-		lw_hots_add(&q->parent->hots, path.hots.hot[i].service, path.hots.hot[i].calls,
-			    path.hots.hot[i].level);
+		lw_hots_add(&q->parent->hots, &path.hots.hot[i]);
 }
 
 static bool take_retry(run_t *r, req_t *q)
@@ -184,7 +188,7 @@
 
 	if (q->over)
 		return;
-	took_load(r, q, &e->load);
+	took_load(r, q, &e->load, e->why == LW_FAIL_NONE && !e->bad);
 	lw_place_ended(q->host, e->why == LW_FAIL_NONE && !e->bad, r->now);
 	if (e->why == LW_FAIL_NONE && !e->bad) {
 		finish(r, q, true, false, 0);
--- a/src/simserver.c
+++ b/src/simserver.c
@@ -69,6 +69,7 @@
 	e->room_ms = room_ms;
 	lw_sim_load_of(q->at, &e->load);
 	e->load.hots = q->hots;
+	e->load.ran_us = why == LW_FAIL_NONE ? (uint32_t)(r->now - q->started_us) : 0;
 	e->load.depth = q->depth;
 	e->load.retry_used = q->retry_used;
 	e->load.call_failed = q->call_failed;
--- a/tests/decide_route.c
+++ b/tests/decide_route.c
@@ -139,12 +139,36 @@
 }
 
 /* hot-told ROUTE AT DEPTH [SERVICE LEVEL]... | hot-admits ROUTE RANK AT | hot-depth ROUTE */
+static void add_hot(lw_hots_t *hots, const words_t *a, int i, uint32_t work_us)
+{
+	lw_hot_t hot = { .level = (uint32_t)num(a, i + 1), .work_us = work_us };
+
+	lw_str_copy(hot.service, sizeof(hot.service), lw_str_c(word(a, i)));
+	lw_hots_add(hots, &hot);
+}
+
+/* hot-worked ROUTE PRIORITY AT SERVICE LEVEL MS: a request was served and ran there so long */
+static void do_hot_worked(world_t *w, const words_t *a)
+{
+	lw_hots_t hots = { .n = 0 };
+
+	add_hot(&hots, a, 4, (uint32_t)num(a, 6) * 1000);
+	lw_hotpath_told(w->hot, word(a, 1), &hots, 1, ms(a, 3));
+	lw_hotpath_worked(w->hot, word(a, 1), (uint32_t)num(a, 2), &hots, ms(a, 3));
+}
+
+/* hot-weighed ROUTE RANK AT */
+static void do_hot_weighed(world_t *w, const words_t *a)
+{
+	say(w, "%u", lw_hotpath_weighed(w->hot, word(a, 1), (uint32_t)num(a, 2), ms(a, 3)));
+}
+
 static void do_hot_told(world_t *w, const words_t *a)
 {
 	lw_hots_t hots = { .n = 0 };
 
 	for (int i = 4; i + 1 < a->n; i += 2)
-		lw_hots_add(&hots, word(a, i), false, (uint32_t)num(a, i + 1));
+		add_hot(&hots, a, i, 0);
 	lw_hotpath_told(w->hot, word(a, 1), &hots, (uint32_t)num(a, 3), ms(a, 2));
 }
 
@@ -176,6 +200,8 @@
 	{ "split", do_split },
 	{ "level-step", do_level_step },
 	{ "level-load", do_level_load },
+	{ "hot-worked", do_hot_worked },
+	{ "hot-weighed", do_hot_weighed },
 	{ "hot-told", do_hot_told },
 	{ "hot-admits", do_hot_admits },
 	{ "hot-depth", do_hot_depth },
--- a/tests/test_meshframe.c
+++ b/tests/test_meshframe.c
@@ -37,10 +37,11 @@
 			   .call_failed = true,
 			   .retry_level = 700,
 			   .depth = 3 };
+	lw_hot_t hot = { .service = "billing", .calls = true, .level = 2400, .work_us = 1500 };
 	lw_load_t back;
 	lw_meshframe_load_t wire;
 
-	lw_hots_add(&load.hots, "billing", true, 2400);
+	lw_hots_add(&load.hots, &hot);
 	lw_meshframe_load(&wire, &load);
 	lw_meshframe_read_load(&wire.load, &back);
 	CU_ASSERT_EQUAL(back.running, 3);
@@ -53,6 +54,7 @@
 	CU_ASSERT_STRING_EQUAL(back.hots.hot[0].service, "billing");
 	CU_ASSERT_EQUAL(back.hots.hot[0].level, 2400);
 	CU_ASSERT_TRUE(back.hots.hot[0].calls);
+	CU_ASSERT_EQUAL(back.hots.hot[0].work_us, 1500);
 	CU_ASSERT_EQUAL(back.retry_level, 700);
 	lw_meshframe_read_load(NULL, &back);
 	CU_ASSERT_EQUAL(back.limit, 0);
