Levels spread with every answer; faster cuts at the onset of a burst

Hypothesis: the roots hear of a full leaf only when the requests that met it are over, a second and a half later; by then the queue holds a second's work. Change: every answer and status passes on the levels its node has news of, with their age; what a route leads to is told before the service is full; a level that falls counts half at once; demand is averaged over two steps and one step may cut to 0.4.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -317,8 +317,7 @@
 	if (fc && apply_route(x, ask, fc)) {
 		find_parent(x);
 		if (!x->nested)
-			x->rank = lw_hotpath_weighed(e->hotpath, x->route, x->rank,
-						     e->hub->now_us);
+			x->rank = lw_hotpath_weighed(e->hotpath, x->route, x->rank, e->hub->now_us);
 		if (!x->nested &&
 		    !lw_hotpath_admits(e->hotpath, x->route, x->rank, e->hub->now_us, &hot)) {
 			lw_log(LW_LOG_path_busy, "id=%s route=%s rank=%u by=%s level=%u",
--- a/src/hotpath.c
+++ b/src/hotpath.c
@@ -14,6 +14,7 @@
  * that admits two requests a second would else follow after five seconds.
  */
 #define LEVEL_EWMA    0.2
+#define LEVEL_FALLS   0.5 /* what is let in too much now is late or lost */
 #define LEVEL_HALF_US 400000
 /*
  * Without news a level rises again, so that a route of which nothing is
@@ -29,6 +30,8 @@
  * node is back, and nothing tells: its level rises so many times as fast.
  */
 #define RISE_SHUT_FACTOR 6
+/* heard news must be newer than what is known by this: ages are whole ms, us */
+#define HEARD_NEWER_US 2000
 /* a route that was not led to a service for so long does not lead there, us */
 #define ROUTE_FORGETS_US 3000000
 /* weight of one more request in the work its route makes at a service */
@@ -102,15 +105,14 @@
 }
 
 /*
- * lw_hots_add() - note a service that refuses ranks. Of one that is noted
- * already the lower level counts, and the work adds up.
+ * lw_hots_add() - note the level of a service on the path, also one that
+ * refuses nothing: before it does, the roots know what leads to it. Of one that
+ * is noted already the lower level counts, and the work adds up.
  */
 void lw_hots_add(lw_hots_t *h, const lw_hot_t *hot)
 {
 	lw_hot_t *known = find_hot(h, hot);
 
-	if (hot->level >= LW_LEVEL_OPEN)
-		return;
 	if (known) {
 		known->work_us += hot->work_us;
 		if (hot->level < known->level)
@@ -141,6 +143,7 @@
 		return s;
 	s = xcalloc(1, sizeof(*s));
 	s->key = key;
+	s->level = LW_LEVEL_OPEN;
 	HASH_ADD(hh, p->services, key, sizeof(s->key), s);
 	return s;
 }
@@ -158,21 +161,34 @@
 	return r;
 }
 
+/* where to note one more service: a free place, a forgotten one, or that of the highest level */
+static int place_on_route(const lw_hot_route_t *r, uint64_t now_us)
+{
+	int highest = 0;
+
+	for (int i = 0; i < LW_HOTS_MAX; i++) {
+		if (!r->leads_to[i].service || now_us - r->leads_to[i].seen_us >= ROUTE_FORGETS_US)
+			return i;
+		if (r->leads_to[i].service->level > r->leads_to[highest].service->level)
+			highest = i;
+	}
+	return highest;
+}
+
 static void leads_to(lw_hot_route_t *r, lw_hot_service_t *s, uint64_t now_us)
 {
-	int oldest = 0;
+	int place;
 
 	for (int i = 0; i < LW_HOTS_MAX; i++) {
-		if (r->leads_to[i].service == s) {
-			r->leads_to[i].seen_us = now_us;
-			return;
-		}
-		if (r->leads_to[i].seen_us < r->leads_to[oldest].seen_us)
-			oldest = i;
+		if (r->leads_to[i].service != s)
+			continue;
+		r->leads_to[i].seen_us = now_us;
+		return;
 	}
-	r->leads_to[oldest].service = s;
-	r->leads_to[oldest].seen_us = now_us;
-	r->leads_to[oldest].work_us = 0;
+	place = place_on_route(r, now_us);
+	r->leads_to[place].service = s;
+	r->leads_to[place].seen_us = now_us;
+	r->leads_to[place].work_us = 0;
 }
 
 /* the level as it is now: without news it has risen */
@@ -187,14 +203,76 @@
 	return level;
 }
 
-static double news_weight(const lw_hot_service_t *s, uint64_t now_us)
+static double news_weight(const lw_hot_service_t *s, bool falls, uint64_t now_us)
 {
 	uint64_t age = now_us - s->told_us;
 	double by_age = (double)age / (double)(age + LEVEL_HALF_US);
+	double least = falls && !s->key.calls ? LEVEL_FALLS : LEVEL_EWMA;
 
 	if (!s->known || age > NEWS_FORGOTTEN_US)
 		return 1;
-	return by_age > LEVEL_EWMA ? by_age : LEVEL_EWMA;
+	return by_age > least ? by_age : least;
+}
+
+/*
+ * A service that refuses nothing is told as one that refuses a priority less:
+ * a caller that has seen little of it may be wrong.
+ */
+static double told_level(const lw_hot_t *hot, double level)
+{
+	double most = level + LW_RANKS_PER_PRIORITY;
+
+	return hot->level < LW_LEVEL_OPEN || most > LW_LEVEL_OPEN ? hot->level : most;
+}
+
+static void take_level(lw_hot_service_t *s, double level, bool shut, uint64_t told_us)
+{
+	s->level = level;
+	s->told_us = told_us;
+	s->known = true;
+	s->shut = shut;
+}
+
+/*
+ * lw_hotpath_tell() - the levels below LW_LEVEL_OPEN that this node has fresh
+ * news of, for other nodes; at most @most of them. Returns how many.
+ */
+uint32_t lw_hotpath_tell(const lw_hotpath_t *p, uint64_t now_us, lw_heard_t *out, uint32_t most)
+{
+	uint32_t n = 0;
+
+	for (const lw_hot_service_t *s = p->services; s && n < most; s = s->hh.next) {
+		uint64_t age = now_us - s->told_us;
+
+		if (!s->known || age > NEWS_OLD_US || s->level >= LW_LEVEL_OPEN)
+			continue;
+		memset(&out[n], 0, sizeof(out[n]));
+		lw_str_copy(out[n].service, LW_NAME_MAX, lw_str_c(s->key.name));
+		out[n].calls = s->key.calls;
+		out[n].level = (uint32_t)s->level;
+		out[n].age_ms = (uint32_t)(age / 1000);
+		n++;
+	}
+	return n;
+}
+
+/*
+ * lw_hotpath_heard() - another node told a level. Newer news replaces older, so
+ * that it spreads with whatever answers come next: by the answers of the
+ * requests that met the full service alone, a root four services above it
+ * heard only when these were over, after a second and a half in a full queue.
+ */
+void lw_hotpath_heard(lw_hotpath_t *p, const lw_heard_t *h, uint64_t now_us)
+{
+	uint64_t told_us = now_us - (uint64_t)h->age_ms * 1000;
+	lw_hot_t hot = { .calls = h->calls };
+	lw_hot_service_t *s;
+
+	lw_str_copy(hot.service, sizeof(hot.service), lw_str_c(h->service));
+	s = service_of(p, &hot);
+	if (h->age_ms * 1000 > NEWS_OLD_US || (s->known && told_us <= s->told_us + HEARD_NEWER_US))
+		return;
+	take_level(s, h->level, h->level <= LW_LEVEL_SHUT, told_us);
 }
 
 /*
@@ -211,12 +289,10 @@
 	for (uint32_t i = 0; i < hots->n; i++) {
 		lw_hot_service_t *s = service_of(p, &hots->hot[i]);
 		double level = level_now(s, now_us);
-		double weight = news_weight(s, now_us);
+		double weight = news_weight(s, hots->hot[i].level < level, now_us);
 
-		s->level = level + weight * (hots->hot[i].level - level);
-		s->told_us = now_us;
-		s->known = true;
-		s->shut = hots->hot[i].level <= LW_LEVEL_SHUT;
+		take_level(s, level + weight * (told_level(&hots->hot[i], level) - level),
+			   hots->hot[i].level <= LW_LEVEL_SHUT, now_us);
 		if (r)
 			leads_to(r, s, now_us);
 	}
@@ -258,8 +334,8 @@
  * lw_hotpath_worked() - a user request on @route was served; @hots tells how
  * long it and its calls ran at services that refuse some.
  */
-void lw_hotpath_worked(lw_hotpath_t *p, const char *route, uint32_t priority,
-		       const lw_hots_t *hots, uint64_t now_us)
+void lw_hotpath_worked(lw_hotpath_t *p, const char *route, uint32_t priority, const lw_hots_t *hots,
+		       uint64_t now_us)
 {
 	lw_hot_route_t *r;
 
--- a/src/level.c
+++ b/src/level.c
@@ -4,8 +4,13 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* weight of one more step in the averages: about half a second of memory */
+/* weight of one more step in the ranks that arrive: about half a second of memory */
 #define STEP_EWMA 0.25f
+/*
+ * The same for how much arrives: at the onset of a burst the queue grows by a
+ * second's work in a second, and every request begun by then is late.
+ */
+#define DEMAND_EWMA 0.5
 /*
  * A queue that takes longer than this to start shows that more arrives than
  * can run: a fixed part, ms, and a part of the time a request runs, as longer
@@ -20,7 +25,7 @@
 /* a queue is to be worked off in this time, beside what arrives, ms */
 #define QUEUE_DRAIN_MS 600.0
 /* one step cuts at most to this part of the arrivals */
-#define CUT_MOST  0.6
+#define CUT_MOST  0.4
 #define CUT_LEAST 0.95
 /*
  * Steps until a cut shows here: requests that began before it still make
@@ -62,7 +67,7 @@
 		l->count[i] = 0;
 	}
 	l->arrivals = 0;
-	l->demand += STEP_EWMA * (need / in->limit - l->demand);
+	l->demand += DEMAND_EWMA * (need / in->limit - l->demand);
 }
 
 /* the level under which @part of the recent arrivals lie */
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -21,6 +21,9 @@
 	/* the node says that its backend server lives though its entry lapsed */
 	void (*vouched)(void *ctx, const char *node, const char *server, uint64_t born_ms);
 	void (*lost)(void *ctx, const char *node);
+	/* levels this node has news of, for others; and one that another node told */
+	uint32_t (*levels)(void *ctx, lw_heard_t *out, uint32_t most);
+	void (*heard)(void *ctx, const lw_heard_t *heard);
 	uint64_t (*config_version)(void *ctx);
 	/* the document in force; empty if there is none */
 	lw_str_t (*config_text)(void *ctx);
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &lw__hot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lw__heard__init
+                     (Lw__Heard         *message)
+{
+  static const Lw__Heard init_value = LW__HEARD__INIT;
+  *message = init_value;
+}
+size_t lw__heard__get_packed_size
+                     (const Lw__Heard *message)
+{
+  assert(message->base.descriptor == &lw__heard__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lw__heard__pack
+                     (const Lw__Heard *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lw__heard__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lw__heard__pack_to_buffer
+                     (const Lw__Heard *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lw__heard__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lw__Heard *
+       lw__heard__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lw__Heard *)
+     protobuf_c_message_unpack (&lw__heard__descriptor,
+                                allocator, len, data);
+}
+void   lw__heard__free_unpacked
+                     (Lw__Heard *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lw__heard__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lw__load__init
                      (Lw__Load         *message)
 {
@@ -804,7 +849,84 @@
   (ProtobufCMessageInit) lw__hot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__load__field_descriptors[14] =
+static const ProtobufCFieldDescriptor lw__heard__field_descriptors[4] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Heard, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "calls",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Heard, calls),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "level",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Heard, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Heard, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lw__heard__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  1,   /* field[1] = calls */
+  2,   /* field[2] = level */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange lw__heard__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor lw__heard__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lw.Heard",
+  "Heard",
+  "Lw__Heard",
+  "lw",
+  sizeof(Lw__Heard),
+  4,
+  lw__heard__field_descriptors,
+  lw__heard__field_indices_by_name,
+  1,  lw__heard__number_ranges,
+  (ProtobufCMessageInit) lw__heard__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lw__load__field_descriptors[15] =
 {
   {
     "running",
@@ -974,12 +1096,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "heard",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lw__Load, n_heard),
+    offsetof(Lw__Load, heard),
+    &lw__heard__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__load__field_indices_by_name[] = {
   7,   /* field[7] = call_failed */
   6,   /* field[6] = config_version */
   8,   /* field[8] = depth */
   10,   /* field[10] = failing */
+  14,   /* field[14] = heard */
   5,   /* field[5] = hots */
   4,   /* field[4] = leaving */
   9,   /* field[9] = level */
@@ -994,7 +1129,7 @@
 static const ProtobufCIntRange lw__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor lw__load__descriptor =
 {
@@ -1004,7 +1139,7 @@
   "Lw__Load",
   "lw",
   sizeof(Lw__Load),
-  14,
+  15,
   lw__load__field_descriptors,
   lw__load__field_indices_by_name,
   1,  lw__load__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Lw__Hot Lw__Hot;
+typedef struct Lw__Heard Lw__Heard;
 typedef struct Lw__Load Lw__Load;
 typedef struct Lw__Open Lw__Open;
 typedef struct Lw__Answer Lw__Answer;
@@ -75,6 +76,28 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * A level that the sender has news of, for all nodes.
+ */
+struct  Lw__Heard
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * only of requests whose calls lead there
+   */
+  protobuf_c_boolean calls;
+  uint32_t level;
+  /*
+   * of that news
+   */
+  uint32_t age_ms;
+};
+#define LW__HEARD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lw__heard__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 /*
  * What a node tells of the backend server beside it, with every answer.
  */
@@ -101,6 +124,8 @@
    * takes no new work
    */
   protobuf_c_boolean leaving;
+  size_t n_heard;
+  Lw__Heard **heard;
   /*
    * services on the request's path that refuse some work
    */
@@ -141,7 +166,7 @@
 };
 #define LW__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -465,6 +490,25 @@
 void   lw__hot__free_unpacked
                      (Lw__Hot *message,
                       ProtobufCAllocator *allocator);
+/* Lw__Heard methods */
+void   lw__heard__init
+                     (Lw__Heard         *message);
+size_t lw__heard__get_packed_size
+                     (const Lw__Heard   *message);
+size_t lw__heard__pack
+                     (const Lw__Heard   *message,
+                      uint8_t             *out);
+size_t lw__heard__pack_to_buffer
+                     (const Lw__Heard   *message,
+                      ProtobufCBuffer     *buffer);
+Lw__Heard *
+       lw__heard__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lw__heard__free_unpacked
+                     (Lw__Heard *message,
+                      ProtobufCAllocator *allocator);
 /* Lw__Load methods */
 void   lw__load__init
                      (Lw__Load         *message);
@@ -755,6 +799,9 @@
 typedef void (*Lw__Hot_Closure)
                  (const Lw__Hot *message,
                   void *closure_data);
+typedef void (*Lw__Heard_Closure)
+                 (const Lw__Heard *message,
+                  void *closure_data);
 typedef void (*Lw__Load_Closure)
                  (const Lw__Load *message,
                   void *closure_data);
@@ -808,6 +855,7 @@
 
 extern const ProtobufCEnumDescriptor    lw__fate_kind__descriptor;
 extern const ProtobufCMessageDescriptor lw__hot__descriptor;
+extern const ProtobufCMessageDescriptor lw__heard__descriptor;
 extern const ProtobufCMessageDescriptor lw__load__descriptor;
 extern const ProtobufCMessageDescriptor lw__open__descriptor;
 extern const ProtobufCMessageDescriptor lw__answer__descriptor;
--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -63,6 +63,7 @@
 	uint64_t pushed_version;
 	uint64_t peer_revision; /* of its list of backend servers, as far as told */
 	uint64_t pushed_revision;
+	uint64_t levels_us; /* when levels were last passed on over it */
 	lw_link_t *next;
 	lw_link_t *next_dirty;
 };
@@ -101,7 +102,8 @@
 void lw_link_frame_queued(lw_link_t *l, size_t before);
 void lw_link_send(lw_link_t *l, const Lw__MeshFrame *f);
 void lw_mesh_flush_all(void *ctx);
-void lw_mesh_fill_load(const lw_mesh_t *m, lw_meshframe_load_t *out, const lw_load_t *load);
+void lw_mesh_fill_load(lw_link_t *l, lw_meshframe_load_t *out, const lw_load_t *load);
+void lw_mesh_take_levels(lw_link_t *l, const Lw__Load *load);
 void lw_mesh_send_status(lw_link_t *l, bool is_reply);
 void lw_stream_free(lw_stream_t *s);
 void lw_mesh_on_open(lw_link_t *l, const Lw__Open *o);
--- a/src/meshcall.c
+++ b/src/meshcall.c
@@ -115,7 +115,7 @@
 
 	if (s->dead)
 		return;
-	lw_mesh_fill_load(s->link->mesh, &l, load);
+	lw_mesh_fill_load(s->link, &l, load);
 	w.stream = s->id;
 	w.status = a->status;
 	w.body_length = a->body_length;
@@ -149,7 +149,7 @@
 	Lw__Failed w = LW__FAILED__INIT;
 	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
 
-	lw_mesh_fill_load(l->mesh, &load, own);
+	lw_mesh_fill_load(l, &load, own);
 	w.stream = id;
 	w.reason = why;
 	w.retry_after_ms = retry_after_ms;
@@ -238,6 +238,7 @@
 	lw_load_t load;
 
 	lw_meshframe_read_load(w->load, &load);
+	lw_mesh_take_levels(l, w->load);
 	if (w->load)
 		l->peer_version = w->load->config_version;
 	if (!s || s->job || !s->call.sink)
@@ -301,6 +302,7 @@
 	lw_load_t load;
 
 	lw_meshframe_read_load(w->load, &load);
+	lw_mesh_take_levels(l, w->load);
 	if (!s || s->job || !s->call.sink)
 		return;
 	sink = s->call.sink;
--- a/src/meshframe.c
+++ b/src/meshframe.c
@@ -127,6 +127,31 @@
 	}
 }
 
+/* lw_meshframe_heard() - add the first @n levels in out->heard to the load part. */
+void lw_meshframe_heard(lw_meshframe_load_t *out, uint32_t n)
+{
+	out->load.n_heard = n;
+	out->load.heard = out->heard_list;
+	for (uint32_t i = 0; i < n; i++) {
+		lw__heard__init(&out->heard_wire[i]);
+		out->heard_wire[i].service = out->heard[i].service;
+		out->heard_wire[i].calls = out->heard[i].calls;
+		out->heard_wire[i].level = out->heard[i].level;
+		out->heard_wire[i].age_ms = out->heard[i].age_ms;
+		out->heard_list[i] = &out->heard_wire[i];
+	}
+}
+
+/* lw_meshframe_read_heard() - one level that a peer passed on. */
+void lw_meshframe_read_heard(const Lw__Heard *in, lw_heard_t *out)
+{
+	memset(out, 0, sizeof(*out));
+	lw_str_copy(out->service, sizeof(out->service), lw_str_c(in->service));
+	out->calls = in->calls;
+	out->level = in->level;
+	out->age_ms = in->age_ms;
+}
+
 /* lw_meshframe_read_load() - read it; zeroes if the frame has none. */
 void lw_meshframe_read_load(const Lw__Load *in, lw_load_t *out)
 {
--- a/src/meshframe.h
+++ b/src/meshframe.h
@@ -14,11 +14,17 @@
 #include "fleetconf.h"
 #include "mesh.pb-c.h"
 
+/* Levels that are passed on with one frame. */
+#define LW_MESHFRAME_HEARD_MAX 6
+
 /* The load part of a frame with the storage for its parts. */
 typedef struct lw_meshframe_load {
 	Lw__Load load;
 	Lw__Hot hot[LW_HOTS_MAX];
 	Lw__Hot *list[LW_HOTS_MAX];
+	lw_heard_t heard[LW_MESHFRAME_HEARD_MAX];
+	Lw__Heard heard_wire[LW_MESHFRAME_HEARD_MAX];
+	Lw__Heard *heard_list[LW_MESHFRAME_HEARD_MAX];
 } lw_meshframe_load_t;
 
 void lw_meshframe_append(lw_bytebuf_t *out, const Lw__MeshFrame *f);
@@ -29,6 +35,8 @@
 void lw_meshframe_append_servers(lw_bytebuf_t *out, const lw_serverlist_t *sl);
 lw_serverlist_t *lw_meshframe_read_servers(const Lw__Servers *in);
 void lw_meshframe_load(lw_meshframe_load_t *out, const lw_load_t *load);
+void lw_meshframe_heard(lw_meshframe_load_t *out, uint32_t n);
+void lw_meshframe_read_heard(const Lw__Heard *in, lw_heard_t *out);
 void lw_meshframe_read_load(const Lw__Load *in, lw_load_t *out);
 
 #endif
--- a/src/meshnews.c
+++ b/src/meshnews.c
@@ -6,12 +6,31 @@
 
 /* a peer is given so long to learn a new configuration by itself, us */
 #define CONFIG_PUSH_US 600000
+/* levels are passed on over one connection so often at most, us */
+#define LEVELS_AGAIN_US 20000
 
 /* lw_mesh_fill_load() - the load part of a frame; @out must stay until it is encoded. */
-void lw_mesh_fill_load(const lw_mesh_t *m, lw_meshframe_load_t *out, const lw_load_t *load)
+void lw_mesh_fill_load(lw_link_t *l, lw_meshframe_load_t *out, const lw_load_t *load)
 {
+	lw_mesh_t *m = l->mesh;
+
 	lw_meshframe_load(out, load);
 	out->load.config_version = m->ops->config_version(m->ctx);
+	if (m->hub->now_us - l->levels_us < LEVELS_AGAIN_US)
+		return;
+	l->levels_us = m->hub->now_us;
+	lw_meshframe_heard(out, m->ops->levels(m->ctx, out->heard, LW_MESHFRAME_HEARD_MAX));
+}
+
+/* lw_mesh_take_levels() - the levels that came with the load part of a frame. */
+void lw_mesh_take_levels(lw_link_t *l, const Lw__Load *load)
+{
+	for (size_t i = 0; load && i < load->n_heard; i++) {
+		lw_heard_t heard;
+
+		lw_meshframe_read_heard(load->heard[i], &heard);
+		l->mesh->ops->heard(l->mesh->ctx, &heard);
+	}
 }
 
 static uint64_t own_revision(const lw_mesh_t *m)
@@ -30,7 +49,7 @@
 	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
 
 	lw_gate_load(l->mesh->gate, &own);
-	lw_mesh_fill_load(l->mesh, &load, &own);
+	lw_mesh_fill_load(l, &load, &own);
 	status.is_reply = is_reply;
 	status.load = &load.load;
 	status.news_age_ms = l->mesh->ops->news_age_ms(l->mesh->ctx);
@@ -106,6 +125,7 @@
 	lw_load_t load;
 
 	lw_meshframe_read_load(w->load, &load);
+	lw_mesh_take_levels(l, w->load);
 	if (w->load)
 		l->peer_version = w->load->config_version;
 	if (l->outgoing && w->lapsed_id[0])
--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -110,6 +110,20 @@
 		lw_log(LW_LOG_server_vouched, "server=%s node=%s", server, node);
 }
 
+static uint32_t mesh_levels(void *ctx, lw_heard_t *out, uint32_t most)
+{
+	const lw_proxy_t *p = ctx;
+
+	return lw_hotpath_tell(p->engine.hotpath, p->hub.now_us, out, most);
+}
+
+static void mesh_heard(void *ctx, const lw_heard_t *heard)
+{
+	lw_proxy_t *p = ctx;
+
+	lw_hotpath_heard(p->engine.hotpath, heard, p->hub.now_us);
+}
+
 static void mesh_lost(void *ctx, const char *node)
 {
 	lw_proxy_t *p = ctx;
@@ -190,6 +204,8 @@
 	.load = mesh_load,
 	.vouched = mesh_vouched,
 	.lost = mesh_lost,
+	.levels = mesh_levels,
+	.heard = mesh_heard,
 	.config_version = mesh_config_version,
 	.config_text = mesh_config_text,
 	.config_received = mesh_config_received,
--- a/tests/decide_route.c
+++ b/tests/decide_route.c
@@ -163,6 +163,26 @@
 	say(w, "%u", lw_hotpath_weighed(w->hot, word(a, 1), (uint32_t)num(a, 2), ms(a, 3)));
 }
 
+/* hot-heard SERVICE LEVEL AGE AT: another node tells | hot-tell AT: what others are told */
+static void do_hot_heard(world_t *w, const words_t *a)
+{
+	lw_heard_t heard = { .level = (uint32_t)num(a, 2), .age_ms = (uint32_t)num(a, 3) };
+
+	lw_str_copy(heard.service, sizeof(heard.service), lw_str_c(word(a, 1)));
+	lw_hotpath_heard(w->hot, &heard, ms(a, 4));
+}
+
+static void do_hot_tell(world_t *w, const words_t *a)
+{
+	lw_heard_t out[4];
+	uint32_t n = lw_hotpath_tell(w->hot, ms(a, 1), out, 4);
+
+	for (uint32_t i = 0; i < n; i++)
+		say(w, "%s %u age %u", out[i].service, out[i].level, out[i].age_ms);
+	if (!n)
+		say(w, "none");
+}
+
 static void do_hot_told(world_t *w, const words_t *a)
 {
 	lw_hots_t hots = { .n = 0 };
@@ -200,6 +220,8 @@
 	{ "split", do_split },
 	{ "level-step", do_level_step },
 	{ "level-load", do_level_load },
+	{ "hot-heard", do_hot_heard },
+	{ "hot-tell", do_hot_tell },
 	{ "hot-worked", do_hot_worked },
 	{ "hot-weighed", do_hot_weighed },
 	{ "hot-told", do_hot_told },
