--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -575,6 +575,166 @@
     check(f.store.turned_away, "the store turned nobody away")
 
 
+async def ask_for(f, seconds, prefix):
+    """A read every 20 ms; (time, status) of those that were not answered well."""
+    bad, i, end = [], 0, time.monotonic() + seconds
+    node = f.nodes["front"][0]
+    while time.monotonic() < end:
+        i += 1
+        a = await node.caller().ask("GET", "/leaf/1", f"{prefix}{i}")
+        if a.status != 200:
+            bad.append((round(time.monotonic() - end + seconds, 2), a.status))
+        await asyncio.sleep(0.02)
+    return bad
+
+
+@test({"front": 2, "back": 3}, relays=True)
+async def test_lapsed_leases_used_on(f):
+    """Symptom: a service is without servers for seconds though all of them live
+    and can be reached. Sequence: their hosts are cut off from the store, their
+    entries lapse; the cut heals, the entries are back. Cause: an entry that is
+    missing was taken for a server that left."""
+    backs = f.nodes["back"]
+    f.store.refused = {n.store_relay.addr[0] for n in backs}
+    await asyncio.sleep(1.5)
+    for n in backs:
+        f.store.remove("servers/" + n.server.id)
+    bad = await ask_for(f, 4, "cut")
+    check(not bad, bad)
+    check(all(n.server.checks for n in backs), "nobody asked the servers")
+    f.store.refused = set()
+    await asyncio.sleep(0.3)
+    for n in backs:
+        f.register(n.server)
+    checks = sum(n.server.checks for n in backs)
+    bad = await ask_for(f, 3, "back")
+    check(not bad, bad)
+    check(sum(n.server.checks for n in backs) < checks + 12, "health checks went on and on")
+
+
+@test({"front": 2, "back": 3}, relays=True)
+async def test_silent_leaver(f):
+    """Symptom: a server that left without reporting a drain gets work after its
+    drain time. Sequence: its entry is removed; its node is up and reads the
+    store; the server is healthy still. Cause: contact with the node was taken
+    as a sign that the server stays."""
+    leaver = f.nodes["back"][0].server
+    f.store.remove("servers/" + leaver.id)
+    since = time.monotonic()
+    bad = await ask_for(f, 4, "s")
+    check(not bad, bad)
+    late = [round(t - since, 2) for t, r in leaver.ran if t > since + 2]
+    check(not late, late)
+
+
+@test({"front": 2, "back": 3}, relays=True)
+async def test_leaver_behind_cut(f):
+    """Symptom: work goes to a server that is leaving behind a cut. Sequence: its
+    host is cut off, its entry lapses, its node vouches for it; then it leaves,
+    which only its health check says. Cause: nothing ended the node's word."""
+    node = f.nodes["back"][0]
+    f.store.refused = {node.store_relay.addr[0]}
+    await asyncio.sleep(1.5)
+    f.store.remove("servers/" + node.server.id)
+    check(not await ask_for(f, 2.5, "a"), "requests failed")
+    check([t for t, r in node.server.ran if r.startswith("a")][-1:], "it was not used on")
+    node.server.leaving = True
+    since = time.monotonic()
+    check(not await ask_for(f, 3, "b"), "requests failed")
+    late = [round(t - since, 2) for t, r in node.server.ran if t > since + 2]
+    check(not late, late)
+
+
+@test({"front": 1, "back": 2})
+async def test_same_id_started_anew(f):
+    """Symptom: a server that drained and started again under its id never gets
+    work. Sequence: drain, exit, a new process with the same id and a later
+    start. Cause: a drain was never taken back, whoever reported it."""
+    server = f.nodes["back"][0].server
+    server.born, server.draining = 1000, True
+    f.register(server)
+    await asyncio.sleep(2)
+    server.born, server.draining = 2000, False
+    f.register(server)
+    await asyncio.sleep(1.5)
+    since = time.monotonic()
+    bad = await ask_for(f, 1.5, "n")
+    check(not bad, bad)
+    check([t for t, _ in server.ran if t > since], "the new process got nothing")
+
+
+@test({"front": 1, "back": 2})
+async def test_entries_of_other_writers(f):
+    """Symptom: a living server gets no work, or requests go nowhere. Sequence:
+    entries appear that another writer made: bytes that are no JSON, fields of
+    another type, an unknown state, a living server's address with a service
+    that no configuration names. Cause: defaults in place of what was spoiled."""
+    good = f.nodes["back"][0].server.entry()
+    forged = {"x-text": b"\xff\xfe", "x-list": b"[]",
+              "x-state": {**good, "status": {**good["status"], "state": "asleep"}},
+              "x-slots": {**good, "info": {**good["info"], "slots": "many"}},
+              "x-addr": {**good, "address": 7}}
+    async def work(s, head, rid, stage):
+        if stage == "run":
+            await asyncio.sleep(0.03)
+    for n in f.nodes["back"]:
+        n.server.behave = work
+    for key, value in forged.items():
+        f.store.put("servers/" + key, value)
+    await asyncio.sleep(1.5)
+    bad = [b for many in await asyncio.gather(*(ask_for(f, 1.5, f"e{k}-") for k in range(12)))
+           for b in many]
+    check(not bad, bad)
+    check(all(n.server.ran for n in f.nodes["back"]), "a server got nothing")
+    check(len(f.nodes["front"][0].logged("E1209") + f.nodes["back"][0].logged("E1209")
+              + f.nodes["back"][1].logged("E1209")) >= len(forged), "refused entries left no line")
+
+
+@test({"front": 1, "back": 2}, slots=8)
+async def test_failing_server_is_not_fast(f):
+    """Symptom: thousands of requests fail while one of several servers fails all
+    it gets. Sequence: it answers 500 within a millisecond and says that it is
+    healthy. Cause: its failures counted as very short runs, so that it seemed
+    to be the fastest server of all."""
+    async def work(s, head, rid, stage):
+        if stage != "run":
+            return None
+        if s.id == "i-back-0":
+            return None, 500, b"broken"
+        await asyncio.sleep(0.02)
+        return None
+    for n in f.nodes["back"]:
+        n.server.behave = work
+    node = f.nodes["front"][0]
+    async def caller(k):
+        c = node.caller()
+        for i in range(160):
+            await c.ask("POST", "/up/1", f"f{k}-{i}", body=b"x")
+    await asyncio.gather(*(caller(k) for k in range(7)))
+    last = [sum(int(r.split("-")[1]) >= 100 for _, r in n.server.ran) for n in f.nodes["back"]]
+    check(last[0] < 0.25 * sum(last), last)
+
+
+@test({"front": 1, "back": 3}, slots=2)
+async def test_dead_server_passed_over(f):
+    """Symptom: most calls of a busy service are handed back by one node. Sequence:
+    its server takes no connection; the other servers are full. Cause: its node
+    had no work, so by its load it was the best one."""
+    async def work(s, head, rid, stage):
+        if stage == "run":
+            await asyncio.sleep(0.05)
+    for n in f.nodes["back"]:
+        n.server.behave = work
+    node = f.nodes["front"][0]
+    dead = f.nodes["back"][0].server
+    dead.stop()
+    async def caller(k):
+        return [(await node.caller().ask("GET", "/leaf/1", f"d{k}-{i}")).status for i in range(30)]
+    await asyncio.gather(*(caller(k) for k in range(8)))
+    handed_back = await node.metric("lw_handed_back_total")
+    check(handed_back is not None and handed_back < 60, handed_back)
+
+
 @test({"back": 5}, relays=True)
 async def test_returning_reader(f):
     """Symptom: a server that left gets requests from every node for over two
--- a/tests/mesh/standin.py
+++ b/tests/mesh/standin.py
@@ -29,7 +29,8 @@
     def put(self, key, value):
         self.revision += 1
         old = self.items.get(key)
-        item = {"key": key, "value": base64.b64encode(json.dumps(value).encode()).decode(),
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        item = {"key": key, "value": base64.b64encode(data).decode(),
                 "revision": self.revision, "lease": 0,
                 "created_rev": old["created_rev"] if old else self.revision}
         self.items[key] = item
@@ -147,6 +148,9 @@
         self.accepted = 0
         self.behave = None
         self.draining = False
+        self.leaving = False  # as its health check says
+        self.born = None  # start of its process, Unix ms; None: not told
+        self.checks = 0  # health checks answered
         self.open = []
 
     async def start(self):
@@ -158,7 +162,8 @@
             w.transport.abort()
 
     def entry(self):
-        return {"address": f"{self.ip}:{self.port}",
+        born = {} if self.born is None else {"born": self.born}
+        return {**born, "address": f"{self.ip}:{self.port}",
                 "info": {"service": self.service, "version": "v1", "zone": self.zone,
                          "slots": self.slots},
                 "status": {"state": "draining" if self.draining else "ready", "sequence": 1,
@@ -179,6 +184,10 @@
     async def one(self, reader, writer):
         head = Head(await reader.readuntil(b"\r\n\r\n"))
         rid = head.get("x-request-id", "")
+        if head.start[1] == "/health":
+            self.checks += 1
+            self.write(writer, 503 if self.leaving else 200, rid, b"", [f"X-Instance-Id: {self.id}"])
+            return True
         if head.get("x-target-instance") not in (None, self.id):
             await read_body(reader, head)
             self.write(writer, 421, rid, b"", [f"X-Instance-Id: {self.id}"])
