--- a/src/hotpath.c
+++ b/src/hotpath.c
@@ -1,11 +1,9 @@
 /* Levels of services along routes; see hotpath.h. */
-#include "hotpath.h"
+#include "hotpath_int.h"
 
 #include <stdlib.h>
 #include <string.h>
-#include <uthash.h>
 
-#include "level.h"
 #include "xalloc.h"
 
 /*
@@ -34,105 +32,17 @@
 #define RISE_SHUT_FACTOR 6
 /* heard news must be newer than what is known by this: ages are whole ms, us */
 #define HEARD_NEWER_US 2000
-/* a route that was not led to a service for so long does not lead there, us */
-#define ROUTE_FORGETS_US 3000000
-/* weight of one more request in the work its route makes at a service */
-#define WORK_EWMA 0.05
-/*
- * Ranks are lowered to this part at most: of the kind that costs the most at
- * least a third as many are let in as of any other of its priority.
- */
-#define WEIGHED_LEAST 0.34
-/* one answer lowers the told use of the allowance by this part (1/n) of the difference */
-#define USED_FADES 10
 /* routes of which the levels are kept; more are refused by their server only */
 #define ROUTES_MAX 4096
 
-/* which level of which service; compared byte by byte */
-typedef struct lw_hot_key {
-	char name[LW_NAME_MAX];
-	uint32_t calls;
-} lw_hot_key_t;
-
-typedef struct lw_hot_service {
-	lw_hot_key_t key;
-	double level;
-	uint64_t told_us;
-	bool known; /* a level was told */
-	struct { /* by priority: the route that makes the most work there */
-		const struct lw_hot_route *route;
-		double work_us;
-		uint64_t seen_us;
-	} most[LW_PRIORITIES_MAX];
-	bool shut; /* as told last */
-	UT_hash_handle hh;
-} lw_hot_service_t;
-
-typedef struct lw_hot_route {
-	char name[LW_NAME_MAX];
-	uint32_t depth; /* levels of calls below a request, the most seen */
-	uint32_t retry_used; /* per mille of the repeats allowed that its calls use */
-	struct {
-		lw_hot_service_t *service;
-		uint64_t seen_us;
-		double work_us; /* moving average: time a request and its calls run there */
-	} leads_to[LW_HOTS_MAX];
-	UT_hash_handle hh;
-} lw_hot_route_t;
-
-struct lw_hotpath {
-	lw_hot_service_t *services;
-	lw_hot_route_t *routes;
-};
-
-static lw_hot_t *find_hot(lw_hots_t *h, const lw_hot_t *hot)
-{
-	for (uint32_t i = 0; i < h->n; i++)
-		if (h->hot[i].calls == hot->calls && strcmp(h->hot[i].service, hot->service) == 0)
-			return &h->hot[i];
-	return NULL;
-}
-
-/* the place for one more: where there is none, that of the highest level */
-static lw_hot_t *place_for(lw_hots_t *h, uint32_t level)
-{
-	lw_hot_t *highest = &h->hot[0];
-
-	if (h->n < LW_HOTS_MAX)
-		return &h->hot[h->n++];
-	for (uint32_t i = 1; i < h->n; i++)
-		if (h->hot[i].level > highest->level)
-			highest = &h->hot[i];
-	return highest->level > level ? highest : NULL;
-}
-
-/*
- * lw_hots_add() - note the level of a service on the path, also one that
- * refuses nothing: before it does, the roots know what leads to it. Of one that
- * is noted already the lower level counts, and the work adds up.
- */
-void lw_hots_add(lw_hots_t *h, const lw_hot_t *hot)
-{
-	lw_hot_t *known = find_hot(h, hot);
-
-	if (known) {
-		known->work_us += hot->work_us;
-		if (hot->level < known->level)
-			known->level = hot->level;
-		return;
-	}
-	known = place_for(h, hot->level);
-	if (known)
-		*known = *hot;
-}
-
 /* lw_hotpath_new() - nothing is refused. */
 lw_hotpath_t *lw_hotpath_new(void)
 {
 	return xcalloc(1, sizeof(lw_hotpath_t));
 }
 
-static lw_hot_service_t *service_of(lw_hotpath_t *p, const lw_hot_t *hot)
+/* lw_hot_service_of() - the service of @hot, made if it is new. */
+lw_hot_service_t *lw_hot_service_of(lw_hotpath_t *p, const lw_hot_t *hot)
 {
 	lw_hot_service_t *s;
 	lw_hot_key_t key;
@@ -177,7 +87,8 @@
 	return highest;
 }
 
-static void leads_to(lw_hot_route_t *r, lw_hot_service_t *s, uint64_t now_us)
+/* lw_hot_leads_to() - the work of the route leads to the service, as just told. */
+void lw_hot_leads_to(lw_hot_route_t *r, lw_hot_service_t *s, uint64_t now_us)
 {
 	int place;
 
@@ -274,7 +185,7 @@
 	lw_hot_service_t *s;
 
 	lw_str_copy(hot.service, sizeof(hot.service), lw_str_c(h->service));
-	s = service_of(p, &hot);
+	s = lw_hot_service_of(p, &hot);
 	if (h->age_ms * 1000 > NEWS_OLD_US || (s->known && told_us <= s->told_us + HEARD_NEWER_US))
 		return;
 	take_level(s, h->level, h->level <= LW_LEVEL_SHUT, told_us);
@@ -292,137 +203,17 @@
 	if (r && depth > r->depth)
 		r->depth = depth;
 	for (uint32_t i = 0; i < hots->n; i++) {
-		lw_hot_service_t *s = service_of(p, &hots->hot[i]);
+		lw_hot_service_t *s = lw_hot_service_of(p, &hots->hot[i]);
 		double level = level_now(s, now_us);
 		double weight = news_weight(s, hots->hot[i].level < level, now_us);
 
 		take_level(s, level + weight * (told_level(&hots->hot[i], level) - level),
 			   hots->hot[i].level <= LW_LEVEL_SHUT, now_us);
 		if (r)
-			leads_to(r, s, now_us);
+			lw_hot_leads_to(r, s, now_us);
 	}
 }
 
-static uint32_t known_priority(uint32_t priority)
-{
-	return priority < LW_PRIORITIES_MAX ? priority : LW_PRIORITIES_MAX - 1;
-}
-
-/* the average work of @r at @s is @work_us now: is that the most of its priority? */
-static void compare_work(lw_hot_service_t *s, uint32_t priority, const lw_hot_route_t *r,
-			 double work_us, uint64_t now_us)
-{
-	uint32_t p = known_priority(priority);
-	bool forgotten = now_us - s->most[p].seen_us >= ROUTE_FORGETS_US;
-
-	if (s->most[p].route != r && !forgotten && work_us <= s->most[p].work_us)
-		return;
-	s->most[p].route = r;
-	s->most[p].work_us = work_us;
-	s->most[p].seen_us = now_us;
-}
-
-static void took_work(lw_hot_route_t *r, lw_hot_service_t *s, uint32_t priority, uint32_t told_us,
-		      uint64_t now_us)
-{
-	for (int i = 0; i < LW_HOTS_MAX; i++) {
-		double *work_us = &r->leads_to[i].work_us;
-
-		if (r->leads_to[i].service != s)
-			continue;
-		*work_us += *work_us > 0 ? WORK_EWMA * (told_us - *work_us) : told_us;
-		compare_work(s, priority, r, *work_us, now_us);
-	}
-}
-
-/*
- * lw_hotpath_worked() - a user request on @route was served; @hots tells how
- * long it and its calls ran at services that refuse some.
- */
-void lw_hotpath_worked(lw_hotpath_t *p, const char *route, uint32_t priority, const lw_hots_t *hots,
-		       uint64_t now_us)
-{
-	lw_hot_route_t *r;
-
-	HASH_FIND_STR(p->routes, route, r);
-	for (uint32_t i = 0; r && i < hots->n; i++) {
-		lw_hot_service_t *s = service_of(p, &hots->hot[i]);
-
-		if (!hots->hot[i].work_us)
-			continue;
-		leads_to(r, s, now_us);
-		took_work(r, s, priority, hots->hot[i].work_us, now_us);
-	}
-}
-
-/*
- * lw_hotpath_weighed() - @rank, drawn from a request's id, lowered within its
- * priority for a route whose requests make less work than others at the
- * services that are full: for what one lookup with eight calls to a leaf
- * costs, two and a half confirmations that run there once can be served.
- */
-uint32_t lw_hotpath_weighed(const lw_hotpath_t *p, const char *route, uint32_t rank,
-			    uint64_t now_us)
-{
-	uint32_t priority = rank / LW_RANKS_PER_PRIORITY;
-	uint32_t within = rank % LW_RANKS_PER_PRIORITY;
-	const lw_hot_route_t *r;
-	double part = 0;
-
-	HASH_FIND_STR(p->routes, route, r);
-	for (int i = 0; r && i < LW_HOTS_MAX; i++) {
-		const lw_hot_service_t *s = r->leads_to[i].service;
-		double most = s ? s->most[known_priority(priority)].work_us : 0;
-
-		if (most <= 0 || !r->leads_to[i].work_us ||
-		    now_us - r->leads_to[i].seen_us >= ROUTE_FORGETS_US)
-			continue;
-		if (r->leads_to[i].work_us / most > part)
-			part = r->leads_to[i].work_us / most;
-	}
-	if (part <= 0 || part > 1)
-		return rank;
-	if (part < WEIGHED_LEAST)
-		part = WEIGHED_LEAST;
-	return priority * LW_RANKS_PER_PRIORITY + (uint32_t)(within * part);
-}
-
-/* lw_hotpath_depth() - levels of calls below a request on @route, as far as seen. */
-uint32_t lw_hotpath_depth(const lw_hotpath_t *p, const char *route)
-{
-	const lw_hot_route_t *r;
-
-	HASH_FIND_STR(p->routes, route, r);
-	return r ? r->depth : 0;
-}
-
-/*
- * lw_hotpath_used() - an answer on @route told how much of the allowance the
- * calls below use. The most of any path counts; it fades with answers that
- * tell less.
- */
-void lw_hotpath_used(lw_hotpath_t *p, const char *route, uint32_t permille)
-{
-	lw_hot_route_t *r;
-
-	HASH_FIND_STR(p->routes, route, r);
-	if (!r)
-		return;
-	if (permille >= r->retry_used)
-		r->retry_used = permille;
-	else
-		r->retry_used -= (r->retry_used - permille + USED_FADES - 1) / USED_FADES;
-}
-
-/* lw_hotpath_retry_used() - per mille of the allowance that calls below @route use. */
-uint32_t lw_hotpath_retry_used(const lw_hotpath_t *p, const char *route)
-{
-	const lw_hot_route_t *r;
-
-	HASH_FIND_STR(p->routes, route, r);
-	return r ? r->retry_used : 0;
-}
-
 /*
  * lw_hotpath_admits() - false if a service that @route leads to could not
  * finish a request of @rank; @by tells which one and its level. A caller that
