--- a/src/exchange.c
+++ b/src/exchange.c
@@ -291,14 +291,17 @@
 	x->target_us = parent.target_us;
 }
 
-/* the objective counts from the caller's first try; a returned one has waited already */
-static void take_age(lw_exchange_t *x, const lw_httphead_t *head)
+/*
+ * Whether the caller has been here before. Its objective runs from its first
+ * try; queues do not go by that: what is nearly late then goes before what can
+ * easily be in time, and fewer are in time (18,589 against 19,673 of 26,216 in
+ * one burst on a fleet restarted node by node).
+ */
+static bool has_returned(const lw_exchange_t *x, const lw_httphead_t *head)
 {
 	uint32_t left_ms = header_ms(head);
-	uint32_t age_ms = left_ms && x->stat ? lw_comeback_age_ms(&x->stat->time, left_ms) : 0;
 
-	x->returned = age_ms > 0;
-	x->target_us -= (uint64_t)(age_ms < x->target_ms ? age_ms : x->target_ms) * 1000;
+	return left_ms && x->stat && lw_comeback_age_ms(&x->stat->time, left_ms) > 0;
 }
 
 /*
@@ -326,8 +329,7 @@
 	e->stats.requests++;
 	if (fc && apply_route(x, ask, fc)) {
 		find_parent(x);
-		if (!x->nested)
-			take_age(x, ask->head);
+		x->returned = !x->nested && has_returned(x, ask->head);
 		if (!x->nested)
 			x->rank = lw_hotpath_weighed(e->hotpath, x->route, x->rank, e->hub->now_us);
 		if (!x->nested && !lw_hotpath_admits(e->hotpath, x->route, x->rank, x->returned,
