--- a/src/call.h
+++ b/src/call.h
@@ -44,7 +44,6 @@
 	uint32_t limit; /* 0: it takes nothing, its node is about to exit */
 	uint32_t service_us;
 	uint32_t level; /* first rank it refuses, see level.h */
-	uint32_t retry_level; /* first rank whose calls the retry budget cannot carry */
 	uint32_t failing; /* per mille of its requests that failed of late */
 	bool leaving;
 	bool down; /* the backend server takes no connection */
--- a/src/comeback.c
+++ b/src/comeback.c
@@ -10,31 +10,6 @@
 /* shortest wait: below it the answer's way back dominates, ms */
 #define COMEBACK_MIN_MS 20
 
-/*
- * Less time than usual by this much is a second try: one comes 20 ms later at
- * the soonest, and a proxy on the way may take a few, ms.
- */
-#define AGE_LEAST_MS 15
-/* the usual time shrinks by this part (1/n) with each caller that has less */
-#define USUAL_SHRINKS 4096
-
-/*
- * lw_comeback_age_ms() - how long ago a caller that will wait for @left_ms more
- * came first, as far as that can be told; 0: this is its first try.
- */
-uint32_t lw_comeback_age_ms(lw_callertime_t *t, uint32_t left_ms)
-{
-	uint32_t age;
-
-	if (left_ms >= t->usual_ms) {
-		t->usual_ms = left_ms;
-		return 0;
-	}
-	age = t->usual_ms - left_ms;
-	t->usual_ms -= (age + USUAL_SHRINKS - 1) / USUAL_SHRINKS;
-	return age < AGE_LEAST_MS ? 0 : age;
-}
-
 /*
  * lw_comeback_ms() - milliseconds to wait; @room_ms: until room is expected,
  * @left_ms: what the caller has left, @random: any 32 bits.
--- a/src/comeback.h
+++ b/src/comeback.h
@@ -7,15 +7,6 @@
 
 #include <stdint.h>
 
-/*
- * What the callers of a route say of the time they have. Each try has an id
- * of its own, and only the time left tells that a caller has been here before.
- */
-typedef struct lw_callertime {
-	uint32_t usual_ms; /* the time that callers have at their first try */
-} lw_callertime_t;
-
-uint32_t lw_comeback_age_ms(lw_callertime_t *t, uint32_t left_ms);
 uint32_t lw_comeback_ms(uint32_t room_ms, uint32_t priority, uint32_t left_ms, uint32_t random);
 
 #endif
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -291,19 +291,6 @@
 	x->target_us = parent.target_us;
 }
 
-/*
- * Whether the caller has been here before. Its objective runs from its first
- * try; queues do not go by that: what is nearly late then goes before what can
- * easily be in time, and fewer are in time (18,589 against 19,673 of 26,216 in
- * one burst on a fleet restarted node by node).
- */
-static bool has_returned(const lw_exchange_t *x, const lw_httphead_t *head)
-{
-	uint32_t left_ms = header_ms(head);
-
-	return left_ms && x->stat && lw_comeback_age_ms(&x->stat->time, left_ms) > 0;
-}
-
 /*
  * lw_exchange_start() - take up a request. Call lw_exchange_send() when what
  * has arrived of its body is given, to find it a server. Returns NULL if the
@@ -329,11 +316,10 @@
 	e->stats.requests++;
 	if (fc && apply_route(x, ask, fc)) {
 		find_parent(x);
-		x->returned = !x->nested && has_returned(x, ask->head);
 		if (!x->nested)
 			x->rank = lw_hotpath_weighed(e->hotpath, x->route, x->rank, e->hub->now_us);
-		if (!x->nested && !lw_hotpath_admits(e->hotpath, x->route, x->rank, x->returned,
-						     e->hub->now_us, &hot)) {
+		if (!x->nested &&
+		    !lw_hotpath_admits(e->hotpath, x->route, x->rank, e->hub->now_us, &hot)) {
 			lw_log(LW_LOG_path_busy, "id=%s route=%s rank=%u by=%s level=%u",
 			       x->request_id, x->route, x->rank, hot.service, hot.level);
 			answer_refused(x, LW_FAIL_PATH_BUSY);
--- a/src/exchange_int.h
+++ b/src/exchange_int.h
@@ -30,7 +30,6 @@
 	lw_str_t parent_id; /* of the request it was made for: part of request_id */
 	uint32_t rank;
 	uint32_t target_ms;
-	bool returned; /* its caller has been refused before */
 	uint64_t started_us;
 	uint64_t give_up_us; /* the caller's deadline or the route's timeout */
 	uint64_t deadline_us; /* the caller's */
--- a/src/exchoutcome.c
+++ b/src/exchoutcome.c
@@ -92,7 +92,7 @@
 
 	if (x->host)
 		lw_place_told(x->host, load, e->hub->now_us);
-	lw_place_tell(x->service, x->nested, load->ran_us, e->hub->now_us, &path.hots);
+	lw_place_tell(x->service, load->ran_us, e->hub->now_us, &path.hots);
 	lw_hotpath_told(e->hotpath, x->route, &path.hots, path.depth, e->hub->now_us);
 	if (served && !x->nested)
 		lw_hotpath_worked(e->hotpath, x->route, x->rank / LW_RANKS_PER_PRIORITY, &path.hots,
--- a/src/fleetconf.h
+++ b/src/fleetconf.h
@@ -67,7 +67,6 @@
 	char addr[LW_NAME_MAX]; /* "ip:port" of the backend server itself */
 	char zone[LW_NAME_MAX];
 	uint32_t slots;
-	uint32_t cold_ms; /* how much longer it is slow after its start */
 	bool draining;
 	uint64_t created; /* orders entries that share an address */
 } lw_server_entry_t;
--- a/src/gate.c
+++ b/src/gate.c
@@ -34,7 +34,6 @@
 {
 	out->running = occupied(g);
 	out->level = g->level.level;
-	out->retry_level = g->retry_level.level;
 	out->failing = (uint32_t)(g->failing * 1000);
 	out->queued = (uint32_t)g->queue.len;
 	out->limit = g->refusing ? 0 : g->limit;
@@ -311,15 +310,12 @@
 static void on_step(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	lw_gate_t *g = w->data;
-	lw_retryterms_t terms = lw_proxyset_retryterms(g->hub->set);
 	lw_level_input_t in = { (uint32_t)g->queue.len, occupied(g), g->limit, g->service_us };
-	bool open = g->level.level == LW_LEVEL_OPEN && g->retry_level.level == LW_LEVEL_OPEN;
-	bool quiet = !g->ncalls && !g->level.arrivals && open;
+	bool quiet = !g->ncalls && !g->level.arrivals && g->level.level == LW_LEVEL_OPEN;
 
 	(void)revents;
 	g->quiet_steps = quiet ? g->quiet_steps + 1 : 0;
 	lw_level_step(&g->level, &in);
-	lw_retrylevel_step(&g->retry_level, &g->level, &terms);
 	g->failing *= FAILING_FADES;
 	count_lost(g);
 	if (g->queue.first)
@@ -338,7 +334,6 @@
 	ev_timer_init(&g->expiry, on_expiry, 0, EXPIRY_STEP_S);
 	g->expiry.data = g;
 	lw_level_init(&g->level);
-	lw_retrylevel_init(&g->retry_level);
 	ev_timer_init(&g->step, on_step, 0, LW_LEVEL_STEP_MS / 1000.0);
 	g->step.data = g;
 	lw_hub_on_tick(hub, lw_gate_close_old_idle, g);
--- a/src/gate.h
+++ b/src/gate.h
@@ -16,7 +16,6 @@
 #include "hub.h"
 #include "level.h"
 #include "place.h"
-#include "retrylevel.h"
 #include "waitq.h"
 
 typedef struct lw_gate_stats {
@@ -54,7 +53,6 @@
 	ev_timer step; /* of the level; runs while there is work */
 	uint32_t quiet_steps;
 	lw_level_t level;
-	lw_retrylevel_t retry_level;
 	struct lw_job *by_id; /* calls by request id */
 	lw_gate_stats_t stats;
 } lw_gate_t;
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -190,8 +190,6 @@
 		lw_bconn_close(c);
 	if (j->not_run && j->answer_head.status == 421)
 		lw_str_copy(g->replaced_id, sizeof(g->replaced_id), lw_str_c(j->target));
-	if (j->not_run && j->answer_head.status != 421)
-		lw_retrylevel_shed(&g->retry_level);
 	if (j->not_run) {
 		lw_job_fail(j, j->answer_head.status == 421 ? LW_FAIL_MISDIRECTED : LW_FAIL_SHED);
 		return;
@@ -291,7 +289,6 @@
 		return;
 	}
 	g->stats.started++;
-	lw_retrylevel_sent(&g->retry_level, j->repeat);
 	lw_histogram_add(&g->stats.wait, j->started_us - j->came_us);
 	lw_bconn_start(j->conn, &conn_ops, j, is_head);
 	send_head(j);
--- a/src/hotpath.c
+++ b/src/hotpath.c
@@ -10,8 +10,7 @@
  * Weight of one more told level: several servers of a service tell their own.
  * News that comes seldom weighs more, by the time since the last, us: a node
  * that admits two requests a second would else follow after five seconds. A
- * level that falls counts more, what is let in too much is late or lost; of
- * the level of the retry budget one that rises, as its faults end at once.
+ * level that falls counts more: what is let in too much is late or lost.
  */
 #define LEVEL_EWMA    0.2
 #define LEVEL_FAST    0.5
@@ -41,22 +40,18 @@
 	return xcalloc(1, sizeof(lw_hotpath_t));
 }
 
-/* lw_hot_service_of() - the service of @hot, made if it is new. */
-lw_hot_service_t *lw_hot_service_of(lw_hotpath_t *p, const lw_hot_t *hot)
+/* lw_hot_service_of() - the service @name, made if it is new. */
+lw_hot_service_t *lw_hot_service_of(lw_hotpath_t *p, const char *name)
 {
 	lw_hot_service_t *s;
-	lw_hot_key_t key;
 
-	memset(&key, 0, sizeof(key));
-	lw_str_copy(key.name, sizeof(key.name), lw_str_c(hot->service));
-	key.calls = hot->calls;
-	HASH_FIND(hh, p->services, &key, sizeof(key), s);
+	HASH_FIND_STR(p->services, name, s);
 	if (s)
 		return s;
 	s = xcalloc(1, sizeof(*s));
-	s->key = key;
+	lw_str_copy(s->name, sizeof(s->name), lw_str_c(name));
 	s->level = LW_LEVEL_OPEN;
-	HASH_ADD(hh, p->services, key, sizeof(s->key), s);
+	HASH_ADD_STR(p->services, name, s);
 	return s;
 }
 
@@ -120,7 +115,7 @@
 {
 	uint64_t age = now_us - s->told_us;
 	double by_age = (double)age / (double)(age + LEVEL_HALF_US);
-	double least = falls == !s->key.calls ? LEVEL_FAST : LEVEL_EWMA;
+	double least = falls ? LEVEL_FAST : LEVEL_EWMA;
 
 	if (!s->known || age > NEWS_FORGOTTEN_US)
 		return 1;
@@ -129,14 +124,13 @@
 
 /*
  * A service that refuses nothing is told as one that refuses a priority less:
- * a caller that has seen little of it may be wrong. What is refused for want
- * of repeats is let in at once, by who has just seen the last of the faults.
+ * a caller that has seen little of it may be wrong.
  */
 static double told_level(const lw_hot_t *hot, double level)
 {
 	double most = level + LW_RANKS_PER_PRIORITY;
 
-	if (hot->calls || hot->level < LW_LEVEL_OPEN || most > LW_LEVEL_OPEN)
+	if (hot->level < LW_LEVEL_OPEN || most > LW_LEVEL_OPEN)
 		return hot->level;
 	return most;
 }
@@ -163,8 +157,7 @@
 		if (!s->known || age > NEWS_OLD_US || s->level >= LW_LEVEL_OPEN)
 			continue;
 		memset(&out[n], 0, sizeof(out[n]));
-		lw_str_copy(out[n].service, LW_NAME_MAX, lw_str_c(s->key.name));
-		out[n].calls = s->key.calls;
+		lw_str_copy(out[n].service, LW_NAME_MAX, lw_str_c(s->name));
 		out[n].level = (uint32_t)s->level;
 		out[n].age_ms = (uint32_t)(age / 1000);
 		n++;
@@ -181,11 +174,8 @@
 void lw_hotpath_heard(lw_hotpath_t *p, const lw_heard_t *h, uint64_t now_us)
 {
 	uint64_t told_us = now_us - (uint64_t)h->age_ms * 1000;
-	lw_hot_t hot = { .calls = h->calls };
-	lw_hot_service_t *s;
+	lw_hot_service_t *s = lw_hot_service_of(p, h->service);
 
-	lw_str_copy(hot.service, sizeof(hot.service), lw_str_c(h->service));
-	s = lw_hot_service_of(p, &hot);
 	if (h->age_ms * 1000 > NEWS_OLD_US || (s->known && told_us <= s->told_us + HEARD_NEWER_US))
 		return;
 	take_level(s, h->level, h->level <= LW_LEVEL_SHUT, told_us);
@@ -203,7 +193,7 @@
 	if (r && depth > r->depth)
 		r->depth = depth;
 	for (uint32_t i = 0; i < hots->n; i++) {
-		lw_hot_service_t *s = lw_hot_service_of(p, &hots->hot[i]);
+		lw_hot_service_t *s = lw_hot_service_of(p, hots->hot[i].service);
 		double level = level_now(s, now_us);
 		double weight = news_weight(s, hots->hot[i].level < level, now_us);
 
@@ -216,13 +206,10 @@
 
 /*
  * lw_hotpath_admits() - false if a service that @route leads to could not
- * finish a request of @rank; @by tells which one and its level. A caller that
- * has come back as it was told is not turned away again for want of repeats:
- * there are slots, and its chance is better than none. Where a leaf shed 55% for
- * 8.5 s of a burst, 10,600 of 43,768 requests were refused twice, with this 5,109.
+ * finish a request of @rank; @by tells which one and its level.
  */
-bool lw_hotpath_admits(const lw_hotpath_t *p, const char *route, uint32_t rank, bool returned,
-		       uint64_t now_us, lw_hot_t *by)
+bool lw_hotpath_admits(const lw_hotpath_t *p, const char *route, uint32_t rank, uint64_t now_us,
+		       lw_hot_t *by)
 {
 	const lw_hot_route_t *r;
 
@@ -233,9 +220,9 @@
 		const lw_hot_service_t *s = r->leads_to[i].service;
 
 		if (!s || now_us - r->leads_to[i].seen_us >= ROUTE_FORGETS_US ||
-		    rank < level_now(s, now_us) || (s->key.calls && returned))
+		    rank < level_now(s, now_us))
 			continue;
-		lw_str_copy(by->service, sizeof(by->service), lw_str_c(s->key.name));
+		lw_str_copy(by->service, sizeof(by->service), lw_str_c(s->name));
 		by->level = (uint32_t)level_now(s, now_us);
 		return false;
 	}
--- a/src/hotpath.h
+++ b/src/hotpath.h
@@ -12,13 +12,9 @@
 #include "lwstr.h"
 #include "platconf.h"
 
-/*
- * A service that refuses some ranks: of all requests, or of those whose calls
- * lead there.
- */
+/* The first rank that a service on a path refuses. */
 typedef struct lw_hot {
 	char service[LW_NAME_MAX];
-	bool calls; /* of requests whose calls lead there */
 	uint32_t level;
 	uint32_t work_us; /* time that the request and its calls ran there */
 } lw_hot_t;
@@ -34,7 +30,6 @@
 /* A level as one node tells it to others, with the age of its news. */
 typedef struct lw_heard {
 	char service[LW_NAME_MAX];
-	bool calls; /* as in lw_hot_t */
 	uint32_t level;
 	uint32_t age_ms;
 } lw_heard_t;
@@ -54,7 +49,7 @@
 uint32_t lw_hotpath_depth(const lw_hotpath_t *p, const char *route);
 void lw_hotpath_used(lw_hotpath_t *p, const char *route, uint32_t permille);
 uint32_t lw_hotpath_retry_used(const lw_hotpath_t *p, const char *route);
-bool lw_hotpath_admits(const lw_hotpath_t *p, const char *route, uint32_t rank, bool returned,
-		       uint64_t now_us, lw_hot_t *by);
+bool lw_hotpath_admits(const lw_hotpath_t *p, const char *route, uint32_t rank, uint64_t now_us,
+		       lw_hot_t *by);
 
 #endif
--- a/src/hotpath_int.h
+++ b/src/hotpath_int.h
@@ -10,14 +10,8 @@
 /* a route that was not led to a service for so long does not lead there, us */
 #define ROUTE_FORGETS_US 3000000
 
-/* which level of which service; compared byte by byte */
-typedef struct lw_hot_key {
-	char name[LW_NAME_MAX];
-	uint32_t calls;
-} lw_hot_key_t;
-
 typedef struct lw_hot_service {
-	lw_hot_key_t key;
+	char name[LW_NAME_MAX];
 	double level;
 	uint64_t told_us;
 	bool known; /* a level was told */
@@ -48,6 +42,6 @@
 };
 
 void lw_hot_leads_to(lw_hot_route_t *r, lw_hot_service_t *s, uint64_t now_us);
-lw_hot_service_t *lw_hot_service_of(lw_hotpath_t *p, const lw_hot_t *hot);
+lw_hot_service_t *lw_hot_service_of(lw_hotpath_t *p, const char *name);
 
 #endif
--- a/src/hots.c
+++ b/src/hots.c
@@ -6,7 +6,7 @@
 static lw_hot_t *find_hot(lw_hots_t *h, const lw_hot_t *hot)
 {
 	for (uint32_t i = 0; i < h->n; i++)
-		if (h->hot[i].calls == hot->calls && strcmp(h->hot[i].service, hot->service) == 0)
+		if (strcmp(h->hot[i].service, hot->service) == 0)
 			return &h->hot[i];
 	return NULL;
 }
--- a/src/hotwork.c
+++ b/src/hotwork.c
@@ -54,7 +54,7 @@
 
 	HASH_FIND_STR(p->routes, route, r);
 	for (uint32_t i = 0; r && i < hots->n; i++) {
-		lw_hot_service_t *s = lw_hot_service_of(p, &hots->hot[i]);
+		lw_hot_service_t *s = lw_hot_service_of(p, hots->hot[i].service);
 
 		if (!hots->hot[i].work_us)
 			continue;
--- a/src/level.c
+++ b/src/level.c
@@ -91,24 +91,6 @@
 	return l->level;
 }
 
-/*
- * lw_level_of_arrivals() - the rank below which @per_step of the recent
- * arrivals lie; LW_LEVEL_OPEN if there are fewer.
- */
-uint32_t lw_level_of_arrivals(const lw_level_t *l, double per_step)
-{
-	double sum = 0;
-
-	for (uint32_t i = 0; i < LW_LEVEL_BINS; i++) {
-		double mass = l->mass[i];
-
-		if (sum + mass > per_step)
-			return (uint32_t)((i + (per_step - sum) / mass) * LW_LEVEL_BIN);
-		sum += mass;
-	}
-	return LW_LEVEL_OPEN;
-}
-
 static void cut(lw_level_t *l, double wait_ms)
 {
 	double demand = l->demand + wait_ms / QUEUE_DRAIN_MS;
--- a/src/level.h
+++ b/src/level.h
@@ -55,7 +55,6 @@
 uint32_t lw_rank(uint32_t priority, lw_str_t request_id);
 void lw_level_init(lw_level_t *l);
 void lw_level_arrival(lw_level_t *l, uint32_t rank);
-uint32_t lw_level_of_arrivals(const lw_level_t *l, double per_step);
 void lw_level_step(lw_level_t *l, const lw_level_input_t *in);
 
 #endif
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -772,7 +772,7 @@
   assert(message->base.descriptor == &lw__mesh_frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lw__hot__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lw__hot__field_descriptors[3] =
 {
   {
     "service",
@@ -798,18 +798,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "calls",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Lw__Hot, calls),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "work_us",
     4,
@@ -824,15 +812,15 @@
   },
 };
 static const unsigned lw__hot__field_indices_by_name[] = {
-  2,   /* field[2] = calls */
   1,   /* field[1] = level */
   0,   /* field[0] = service */
-  3,   /* field[3] = work_us */
+  2,   /* field[2] = work_us */
 };
-static const ProtobufCIntRange lw__hot__number_ranges[1 + 1] =
+static const ProtobufCIntRange lw__hot__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 4, 2 },
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor lw__hot__descriptor =
 {
@@ -842,14 +830,14 @@
   "Lw__Hot",
   "lw",
   sizeof(Lw__Hot),
-  4,
+  3,
   lw__hot__field_descriptors,
   lw__hot__field_indices_by_name,
-  1,  lw__hot__number_ranges,
+  2,  lw__hot__number_ranges,
   (ProtobufCMessageInit) lw__hot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__heard__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lw__heard__field_descriptors[3] =
 {
   {
     "service",
@@ -863,18 +851,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "calls",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Lw__Heard, calls),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "level",
     3,
@@ -901,15 +877,15 @@
   },
 };
 static const unsigned lw__heard__field_indices_by_name[] = {
-  3,   /* field[3] = age_ms */
-  1,   /* field[1] = calls */
-  2,   /* field[2] = level */
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = level */
   0,   /* field[0] = service */
 };
-static const ProtobufCIntRange lw__heard__number_ranges[1 + 1] =
+static const ProtobufCIntRange lw__heard__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 3, 1 },
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor lw__heard__descriptor =
 {
@@ -919,14 +895,14 @@
   "Lw__Heard",
   "lw",
   sizeof(Lw__Heard),
-  4,
+  3,
   lw__heard__field_descriptors,
   lw__heard__field_indices_by_name,
-  1,  lw__heard__number_ranges,
+  2,  lw__heard__number_ranges,
   (ProtobufCMessageInit) lw__heard__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__load__field_descriptors[16] =
+static const ProtobufCFieldDescriptor lw__load__field_descriptors[15] =
 {
   {
     "running",
@@ -1060,18 +1036,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "retry_level",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lw__Load, retry_level),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "retry_used",
     13,
@@ -1125,24 +1089,24 @@
   7,   /* field[7] = call_failed */
   6,   /* field[6] = config_version */
   8,   /* field[8] = depth */
-  15,   /* field[15] = down */
+  14,   /* field[14] = down */
   10,   /* field[10] = failing */
-  14,   /* field[14] = heard */
+  13,   /* field[13] = heard */
   5,   /* field[5] = hots */
   4,   /* field[4] = leaving */
   9,   /* field[9] = level */
   2,   /* field[2] = limit */
   1,   /* field[1] = queued */
-  13,   /* field[13] = ran_us */
-  11,   /* field[11] = retry_level */
-  12,   /* field[12] = retry_used */
+  12,   /* field[12] = ran_us */
+  11,   /* field[11] = retry_used */
   0,   /* field[0] = running */
   3,   /* field[3] = service_us */
 };
-static const ProtobufCIntRange lw__load__number_ranges[1 + 1] =
+static const ProtobufCIntRange lw__load__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 13, 11 },
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor lw__load__descriptor =
 {
@@ -1152,10 +1116,10 @@
   "Lw__Load",
   "lw",
   sizeof(Lw__Load),
-  16,
+  15,
   lw__load__field_descriptors,
   lw__load__field_indices_by_name,
-  1,  lw__load__number_ranges,
+  2,  lw__load__number_ranges,
   (ProtobufCMessageInit) lw__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -1996,7 +1960,7 @@
   (ProtobufCMessageInit) lw__fates__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__server_entry__field_descriptors[8] =
+static const ProtobufCFieldDescriptor lw__server_entry__field_descriptors[7] =
 {
   {
     "id",
@@ -2058,18 +2022,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "cold_ms",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Lw__ServerEntry, cold_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "draining",
     7,
@@ -2097,18 +2049,18 @@
 };
 static const unsigned lw__server_entry__field_indices_by_name[] = {
   2,   /* field[2] = address */
-  7,   /* field[7] = born_ms */
-  5,   /* field[5] = cold_ms */
-  6,   /* field[6] = draining */
+  6,   /* field[6] = born_ms */
+  5,   /* field[5] = draining */
   0,   /* field[0] = id */
   1,   /* field[1] = service */
   4,   /* field[4] = slots */
   3,   /* field[3] = zone */
 };
-static const ProtobufCIntRange lw__server_entry__number_ranges[1 + 1] =
+static const ProtobufCIntRange lw__server_entry__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 7, 5 },
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lw__server_entry__descriptor =
 {
@@ -2118,10 +2070,10 @@
   "Lw__ServerEntry",
   "lw",
   sizeof(Lw__ServerEntry),
-  8,
+  7,
   lw__server_entry__field_descriptors,
   lw__server_entry__field_indices_by_name,
-  1,  lw__server_entry__number_ranges,
+  2,  lw__server_entry__number_ranges,
   (ProtobufCMessageInit) lw__server_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -62,10 +62,6 @@
   ProtobufCMessage base;
   char *service;
   uint32_t level;
-  /*
-   * only of requests whose calls lead there
-   */
-  protobuf_c_boolean calls;
   /*
    * time that the request and its calls ran there
    */
@@ -73,7 +69,7 @@
 };
 #define LW__HOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__hot__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -83,10 +79,6 @@
 {
   ProtobufCMessage base;
   char *service;
-  /*
-   * only of requests whose calls lead there
-   */
-  protobuf_c_boolean calls;
   uint32_t level;
   /*
    * of that news
@@ -95,7 +87,7 @@
 };
 #define LW__HEARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__heard__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -143,10 +135,6 @@
    * first rank it refuses
    */
   uint32_t level;
-  /*
-   * first rank whose calls the retry budget cannot carry
-   */
-  uint32_t retry_level;
   /*
    * per mille of the repeats allowed that those calls use
    */
@@ -170,7 +158,7 @@
 };
 #define LW__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -398,7 +386,6 @@
   char *address;
   char *zone;
   uint32_t slots;
-  uint32_t cold_ms;
   protobuf_c_boolean draining;
   /*
    * start of its process; 0: not told
@@ -407,7 +394,7 @@
 };
 #define LW__SERVER_ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__server_entry__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Lw__Servers
--- a/src/meshframe.c
+++ b/src/meshframe.c
@@ -110,7 +110,6 @@
 	out->load.leaving = load->leaving;
 	out->load.down = load->down;
 	out->load.level = load->level;
-	out->load.retry_level = load->retry_level;
 	out->load.failing = load->failing;
 	out->load.call_failed = load->call_failed;
 	out->load.ran_us = load->ran_us;
@@ -121,7 +120,6 @@
 	for (uint32_t i = 0; i < load->hots.n; i++) {
 		lw__hot__init(&out->hot[i]);
 		out->hot[i].service = (char *)(uintptr_t)load->hots.hot[i].service;
-		out->hot[i].calls = load->hots.hot[i].calls;
 		out->hot[i].level = load->hots.hot[i].level;
 		out->hot[i].work_us = load->hots.hot[i].work_us;
 		out->list[i] = &out->hot[i];
@@ -136,7 +134,6 @@
 	for (uint32_t i = 0; i < n; i++) {
 		lw__heard__init(&out->heard_wire[i]);
 		out->heard_wire[i].service = out->heard[i].service;
-		out->heard_wire[i].calls = out->heard[i].calls;
 		out->heard_wire[i].level = out->heard[i].level;
 		out->heard_wire[i].age_ms = out->heard[i].age_ms;
 		out->heard_list[i] = &out->heard_wire[i];
@@ -148,7 +145,6 @@
 {
 	memset(out, 0, sizeof(*out));
 	lw_str_copy(out->service, sizeof(out->service), lw_str_c(in->service));
-	out->calls = in->calls;
 	out->level = in->level;
 	out->age_ms = in->age_ms;
 }
@@ -166,16 +162,13 @@
 	out->leaving = in->leaving;
 	out->down = in->down;
 	out->level = in->level;
-	out->retry_level = in->retry_level;
 	out->failing = in->failing;
 	out->call_failed = in->call_failed;
 	out->ran_us = in->ran_us;
 	out->depth = in->depth;
 	out->retry_used = in->retry_used;
 	for (size_t i = 0; i < in->n_hots; i++) {
-		lw_hot_t hot = { .calls = in->hots[i]->calls,
-				 .level = in->hots[i]->level,
-				 .work_us = in->hots[i]->work_us };
+		lw_hot_t hot = { .level = in->hots[i]->level, .work_us = in->hots[i]->work_us };
 
 		lw_str_copy(hot.service, sizeof(hot.service), lw_str_c(in->hots[i]->service));
 		lw_hots_add(&out->hots, &hot);
@@ -204,7 +197,6 @@
 		entry[i].address = text(e->addr);
 		entry[i].zone = text(e->zone);
 		entry[i].slots = e->slots;
-		entry[i].cold_ms = e->cold_ms;
 		entry[i].draining = e->draining;
 		entry[i].born_ms = e->born_ms;
 		list[i] = &entry[i];
@@ -235,7 +227,6 @@
 		lw_str_copy(e->addr, sizeof(e->addr), lw_str_c(w->address));
 		lw_str_copy(e->zone, sizeof(e->zone), lw_str_c(w->zone));
 		e->slots = w->slots;
-		e->cold_ms = w->cold_ms;
 		e->draining = w->draining;
 		e->born_ms = w->born_ms;
 	}
--- a/src/place.c
+++ b/src/place.c
@@ -25,12 +25,8 @@
  * third of it open nearly a whole priority more is admitted.
  */
 #define OPEN_LIFTS 3
-/* one choice in so many goes by use alone: a server that was slow is tried again */
-#define EXPLORE_ONE_IN 32
 /* the backend server on this host needs no hop at all */
 #define COST_SELF 0.9
-/* a server that has just started is about half as fast */
-#define COST_COLD 2.0
 /* a host whose requests all fail costs as much as one this many times as loaded */
 #define COST_FAILING 20.0
 /* costs are spread by up to this share, so that nodes do not all choose alike */
@@ -112,12 +108,8 @@
 	double cost = 1 + COST_FULL * use * use * use;
 	double failures;
 
-	if (ask->random % EXPLORE_ONE_IN == 0)
-		cost = use;
-	else if (known && h->load.service_us && mean_us > 0)
+	if (known && h->load.service_us && mean_us > 0)
 		cost *= h->load.service_us / mean_us;
-	if (ask->now_us < h->cold_until_us)
-		cost *= COST_COLD;
 	cost *= zone_cost(h, ask->body_length);
 	failures = recent_failures(h, ask->now_us);
 	if (known && h->load.failing > failures * 1000)
@@ -316,13 +308,12 @@
 		}
 }
 
-/* one host's level: of all requests, or of those whose calls lead there */
-static uint32_t host_level(const lw_place_host_t *h, bool calls)
-{
-	return calls ? h->load.retry_level : h->load.level;
-}
-
-static uint32_t service_level(const lw_place_service_t *s, uint64_t now_us, bool calls)
+/*
+ * lw_place_level() - the first rank the service as a whole refuses: the mean
+ * of its hosts' levels by the work they can do. One host that is full while
+ * others are open shows that work is placed badly, not that there is too much.
+ */
+uint32_t lw_place_level(const lw_place_service_t *s, uint64_t now_us)
 {
 	double sum = 0, open = 0, all = 0;
 	double level;
@@ -335,10 +326,10 @@
 			continue;
 		capacity = h->load.limit / (double)h->load.service_us;
 		all += capacity;
-		if (host_level(h, calls) >= LW_LEVEL_OPEN)
+		if (h->load.level >= LW_LEVEL_OPEN)
 			open += capacity;
 		else
-			sum += capacity * host_level(h, calls);
+			sum += capacity * h->load.level;
 	}
 	if (all <= open)
 		return LW_LEVEL_OPEN;
@@ -347,37 +338,13 @@
 }
 
 /*
- * lw_place_level() - the first rank the service as a whole refuses: the mean
- * of its hosts' levels by the work they can do. One host that is full while
- * others are open shows that work is placed badly, not that there is too much.
- */
-uint32_t lw_place_level(const lw_place_service_t *s, uint64_t now_us)
-{
-	return service_level(s, now_us, false);
-}
-
-/*
- * lw_place_retry_level() - the first rank whose calls the retry budget cannot
- * carry. One host that sheds while others do not is left aside by placement.
- */
-uint32_t lw_place_retry_level(const lw_place_service_t *s, uint64_t now_us)
-{
-	return service_level(s, now_us, true);
-}
-
-/*
- * lw_place_tell() - add the levels of @s to what is passed on up the call
- * graph by a request that ran there for @work_us; @nested: it was a call itself.
+ * lw_place_tell() - add the level of @s to what is passed on up the call graph
+ * by a request that ran there for @work_us.
  */
-void lw_place_tell(const lw_place_service_t *s, bool nested, uint32_t work_us, uint64_t now_us,
-		   lw_hots_t *out)
+void lw_place_tell(const lw_place_service_t *s, uint32_t work_us, uint64_t now_us, lw_hots_t *out)
 {
 	lw_hot_t hot = { .level = lw_place_level(s, now_us), .work_us = work_us };
 
 	lw_str_copy(hot.service, sizeof(hot.service), lw_str_c(s->name));
 	lw_hots_add(out, &hot);
-	hot.calls = true;
-	hot.level = lw_place_retry_level(s, now_us);
-	if (nested)
-		lw_hots_add(out, &hot);
 }
--- a/src/place.h
+++ b/src/place.h
@@ -37,7 +37,6 @@
 	uint64_t suspect_until_us; /* gets no new work while another can take it */
 	uint64_t replaced_until_us; /* another server has its address, its entry is old */
 	uint32_t backoff_ms; /* length of the last suspicion */
-	uint64_t cold_until_us;
 	uint32_t refs;
 	struct lw_place_host *next; /* of the same service */
 } lw_place_host_t;
@@ -99,9 +98,7 @@
 void lw_place_each(const lw_place_t *p, lw_place_node_fn fn, void *ctx, uint64_t now_us);
 void lw_place_each_lost(const lw_place_t *p, lw_place_node_fn fn, void *ctx);
 uint32_t lw_place_level(const lw_place_service_t *s, uint64_t now_us);
-uint32_t lw_place_retry_level(const lw_place_service_t *s, uint64_t now_us);
-void lw_place_tell(const lw_place_service_t *s, bool nested, uint32_t work_us, uint64_t now_us,
-		   lw_hots_t *out);
+void lw_place_tell(const lw_place_service_t *s, uint32_t work_us, uint64_t now_us, lw_hots_t *out);
 const lw_place_host_t *lw_place_self(const lw_place_t *p, bool *known);
 
 #endif
--- a/src/placelist.c
+++ b/src/placelist.c
@@ -72,7 +72,7 @@
 	snprintf(dst, len, "%.*s:%u", ip, backend, mesh_port);
 }
 
-static lw_place_host_t *host_add(lw_place_t *p, const lw_server_entry_t *e, uint64_t now_us)
+static lw_place_host_t *host_add(lw_place_t *p, const lw_server_entry_t *e)
 {
 	lw_place_service_t *s = lw_place_service(p, e->service);
 	lw_place_host_t *h = xcalloc(1, sizeof(*h));
@@ -85,7 +85,6 @@
 	h->same_zone = strcmp(e->zone, p->zone) == 0;
 	h->slots = e->slots;
 	h->load.limit = lw_admit_limit(e->slots);
-	h->cold_until_us = now_us + (uint64_t)e->cold_ms * 1000;
 	h->next = s->hosts;
 	s->hosts = h;
 	return h;
@@ -166,7 +165,7 @@
 		lw_place_host_t *h = host_find(lw_place_service(p, e->service), e);
 
 		if (!h)
-			h = host_add(p, e, now_us);
+			h = host_add(p, e);
 		h->listed = true;
 		h->removed_us = 0;
 		h->draining = e->draining;
--- a/src/proxystatus.c
+++ b/src/proxystatus.c
@@ -18,7 +18,7 @@
 		return "node_stopping";
 	if (!h->listed)
 		return "lapsed";
-	return now_us < h->cold_until_us ? "starting" : "ok";
+	return "ok";
 }
 
 static void print_host(FILE *f, const lw_place_host_t *h, uint64_t now_us)
--- a/src/retryrule.h
+++ b/src/retryrule.h
@@ -47,8 +47,6 @@
  * two tries each comes through in 65 of 100 cases, with four in 98 (worked out).
  */
 #define LW_RESENDS_BROKEN 2
-/* tries of such a call in all, on a route with two attempts */
-#define LW_RETRY_TRIES_SHED (2 + LW_RESENDS_MAX)
 
 lw_verdict_t lw_retry_verdict(const lw_attempts_t *a, lw_fail_t why);
 lw_verdict_t lw_retry_final(const lw_attempts_t *a, lw_fail_t why);
--- a/src/routestats.h
+++ b/src/routestats.h
@@ -11,7 +11,6 @@
 #include <stdint.h>
 #include <stdio.h>
 
-#include "comeback.h"
 #include "platconf.h"
 
 /* Routes with requests that are counted by name; the rest is one row. */
@@ -32,7 +31,6 @@
 	char route[LW_NAME_MAX];
 	uint64_t user[LW_ROUTE_OUTCOMES];
 	uint64_t nested[LW_ROUTE_OUTCOMES];
-	lw_callertime_t time; /* that callers of the route have */
 } lw_routestat_t;
 
 typedef struct lw_routestats {
--- a/src/simfleet.c
+++ b/src/simfleet.c
@@ -146,7 +146,7 @@
 	uint32_t used;
 
 	lw_place_told(q->host, load, r->now);
-	lw_place_tell(s, q->parent != NULL, load->ran_us, r->now, &path.hots);
+	lw_place_tell(s, load->ran_us, r->now, &path.hots);
 	lw_hotpath_told(q->origin->hot, q->kind->name, &path.hots, path.depth, r->now);
 	lw_hotpath_used(q->origin->hot, q->kind->name, path.retry_used);
 	if (served && !q->parent)
@@ -270,8 +270,7 @@
 	q->first_us = first_us;
 	q->tries_left = tries_left;
 	if (r->sim->policy <= LW_SIM_SPREAD &&
-	    !lw_hotpath_admits(origin->hot, k->name, q->rank, tries_left < k->retries, r->now,
-			       &by)) {
+	    !lw_hotpath_admits(origin->hot, k->name, q->rank, r->now, &by)) {
 		finish(r, q, false, true, 0);
 		return;
 	}
@@ -311,8 +310,6 @@
 		lw_waiter_t *w;
 
 		lw_level_step(&n->level, &in);
-		if (r->sim->policy == LW_SIM_FULL)
-			lw_retrylevel_step(&n->retry_level, &n->level, &r->terms);
 		while ((w = lw_waitq_expired(&n->queue, r->now)) != NULL) {
 			lw_load_t load;
 
@@ -392,7 +389,6 @@
 			n->service_us = SERVICE_FIRST_US;
 			n->hot = lw_hotpath_new();
 			lw_level_init(&n->level);
-			lw_retrylevel_init(&n->retry_level);
 			sl.nservers++;
 			r->nnodes++;
 		}
--- a/src/simfleet_int.h
+++ b/src/simfleet_int.h
@@ -5,7 +5,6 @@
 #include "hotpath.h"
 #include "level.h"
 #include "place.h"
-#include "retrylevel.h"
 #include "retrylimit.h"
 #include "retryrule.h"
 #include "simfleet.h"
@@ -28,7 +27,6 @@
 	double service_us;
 	lw_waitq_t queue;
 	lw_level_t level;
-	lw_retrylevel_t retry_level;
 	lw_place_t place; /* what this node knows of the others */
 	lw_hotpath_t *hot;
 	char id[LW_NAME_MAX];
--- a/src/simserver.c
+++ b/src/simserver.c
@@ -55,7 +55,6 @@
 	out->limit = n->limit;
 	out->service_us = (uint32_t)n->service_us;
 	out->level = n->level.level;
-	out->retry_level = n->retry_level.level;
 }
 
 /* lw_sim_send_answer() - the outcome of @q, on its way to where it began. */
@@ -151,7 +150,6 @@
 	    strcmp(s->shed_service, q->kind->service) != 0 || lw_sim_random01(r) >= s->shed_part)
 		return false;
 	q->queued = false;
-	lw_retrylevel_shed(&q->at->retry_level);
 	lw_sim_send_answer(r, q, LW_FAIL_SHED, false, 0);
 	return true;
 }
@@ -165,7 +163,6 @@
 
 		if (q->give_up_us <= r->now && r->sim->policy != LW_SIM_NAIVE)
 			continue;
-		lw_retrylevel_sent(&n->retry_level, q->attempts.given || q->attempts.resent);
 		if (!shed(r, q))
 			start_work(r, q);
 	}
