--- a/src/lwsim.c
+++ b/src/lwsim.c
@@ -52,13 +52,16 @@
 	struct arg_int *seed = arg_int0("s", "seed", "N", "seed of the random numbers (1)");
 	struct arg_str *policy =
 		arg_str0("p", "policy", "NAME", "full, spread, no-levels, fifo or naive (full)");
+	struct arg_str *without = arg_strn(NULL, "without", "NAME", 0, LW_SIM_MECHANISMS,
+					   "switch a mechanism off: levels, objective-order, "
+					   "weighed-ranks, lowest-ranks, resends, inherited-rank, "
+					   "knee-margin");
 	struct arg_dbl *burst = arg_dbl0("b", "burst", "X", "times the load during the burst");
 	struct arg_lit *seconds =
 		arg_lit0(NULL, "seconds", "print requests asked and in target by second");
 	struct arg_file *plot = arg_file0(NULL, "plot", "PNG", "draw goodput by second");
-	void *table[] = {
-		cli.help, cli.version, file, seed, policy, burst, seconds, plot, cli.end
-	};
+	void *table[] = { cli.help, cli.version, file,	  seed, policy,
+			  without,  burst,	 seconds, plot, cli.end };
 	int rc = lw_cli_parse(&cli, argc, argv, table);
 	lw_sim_t *s;
 
@@ -72,6 +75,11 @@
 		fprintf(stderr, "lwsim: %s\n", lw_error_last());
 		return 2;
 	}
+	for (int i = 0; i < without->count; i++)
+		if (lw_sim_set_without(s, without->sval[i])) {
+			fprintf(stderr, "lwsim: %s\n", lw_error_last());
+			return 2;
+		}
 	if (burst->count)
 		s->burst = burst->dval[0];
 	lw_sim_run(s, seed->count ? (uint64_t)seed->ival[0] : 1);
--- a/src/simfleet.c
+++ b/src/simfleet.c
@@ -50,15 +50,17 @@
 	q->give_up_us = r->now + (uint64_t)k->timeout_ms * 1000;
 	q->target_us = parent ? parent->target_us : r->now + (uint64_t)k->target_ms * 1000;
 	if (parent) {
-		q->rank = parent->rank;
+		q->rank = lw_sim_has(r->sim, LW_SIM_INHERITED_RANK) ?
+				  parent->rank :
+				  lw_rank(k->priority, lw_str_c(k->name));
 		q->above = parent->above + 1;
-		q->attempts.nested = r->sim->policy == LW_SIM_FULL;
+		q->attempts.nested = lw_sim_has(r->sim, LW_SIM_RESENDS);
 		if (q->give_up_us > parent->give_up_us)
 			q->give_up_us = parent->give_up_us;
 	} else {
 		snprintf(id, sizeof(id), "%llx", (unsigned long long)lw_sim_random(r));
 		q->rank = lw_rank(k->priority, lw_str_c(id));
-		if (r->sim->policy == LW_SIM_FULL)
+		if (lw_sim_has(r->sim, LW_SIM_WEIGHED_RANKS))
 			q->rank = lw_hotpath_weighed(origin->hot, k->name, q->rank, r->now);
 		q->tries_left = k->retries;
 	}
@@ -173,7 +175,7 @@
 	bool yes;
 
 	/* as if all ranks of a priority were one */
-	if (r->sim->policy != LW_SIM_FULL)
+	if (!lw_sim_has(r->sim, LW_SIM_LOWEST_RANKS))
 		at.rank -= at.rank % LW_RANKS_PER_PRIORITY;
 	yes = lw_retrylimit_take(&q->host->service->retries, &r->terms, &at, r->now);
 
@@ -269,7 +271,7 @@
 
 	q->first_us = first_us;
 	q->tries_left = tries_left;
-	if (r->sim->policy <= LW_SIM_SPREAD &&
+	if (lw_sim_has(r->sim, LW_SIM_LEVELS) &&
 	    !lw_hotpath_admits(origin->hot, k->name, q->rank, r->now, &by)) {
 		finish(r, q, false, true, 0);
 		return;
@@ -382,7 +384,8 @@
 			n->service = (uint32_t)i;
 			n->index = k;
 			n->slots = e->slots;
-			n->limit = lw_admit_limit(e->slots);
+			n->limit = lw_sim_has(s, LW_SIM_KNEE_MARGIN) ? lw_admit_limit(e->slots) :
+								       e->slots;
 			n->speed = s->services[i].speed[k];
 			if (k == 0 && strcmp(s->slow_service, s->services[i].name) == 0)
 				n->speed /= s->slow_x;
--- a/src/simfleet.h
+++ b/src/simfleet.h
@@ -59,6 +59,18 @@
 	LW_SIM_NAIVE, /* random server, no limit, no refusal */
 } lw_sim_policy_t;
 
+/* Mechanisms of the full policy that can be switched off one by one. */
+typedef enum lw_sim_mechanism {
+	LW_SIM_LEVELS, /* refusals where requests begin */
+	LW_SIM_OBJECTIVE_ORDER, /* queues go by the user request's objective */
+	LW_SIM_WEIGHED_RANKS, /* by the work a route makes at a full service */
+	LW_SIM_LOWEST_RANKS, /* get the repeats */
+	LW_SIM_RESENDS, /* of shed calls to servers that had them */
+	LW_SIM_INHERITED_RANK, /* calls rank as their request does */
+	LW_SIM_KNEE_MARGIN, /* a part of the slots stays free */
+	LW_SIM_MECHANISMS
+} lw_sim_mechanism_t;
+
 typedef struct lw_sim_total {
 	uint32_t retries;
 	uint32_t refusals;
@@ -83,6 +95,7 @@
 	char shed_service[LW_NAME_MAX];
 	double net_ms; /* one way between nodes */
 	lw_sim_policy_t policy;
+	bool without[LW_SIM_MECHANISMS];
 	lw_sim_total_t total;
 	uint32_t asked_at[LW_SIM_SECONDS_MAX]; /* user requests begun, by second */
 	uint32_t good_at[LW_SIM_SECONDS_MAX]; /* of these, answered in target */
@@ -92,6 +105,8 @@
 
 lw_status_t lw_sim_load(const char *path, lw_sim_t **out);
 lw_status_t lw_sim_set_policy(lw_sim_t *s, const char *name);
+lw_status_t lw_sim_set_without(lw_sim_t *s, const char *name);
+bool lw_sim_has(const lw_sim_t *s, lw_sim_mechanism_t m);
 void lw_sim_run(lw_sim_t *s, uint64_t seed);
 void lw_sim_free(lw_sim_t *s);
 uint32_t lw_sim_percentile(const lw_sim_kind_t *k, double part);
--- a/src/simload.c
+++ b/src/simload.c
@@ -150,6 +150,39 @@
 	return st;
 }
 
+/* lw_sim_set_without() - switch off the mechanism @name. */
+lw_status_t lw_sim_set_without(lw_sim_t *s, const char *name)
+{
+	static const char *const names[LW_SIM_MECHANISMS] = {
+		"levels",  "objective-order", "weighed-ranks", "lowest-ranks",
+		"resends", "inherited-rank",  "knee-margin",
+	};
+
+	for (size_t i = 0; i < LW_SIM_MECHANISMS; i++)
+		if (strcmp(names[i], name) == 0) {
+			s->without[i] = true;
+			return LW_OK;
+		}
+	return lw_error(LW_ERR_ARGS,
+			"mechanism '%s' is unknown; use levels, objective-order, weighed-ranks, "
+			"lowest-ranks, resends, inherited-rank or knee-margin",
+			name);
+}
+
+/* lw_sim_has() - whether the policy that is played has mechanism @m. */
+bool lw_sim_has(const lw_sim_t *s, lw_sim_mechanism_t m)
+{
+	/* the last policy that has it */
+	static const lw_sim_policy_t last[LW_SIM_MECHANISMS] = {
+		[LW_SIM_LEVELS] = LW_SIM_SPREAD,      [LW_SIM_OBJECTIVE_ORDER] = LW_SIM_NO_LEVELS,
+		[LW_SIM_WEIGHED_RANKS] = LW_SIM_FULL, [LW_SIM_LOWEST_RANKS] = LW_SIM_FULL,
+		[LW_SIM_RESENDS] = LW_SIM_FULL,	      [LW_SIM_INHERITED_RANK] = LW_SIM_NAIVE,
+		[LW_SIM_KNEE_MARGIN] = LW_SIM_NAIVE,
+	};
+
+	return !s->without[m] && s->policy <= last[m];
+}
+
 /* lw_sim_set_policy() - which of the policies is played. */
 lw_status_t lw_sim_set_policy(lw_sim_t *s, const char *name)
 {
--- a/src/simserver.c
+++ b/src/simserver.c
@@ -120,7 +120,7 @@
 	lw_level_arrival(&n->level, q->rank);
 	lw_sim_load_of(n, &st.load);
 	q->waiter.priority = r->sim->policy >= LW_SIM_FIFO ? 0 : q->rank / LW_RANKS_PER_PRIORITY;
-	if (r->sim->policy < LW_SIM_FIFO) {
+	if (lw_sim_has(r->sim, LW_SIM_OBJECTIVE_ORDER)) {
 		q->waiter.target_us = q->target_us;
 		q->waiter.late = q->target_us < r->now + (uint64_t)n->service_us;
 	}
--- a/tests/sim.sh
+++ b/tests/sim.sh
@@ -27,6 +27,9 @@
 	"$SIM" "$DIR/registry.toml" --policy $policy --seed 1 >"$tmp/$policy"
 done
 "$SIM" "$DIR/registry.toml" --seed 1 >"$tmp/again"
+"$SIM" "$DIR/registry.toml" --seed 1 --without inherited-rank >"$tmp/without-inherited"
+"$SIM" "$DIR/registry.toml" --seed 1 --without knee-margin >"$tmp/without-margin"
+"$SIM" "$DIR/registry.toml" --seed 1 --without objective-order >"$tmp/without-order"
 "$SIM" "$DIR/registry.toml" --seed 1 --burst 2.5 >"$tmp/heavy"
 "$SIM" "$DIR/registry.toml" --seed 1 --burst 2.5 --policy no-levels >"$tmp/heavy-no-levels"
 "$SIM" "$DIR/slow_leaf.toml" --seed 1 >"$tmp/slow"
@@ -41,6 +44,12 @@
 check "1.7-fold burst: goodput above first come, first served" \
 	"$(figure goodput "$tmp/full") > $(figure goodput "$tmp/fifo") + 10"
 check "1.7-fold burst: nearly no server time wasted" "$(figure 'server time' "$tmp/full") < 2"
+check "1.7-fold burst: calls that do not inherit their rank cost goodput" \
+	"$(figure goodput "$tmp/full") > $(figure goodput "$tmp/without-inherited") + 10"
+check "1.7-fold burst: all slots of a server that slows down when full cost goodput" \
+	"$(figure goodput "$tmp/full") > $(figure goodput "$tmp/without-margin") + 5"
+check "1.7-fold burst: queues by the user request's objective cost none" \
+	"$(figure goodput "$tmp/full") >= $(figure goodput "$tmp/without-order")"
 check "1.7-fold burst: levels waste less than a twentieth of what is wasted without" \
 	"$(figure 'server time' "$tmp/no-levels") > 3 && $(figure 'server time' "$tmp/full") * 20 < $(figure 'server time' "$tmp/no-levels")"
 check "1.7-fold burst: urgent requests all in target" "$(kind register "$tmp/full") > 99"
