A node's word on its server ends with the health checks that carry it

Test (test_mute_server_behind_cut) failing before: work reached such a server for as long as it was watched; after: none later than 3.5 s.

--- a/src/proxylease.c
+++ b/src/proxylease.c
@@ -83,6 +83,8 @@
 	ask_server(p);
 	if (lw_lease_vouches(&p->lease, &ev))
 		vouch(p);
+	else
+		lw_mesh_vouch(p->engine.mesh, "", 0);
 }
 
 /* lw_proxy_lease_missing() - the entry of the backend server here is not in the newest list. */
--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -645,6 +645,25 @@
     check(not late, late)
 
 
+@test({"front": 2, "back": 3}, relays=True)
+async def test_mute_server_behind_cut(f):
+    """Symptom: work goes on and on to a server that nobody has heard of for
+    seconds. Sequence: its host is cut off, its entry lapses, its node vouches
+    for it; then its health checks get no answer. Cause: the word once given
+    stood in every status, though nothing renewed it."""
+    node = f.nodes["back"][0]
+    f.store.refused = {node.store_relay.addr[0]}
+    await asyncio.sleep(1.5)
+    f.store.remove("servers/" + node.server.id)
+    check(not await ask_for(f, 2.5, "a"), "requests failed")
+    check([t for t, r in node.server.ran if r.startswith("a")][-1:], "it was not used on")
+    node.server.mute = True
+    since = time.monotonic()
+    check(not await ask_for(f, 5, "b"), "requests failed")
+    late = [round(t - since, 2) for t, r in node.server.ran if t > since + 3.5]
+    check(not late, late)
+
+
 @test({"front": 1, "back": 2})
 async def test_same_id_started_anew(f):
     """Symptom: a server that drained and started again under its id never gets
--- a/tests/mesh/standin.py
+++ b/tests/mesh/standin.py
@@ -151,6 +151,7 @@
         self.leaving = False  # as its health check says
         self.born = None  # start of its process, Unix ms; None: not told
         self.checks = 0  # health checks answered
+        self.mute = False  # health checks get no answer
         self.open = []
 
     async def start(self):
@@ -185,6 +186,8 @@
         head = Head(await reader.readuntil(b"\r\n\r\n"))
         rid = head.get("x-request-id", "")
         if head.start[1] == "/health":
+            if self.mute:
+                await asyncio.sleep(3600)
             self.checks += 1
             self.write(writer, 503 if self.leaving else 200, rid, b"", [f"X-Instance-Id: {self.id}"])
             return True
