A vouched host is never forgotten; a reset health check is no refusal

And a health check whose connection was taken and then reset, as a server does beyond its most connections, counted as certain that the server left.

--- a/src/placelist.c
+++ b/src/placelist.c
@@ -98,7 +98,8 @@
 		while (*at) {
 			lw_place_host_t *h = *at;
 
-			if (h->listed || h->refs || now_us - h->removed_us < FORGET_US) {
+			if (lw_place_usable(h, now_us) || h->refs ||
+			    now_us - h->removed_us < FORGET_US) {
 				at = &h->next;
 				continue;
 			}
--- a/src/probe.c
+++ b/src/probe.c
@@ -53,9 +53,12 @@
 static void on_broken(void *user, bool sent)
 {
 	lw_probe_t *p = user;
+	bool refused = !p->conn->established;
 
+	(void)sent;
 	p->conn = NULL;
-	if (!sent)
+	/* a connection that was taken and reset says that the server has too many */
+	if (refused)
 		p->leaving = true;
 }
 
