--- a/src/place.c
+++ b/src/place.c
@@ -29,6 +29,12 @@
 #define COST_SELF 0.9
 /* a host whose requests all fail costs as much as one this many times as loaded */
 #define COST_FAILING 20.0
+/*
+ * One choice in so many goes by use alone: a server that was slow is tried again,
+ * and one that has joined gets work from other hosts before it is needed. Without
+ * it half of the servers that joined on a calm day got none.
+ */
+#define EXPLORE_ONE_IN 32
 /* costs are spread by up to this share, so that nodes do not all choose alike */
 #define COST_SPREAD 0.2
 /* weight of one more outcome in the moving average of failures */
@@ -108,7 +114,9 @@
 	double cost = 1 + COST_FULL * use * use * use;
 	double failures;
 
-	if (known && h->load.service_us && mean_us > 0)
+	if (ask->random % EXPLORE_ONE_IN == 0)
+		cost = use;
+	else if (known && h->load.service_us && mean_us > 0)
 		cost *= h->load.service_us / mean_us;
 	cost *= zone_cost(h, ask->body_length);
 	failures = recent_failures(h, ask->now_us);
