--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -627,17 +627,24 @@
     check(not late, late)
 
 
-@test({"front": 2, "back": 3}, relays=True)
-async def test_leaver_behind_cut(f):
-    """Symptom: work goes to a server that is leaving behind a cut. Sequence: its
-    host is cut off, its entry lapses, its node vouches for it; then it leaves,
-    which only its health check says. Cause: nothing ended the node's word."""
+async def used_behind_cut(f):
+    """A node whose host is cut off from the store and whose server's entry has
+    lapsed; the server is used on."""
     node = f.nodes["back"][0]
     f.store.refused = {node.store_relay.addr[0]}
     await asyncio.sleep(1.5)
     f.store.remove("servers/" + node.server.id)
     check(not await ask_for(f, 2.5, "a"), "requests failed")
     check([t for t, r in node.server.ran if r.startswith("a")][-1:], "it was not used on")
+    return node
+
+
+@test({"front": 2, "back": 3}, relays=True)
+async def test_leaver_behind_cut(f):
+    """Symptom: work goes to a server that is leaving behind a cut. Sequence: its
+    host is cut off, its entry lapses, its node vouches for it; then it leaves,
+    which only its health check says. Cause: nothing ended the node's word."""
+    node = await used_behind_cut(f)
     node.server.leaving = True
     since = time.monotonic()
     check(not await ask_for(f, 3, "b"), "requests failed")
@@ -651,12 +658,7 @@
     seconds. Sequence: its host is cut off, its entry lapses, its node vouches
     for it; then its health checks get no answer. Cause: the word once given
     stood in every status, though nothing renewed it."""
-    node = f.nodes["back"][0]
-    f.store.refused = {node.store_relay.addr[0]}
-    await asyncio.sleep(1.5)
-    f.store.remove("servers/" + node.server.id)
-    check(not await ask_for(f, 2.5, "a"), "requests failed")
-    check([t for t, r in node.server.ran if r.startswith("a")][-1:], "it was not used on")
+    node = await used_behind_cut(f)
     node.server.mute = True
     since = time.monotonic()
     check(not await ask_for(f, 5, "b"), "requests failed")
