Sight: the steps of a stop, and what is known of calls on a lost connection

Cause: no line told why a stopping process left when it did, what ran then, and whether a request that ended 502 had been read by anybody. Change: E1006 stop_step, E1406 calls_cut, last= in E1308. No decision changes.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -71,8 +71,10 @@
 {
 	x->call = NULL;
 	ev_timer_stop(x->engine->hub->loop, &x->stall);
-	if (x->host)
+	if (x->host) {
+		lw_str_copy(x->last, sizeof(x->last), lw_str_c(x->host->id));
 		lw_place_ended(x->host, ok, x->engine->hub->now_us);
+	}
 	x->host = NULL;
 }
 
@@ -99,11 +101,12 @@
 	lw_reply_t *reply = x->reply;
 
 	lw_log(LW_LOG_request_ended,
-	       "id=%s route=%s service=%s config=%llu rank=%u status=%u why=%s given=%u handed_back=%u maybe_ran=%d after_ms=%u retry_after_ms=%u",
+	       "id=%s route=%s service=%s config=%llu rank=%u status=%u why=%s given=%u handed_back=%u maybe_ran=%d after_ms=%u retry_after_ms=%u last=%s",
 	       x->request_id, x->route, x->service->name,
 	       (unsigned long long)x->engine->conf->version, x->rank, status, lw_fail_name(why),
 	       x->attempts.given, x->attempts.handed_back, x->attempts.maybe_ran,
-	       (uint32_t)((x->engine->hub->now_us - x->started_us) / 1000), retry_after_ms);
+	       (uint32_t)((x->engine->hub->now_us - x->started_us) / 1000), retry_after_ms,
+	       x->last[0] ? x->last : "none");
 	lw_exchange_tell_parent(x);
 	lw_exchange_release(x);
 	if (reply)
--- a/src/exchange_int.h
+++ b/src/exchange_int.h
@@ -26,6 +26,7 @@
 	int64_t body_length;
 	char *request_id; /* of any length: ids of nested calls grow with their depth */
 	char route[LW_NAME_MAX];
+	char last[LW_NAME_MAX]; /* the backend server of the last attempt that ended */
 	lw_routestat_t *stat; /* of the route */
 	lw_str_t parent_id; /* of the request it was made for: part of request_id */
 	uint32_t rank;
--- a/src/log.h
+++ b/src/log.h
@@ -21,6 +21,8 @@
 	  "SIGHUP: the terms of the settings were read again; the rest needs a restart")           \
 	X(1005, log_dropped, LOG_WARNING,                                                          \
 	  "request lines were left out to bound the volume; counters have them all")               \
+	X(1006, stop_step, LOG_INFO,                                                               \
+	  "a stopping process takes its next step; fields say what is still under way")            \
 	X(1100, settings_invalid, LOG_ERR, "settings file rejected; the node does not start")      \
 	X(1101, args_invalid, LOG_ERR, "command line rejected")                                    \
 	X(1200, config_accepted, LOG_NOTICE, "a newer valid configuration is in force")            \
@@ -74,6 +76,8 @@
 	X(1501, drain_finished, LOG_NOTICE, "drain finished: nothing in flight")                   \
 	X(1405, node_lost, LOG_WARNING,                                                            \
 	  "a node could not be reached or went silent; it gets no new work for a while")           \
+	X(1406, calls_cut, LOG_WARNING,                                                            \
+	  "the connection to a node ended with calls on it; fields say what is known of them")     \
 	X(1600, backend_error, LOG_WARNING, "the local backend server could not be reached")
 
 typedef enum lw_event_id {
--- a/src/meshlink.c
+++ b/src/meshlink.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include "linux/sock.h"
+#include "log.h"
 #include "xalloc.h"
 
 #define READ_BYTES 65536
@@ -90,6 +91,22 @@
 	}
 }
 
+/* what an operator needs to tell whether the calls on a lost connection had arrived */
+static void log_calls_cut(const lw_link_t *l)
+{
+	uint32_t unsent = 0;
+
+	if (!l->outgoing || !l->streams)
+		return;
+	for (const lw_stream_t *s = l->streams; s; s = s->hh.next)
+		unsent += s->open_at >= l->written_total;
+	lw_log(LW_LOG_calls_cut,
+	       "node=%s calls=%u unsent=%u connected=%d heard=%d silent=%d opened_ms=%llu quiet_ms=%llu",
+	       l->node, HASH_COUNT(l->streams), unsent, !l->connecting, l->peer_incarnation != 0,
+	       l->silent, (unsigned long long)((l->mesh->hub->now_us - l->opened_us) / 1000),
+	       (unsigned long long)((l->mesh->hub->now_us - l->heard_us) / 1000));
+}
+
 /*
  * lw_link_lost() - the connection is gone. Requests on it that reached the peer
  * may still run there: what became of them is asked on another connection, and
@@ -100,6 +117,7 @@
 	if (l->closed)
 		return;
 	l->mesh->stats.links_lost++;
+	log_calls_cut(l);
 	link_close(l);
 	if (l->outgoing && !l->silent)
 		l->mesh->ops->lost(l->mesh->ctx, l->node);
--- a/src/proxystop.c
+++ b/src/proxystop.c
@@ -12,6 +12,16 @@
 	return ours > theirs ? ours : theirs;
 }
 
+/* what the node still has, for the lines about a stop */
+static void log_step(const lw_proxy_t *p, const char *step, const lw_stopstate_t *state)
+{
+	lw_log(LW_LOG_stop_step,
+	       "step=%s since_ms=%llu active=%u running=%u queued=%zu oldest_ms=%llu", step,
+	       (unsigned long long)(state->since_us / 1000), p->engine.active,
+	       p->engine.gate.running, p->engine.gate.queue.len,
+	       (unsigned long long)(state->oldest_us / 1000));
+}
+
 /* the next steps of a stop */
 static void go_on_stopping(struct ev_loop *loop, ev_timer *w, int revents)
 {
@@ -25,19 +35,23 @@
 
 	(void)revents;
 	if (plan.tell_peers && !p->hub.peers_told) {
+		log_step(p, "peers_told", &state);
 		p->hub.peers_told = true;
 		lw_mesh_announce(p->engine.mesh);
 	}
 	if (plan.close_idle)
 		lw_callers_close_idle(p->callers);
 	if (plan.refuse && !p->engine.gate.refusing) {
+		log_step(p, "refusing", &state);
 		lw_gate_refuse(&p->engine.gate);
 		lw_mesh_announce(p->engine.mesh);
 	}
 	if (plan.close_listeners)
 		lw_callers_close_listeners(p->callers);
-	if (plan.exit)
+	if (plan.exit) {
+		log_step(p, state.oldest_us ? "exit_cutting_off" : "exit", &state);
 		ev_break(loop, EVBREAK_ALL);
+	}
 }
 
 /* lw_proxy_on_term() - SIGTERM: callers are told not to come; the rest follows by stopplan.c. */
