A request goes out on a connection only after the other process has spoken

Cause: a kernel takes connections and bytes for a process that is about to exit or stands still. A request among them counted as 'may have run': 502, or a repeat from the allowance, though nobody had read it. Change: before the peer's first status only this side's status is written; what is held counts as unsent and goes elsewhere. A peer that says it is about to exit is sent nothing more. No word within 0.7 s: the connection has failed. It costs the first request on a new connection one round trip.

--- a/src/mesh.c
+++ b/src/mesh.c
@@ -12,7 +12,7 @@
 #define WATCH_STEP_S 0.1
 /* an idle connection is tested so often: a middlebox may have dropped it, us */
 #define IDLE_ASK_US 2000000
-/* a connection attempt that takes longer has failed, us */
+/* a connection on which the peer has not spoken after this has failed, us */
 #define CONNECT_MAX_US 700000
 
 /* lw_mesh_on_frame() - act on one frame. */
@@ -90,7 +90,7 @@
 {
 	uint64_t quiet = now - l->heard_us;
 
-	if (l->connecting) {
+	if (l->connecting || !lw_link_greeted(l)) {
 		if (now - l->opened_us > CONNECT_MAX_US)
 			lw_link_lost(l);
 		return;
--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -55,6 +55,7 @@
 	lw_bytebuf_t out;
 	uint64_t queued_total; /* bytes ever queued */
 	uint64_t written_total; /* bytes ever given to the kernel */
+	uint64_t hello_bytes; /* outgoing: what may be written before the peer has spoken */
 	uint64_t heard_us;
 	uint64_t opened_us;
 	uint64_t asked_us; /* a status was asked for and has not come; 0: none */
@@ -89,6 +90,8 @@
 	lw_mesh_stats_t stats;
 };
 
+bool lw_link_greeted(const lw_link_t *l);
+void lw_link_drop_unsent(lw_link_t *l);
 bool lw_link_may_wait(const lw_link_t *l);
 void lw_link_orphan(lw_link_t *l);
 void lw_link_drop_streams(lw_link_t *l);
--- a/src/meshfate.c
+++ b/src/meshfate.c
@@ -43,6 +43,25 @@
 	lw_link_free(l);
 }
 
+/*
+ * lw_link_drop_unsent() - the peer is about to exit, as it says: what it has not
+ * been sent goes elsewhere instead of meeting the exit.
+ */
+void lw_link_drop_unsent(lw_link_t *l)
+{
+	lw_stream_t *s, *tmp;
+
+	HASH_ITER(hh, l->streams, s, tmp)
+	{
+		lw_sink_t *sink = s->call.sink;
+
+		if (s->dead || !sink || s->open_at < l->written_total)
+			continue;
+		lw_stream_free(s);
+		sink->ops->fail(sink, LW_FAIL_UNSENT, 0, NULL);
+	}
+}
+
 /* lw_link_may_wait() - whether the streams of a lost connection may have another fate. */
 bool lw_link_may_wait(const lw_link_t *l)
 {
--- a/src/meshlink.c
+++ b/src/meshlink.c
@@ -13,6 +13,27 @@
 
 static void link_close(lw_link_t *l);
 
+/* lw_link_greeted() - whether the process at the other end has spoken on this connection. */
+bool lw_link_greeted(const lw_link_t *l)
+{
+	return !l->outgoing || l->peer_incarnation;
+}
+
+/*
+ * Bytes that may be written now. A kernel takes connections and bytes for a
+ * process that is about to exit or stands still; a request among them may have
+ * run for all its sender knows, and 16 requests of a day of rolling restarts
+ * ended 502 although nobody had read them. So only this side's status goes out
+ * before the peer's has come.
+ */
+static size_t may_write(const lw_link_t *l)
+{
+	size_t queued = lw_bytebuf_len(&l->out);
+	uint64_t hello = l->hello_bytes - l->written_total;
+
+	return lw_link_greeted(l) || hello > queued ? queued : (size_t)hello;
+}
+
 static void watch(lw_link_t *l)
 {
 	int events = EV_READ;
@@ -21,7 +42,7 @@
 		return;
 	if (l->connecting)
 		events = EV_WRITE;
-	else if (lw_bytebuf_len(&l->out))
+	else if (may_write(l))
 		events |= EV_WRITE;
 	if (l->io.events == events && ev_is_active(&l->io))
 		return;
@@ -55,9 +76,8 @@
 
 static void link_flush(lw_link_t *l)
 {
-	while (!l->connecting && !l->closed && lw_bytebuf_len(&l->out)) {
-		ssize_t n = send(l->fd, lw_bytebuf_head(&l->out), lw_bytebuf_len(&l->out),
-				 MSG_NOSIGNAL);
+	while (!l->connecting && !l->closed && may_write(l)) {
+		ssize_t n = send(l->fd, lw_bytebuf_head(&l->out), may_write(l), MSG_NOSIGNAL);
 
 		if (n < 0) {
 			if (errno != EAGAIN && errno != EINTR) {
@@ -271,5 +291,6 @@
 	lw_str_copy(l->node, sizeof(l->node), lw_str_c(node));
 	m->stats.links_opened++;
 	lw_mesh_send_status(l, false);
+	l->hello_bytes = l->queued_total;
 	return l;
 }
--- a/src/meshnews.c
+++ b/src/meshnews.c
@@ -123,6 +123,7 @@
 void lw_mesh_on_status(lw_link_t *l, const Lw__Status *w)
 {
 	lw_load_t load;
+	bool greeted;
 
 	lw_meshframe_read_load(w->load, &load);
 	lw_mesh_take_levels(l, w->load);
@@ -133,7 +134,10 @@
 	if (l->outgoing && w->load)
 		l->mesh->ops->load(l->mesh->ctx, l->node, &load);
 	l->peer_revision = w->servers_revision;
+	greeted = lw_link_greeted(l);
 	l->peer_incarnation = w->incarnation;
+	if (!greeted && !load.limit)
+		lw_link_drop_unsent(l);
 	if (!l->outgoing && w->link)
 		l->name = w->link;
 	take_news(l, w);
