A stopping node takes only work that is over before it exits

Cause: a node left 1 s before SIGKILL whatever still ran, and took work until 2 s before it. With a request that held it up (its answer lost), work taken then that lasted over a second was cut off while its server was at it: 502. Change: the node knows when it exits at the latest (0.4 s before SIGKILL, which would cut the rest off anyway) and takes a request only if it is over by then: by its sender's deadline, or by a quarter more than the longest run of late, a second at least. What waits is looked at again when its turn comes.

--- a/src/gate.c
+++ b/src/gate.c
@@ -5,6 +5,7 @@
 
 #include "admit.h"
 #include "log.h"
+#include "stopplan.h"
 
 /* what a body of a request still queued may hold in memory, in bytes */
 #define QUEUE_BYTES_MAX (32u * 1024 * 1024)
@@ -17,6 +18,8 @@
 #define LOST_LEAST_US 100000
 /* the average of failures fades by this in each step: it halves in about 3 s */
 #define FAILING_FADES 0.977
+/* the longest run of late fades by this in each step: it halves in about 7 s */
+#define LONGEST_FADES 0.99
 /* a server that took no connection is tried again after this, us */
 #define DOWN_US 250000
 /* steps without work after which the level's timer stops */
@@ -90,16 +93,37 @@
 	g->lost = overdue < g->running - known ? overdue : g->running - known;
 }
 
-/* lw_gate_dispatch() - start what may start now */
-void lw_gate_dispatch(lw_gate_t *g)
+/* whether a request that starts after @wait_us is over before this process exits */
+static bool ends_in_time(const lw_gate_t *g, uint64_t wait_us, uint64_t deadline_us)
 {
-	while (g->queue.first && occupied(g) < g->limit) {
-		lw_waiter_t *w = lw_waitq_pop(&g->queue);
-		lw_job_t *j = JOB_OF_WAITER(w);
+	const lw_hub_t *hub = g->hub;
+	uint64_t left_us = hub->exit_us > hub->now_us ? hub->exit_us - hub->now_us : 0;
 
-		g->queued_bytes -= lw_bytebuf_len(&j->body);
-		lw_job_start(j);
+	return !hub->exit_us ||
+	       lw_stopplan_takes(left_us, wait_us, (uint64_t)g->longest_us, deadline_us);
+}
+
+/* what waits, once its turn has come: started, or handed back as it would meet the exit */
+static void start_next(lw_gate_t *g)
+{
+	lw_job_t *j = JOB_OF_WAITER(g->queue.first);
+	uint64_t now_us = g->hub->now_us;
+	uint64_t left_us = j->deadline_us > now_us ? j->deadline_us - now_us : 0;
+
+	if (!ends_in_time(g, 0, left_us)) {
+		lw_job_fail(j, LW_FAIL_LEAVING);
+		return;
 	}
+	lw_waitq_pop(&g->queue);
+	g->queued_bytes -= lw_bytebuf_len(&j->body);
+	lw_job_start(j);
+}
+
+/* lw_gate_dispatch() - start what may start now */
+void lw_gate_dispatch(lw_gate_t *g)
+{
+	while (g->queue.first && occupied(g) < g->limit)
+		start_next(g);
 	if (!g->queue.first)
 		ev_timer_stop(g->hub->loop, &g->expiry);
 }
@@ -116,12 +140,15 @@
 	lw_gate_dispatch(g);
 }
 
-static lw_fail_t refusal(const lw_gate_t *g, const lw_ask_t *ask)
+static lw_fail_t refusal(const lw_gate_t *g, const lw_admit_state_t *st, const lw_ask_t *ask)
 {
 	if (g->leaving && (!ask->target.len || lw_str_eq_c(ask->target, g->server_id)))
 		return LW_FAIL_LEAVING;
 	if (g->refusing)
 		return LW_FAIL_LEAVING;
+	if (!ends_in_time(g, (uint64_t)lw_admit_expected_wait_ms(st) * 1000,
+			  (uint64_t)ask->deadline_ms * 1000))
+		return LW_FAIL_LEAVING;
 	if (g->hub->now_us < g->down_until_us)
 		return LW_FAIL_NO_SERVER;
 	if (ask->target.len && lw_str_eq_c(ask->target, g->replaced_id))
@@ -162,7 +189,7 @@
 	probe = waiter_of(g, &st, ask);
 	st.ahead = (uint32_t)lw_waitq_ahead(&g->queue, &probe);
 	*retry_after_ms = lw_admit_retry_after_ms(&st.load);
-	*why = refusal(g, ask);
+	*why = refusal(g, &st, ask);
 	if (!*why)
 		*why = lw_admit(&st, ask);
 	if (*why) {
@@ -317,6 +344,7 @@
 	g->quiet_steps = quiet ? g->quiet_steps + 1 : 0;
 	lw_level_step(&g->level, &in);
 	g->failing *= FAILING_FADES;
+	g->longest_us *= LONGEST_FADES;
 	count_lost(g);
 	if (g->queue.first)
 		lw_gate_dispatch(g);
--- a/src/proxystop.c
+++ b/src/proxystop.c
@@ -22,18 +22,30 @@
 	       (unsigned long long)(state->oldest_us / 1000));
 }
 
+/* the grace may change with the settings while the process stops */
+static uint64_t grace_us(const lw_proxy_t *p)
+{
+	return (uint64_t)(p->set->grace_s * 1e6);
+}
+
+static void set_exit(lw_proxy_t *p)
+{
+	p->hub.exit_us = p->leaving_us + lw_stopplan_exit_us(grace_us(p));
+}
+
 /* the next steps of a stop */
 static void go_on_stopping(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	lw_proxy_t *p = w->data;
 	lw_stopstate_t state = {
 		.since_us = p->hub.now_us - p->leaving_us,
-		.grace_us = (uint64_t)(p->set->grace_s * 1e6),
+		.grace_us = grace_us(p),
 		.oldest_us = oldest_request_us(p),
 	};
 	lw_stopplan_t plan = lw_stopplan(&state);
 
 	(void)revents;
+	set_exit(p);
 	if (plan.tell_peers && !p->hub.peers_told) {
 		log_step(p, "peers_told", &state);
 		p->hub.peers_told = true;
@@ -66,6 +78,7 @@
 	       p->engine.gate.ncalls);
 	p->hub.leaving = true;
 	p->leaving_us = p->hub.now_us;
+	set_exit(p);
 	ev_timer_init(&p->stopping, go_on_stopping, LW_STOPPLAN_STEP_S, LW_STOPPLAN_STEP_S);
 	p->stopping.data = p;
 	ev_timer_start(loop, &p->stopping);
--- a/src/stopplan.c
+++ b/src/stopplan.c
@@ -25,8 +25,11 @@
  * the exit may have run, for all its sender knows, us.
  */
 #define OTHERS_KNOW_US 200000
-/* and this much before SIGKILL the process exits whatever is under way, us */
-#define EXIT_MARGIN_US 1000000
+/*
+ * This much before SIGKILL the process exits whatever is under way: enough for
+ * the last answers to leave. What is cut off then would be by SIGKILL, us.
+ */
+#define EXIT_MARGIN_US 400000
 
 /*
  * A request under way for longer than this may last until its deadline, as
@@ -35,11 +38,45 @@
  * restart, in which a service had no other node), us.
  */
 #define STRAGGLER_US 1000000
+/*
+ * A stopping node expects a run to last as long as the longest one of late and
+ * one part in so many more, and this at least, us.
+ */
+#define RUN_SPARE    4
+#define RUN_LEAST_US 1000000
+
+/*
+ * lw_stopplan_exit_us() - when a process that has @grace_us between SIGTERM and
+ * SIGKILL exits at the latest, counted from SIGTERM.
+ */
+uint64_t lw_stopplan_exit_us(uint64_t grace_us)
+{
+	return grace_us > 2 * EXIT_MARGIN_US ? grace_us - EXIT_MARGIN_US : grace_us / 2;
+}
+
+/*
+ * lw_stopplan_takes() - whether a stopping node with @left_us until its exit
+ * takes a request that waits for @wait_us and whose sender wants no answer
+ * after @deadline_us; @longest_us is the longest run of late. Taken up to a
+ * fixed moment, work that lasts longer than what is left then is cut off while
+ * its server is at it, and one that may not run twice has failed.
+ */
+bool lw_stopplan_takes(uint64_t left_us, uint64_t wait_us, uint64_t longest_us,
+		       uint64_t deadline_us)
+{
+	uint64_t run_us = longest_us + longest_us / RUN_SPARE;
+	uint64_t last_us;
+
+	if (run_us < RUN_LEAST_US)
+		run_us = RUN_LEAST_US;
+	last_us = wait_us + run_us;
+	return left_us >= (last_us < deadline_us ? last_us : deadline_us);
+}
 
 /* nothing new is taken once what is under way will end soon, or must */
 static bool time_to_refuse(const lw_stopstate_t *s)
 {
-	if (s->since_us + EXIT_MARGIN_US + STRAGGLER_US > s->grace_us)
+	if (s->since_us + RUN_LEAST_US > lw_stopplan_exit_us(s->grace_us))
 		return true;
 	return s->since_us >= CALLERS_KNOW_US && s->oldest_us < STRAGGLER_US;
 }
@@ -60,6 +97,6 @@
 	};
 
 	p.exit = (s->since_us >= CALLERS_KNOW_US + OTHERS_KNOW_US && !s->oldest_us) ||
-		 s->since_us + EXIT_MARGIN_US > s->grace_us;
+		 s->since_us > lw_stopplan_exit_us(s->grace_us);
 	return p;
 }
--- a/tests/decide_retry.c
+++ b/tests/decide_retry.c
@@ -168,6 +168,14 @@
 	    p.exit ? "exit" : "go_on");
 }
 
+/* stop-takes LEFT WAIT LONGEST DEADLINE: whether a stopping node takes such a request */
+static void do_stop_takes(world_t *w, const words_t *a)
+{
+	bool taken = lw_stopplan_takes(ms(a, 1), ms(a, 2), ms(a, 3), ms(a, 4));
+
+	say(w, taken ? "taken" : "refused");
+}
+
 const command_t decide_retry_commands[] = {
 	{ "retry-requests", do_retry_requests },
 	{ "retry-inherited", do_retry_inherited },
@@ -182,5 +190,6 @@
 	{ "next", do_next },
 	{ "expired", do_expired },
 	{ "stop", do_stop },
+	{ "stop-takes", do_stop_takes },
 	{ NULL, NULL },
 };
