Failing test: a stopping node shuts out the calls of the work it runs

Cause: looking for the same cause elsewhere. A stopping node closes the listener of its host three seconds after SIGTERM and takes work of others for longer; the calls that its server makes for that work come by this listener.

--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -374,6 +374,51 @@
     check(len([e for e in late if e[1] == 200]) > 20, late)
 
 
+@test({"front": 2, "back": 1})
+async def test_stopping_node_serves_calls_of_running_work(f):
+    """Work at the server beside a stopping node failed with 500: the node took
+    requests of others until four seconds after SIGTERM, but no connection of
+    its own host after three, and the calls that the server makes for its
+    running work come that way. Of 41 requests begun in the five seconds after
+    SIGTERM the last 13 that were taken, from 2.8 s after it on, ended 500.
+    Here a request whose answer is lost keeps the only node of a service from
+    leaving. Work that makes a call goes on, and none that is taken fails."""
+    busy = f.nodes["back"][0]
+
+    async def work(s, head, rid, stage):
+        if stage != "run":
+            return None
+        if rid.startswith("straggler"):
+            await asyncio.sleep(30)
+        await asyncio.sleep(0.3)
+        c = busy.caller()
+        try:
+            a = await c.ask("GET", "/get/1", rid + ".call", deadline=2000)
+        except OSError:
+            return (None, 500, b"call failed")
+        finally:
+            c.close()
+        return None if a.status == 200 else (None, 500, b"call failed")
+    busy.server.behave = work
+    node = f.nodes["front"][0]
+    ends = []
+
+    async def ask(rid):
+        a = await node.caller().ask("POST", "/up/1", rid, body=b"x", deadline=20000)
+        ends.append((rid, a.status))
+    tasks = [asyncio.ensure_future(ask("straggler"))]
+    await until(lambda: runs(f, "straggler"), lambda n: n == 1)
+    busy.signal(signal.SIGTERM)
+    since = time.monotonic()
+    while time.monotonic() - since < 5:
+        tasks.append(asyncio.ensure_future(ask(f"w{len(tasks)}")))
+        await asyncio.sleep(0.1)
+    await asyncio.gather(*tasks)
+    bad = [e for e in ends if e[0] != "straggler" and e[1] not in (200, 503)]
+    check(not bad, bad)
+    check(len([e for e in ends if e[1] == 200]) > 25, ends)
+
+
 @test({"front": 1, "back": 2}, relays=True)
 async def test_call_to_a_process_that_never_spoke(f):
     """Requests that no server had seen ended 502, as if they might have run: 16
