Work at a server is given up only for room elsewhere, and not for a stop

Cause: a stopping node dropped the requests of a lost connection at once, where any other node waits 0.3 s to be asked for them; and a read whose node had gone silent was given up for another server without a look whether that has room. Change: lost connections are treated alike whether the node stops or not; a silent read waits until a server not known to be full is there, as a stalled one.

--- a/src/exchoutcome.c
+++ b/src/exchoutcome.c
@@ -251,15 +251,26 @@
 		reply->ops->data(reply, data, fin);
 }
 
+/* look again in a moment whether another server has room */
+static void watch_for_room(lw_exchange_t *x)
+{
+	struct ev_loop *loop = x->engine->hub->loop;
+
+	ev_timer_stop(loop, &x->stall);
+	ev_timer_init(&x->stall, lw_exchange_stalled, STALL_AGAIN_S, 0);
+	x->stall.data = x;
+	ev_timer_start(loop, &x->stall);
+}
+
 /*
  * The node that runs the request has gone silent. A request that may run
  * twice goes elsewhere, a call also to another server that had it; any other
- * can only wait.
+ * can only wait. So does one that no other server is known to have room for:
+ * given up for a refusal there it is lost (502), though its server is at work.
  */
 static void sink_silent(lw_sink_t *s)
 {
 	lw_exchange_t *x = (lw_exchange_t *)s;
-
 	const lw_place_host_t *again;
 	lw_place_ask_t ask;
 	lw_verdict_t v;
@@ -271,6 +282,11 @@
 	x->attempts.left_ms = lw_exchange_left_ms(x, x->give_up_us);
 	x->attempts.body_kept = x->body_base == 0;
 	v = lw_retry_silent(&x->attempts);
+	if (v == LW_VERDICT_AGAIN_COUNTED &&
+	    !lw_place_has_room(x->service, &x->tried, ask.now_us, false)) {
+		watch_for_room(x);
+		return;
+	}
 	if (v == LW_VERDICT_SAME_COUNTED &&
 	    (again == x->host || !lw_place_takes(again, ask.now_us)))
 		return;
@@ -308,7 +324,7 @@
 	(void)revents;
 	if (hub->leaving || x->answering)
 		return;
-	if (lw_place_has_room(x->service, &x->tried, hub->now_us)) {
+	if (lw_place_has_room(x->service, &x->tried, hub->now_us, true)) {
 		sink_silent(&x->sink);
 		return;
 	}
--- a/src/meshfate.c
+++ b/src/meshfate.c
@@ -65,9 +65,7 @@
 /* lw_link_may_wait() - whether the streams of a lost connection may have another fate. */
 bool lw_link_may_wait(const lw_link_t *l)
 {
-	if (l->outgoing)
-		return l->peer_incarnation != 0;
-	return l->name != 0 && !l->mesh->hub->leaving;
+	return l->outgoing ? l->peer_incarnation != 0 : l->name != 0;
 }
 
 static void unlink_orphan(lw_link_t *l)
--- a/src/place.c
+++ b/src/place.c
@@ -221,18 +221,19 @@
 }
 
 /*
- * lw_place_has_room() - whether a host of @s other than @tried is known to have
- * room for a request now. Giving up a call that may yet be answered is only
- * worth it then.
+ * lw_place_has_room() - whether a host of @s other than @tried has room for a
+ * request now; @sure: one of which nothing is known does not count. Giving up a
+ * call that may yet be answered is only worth it then.
  */
-bool lw_place_has_room(const lw_place_service_t *s, const lw_place_tried_t *tried, uint64_t now_us)
+bool lw_place_has_room(const lw_place_service_t *s, const lw_place_tried_t *tried, uint64_t now_us,
+		       bool sure)
 {
 	for (const lw_place_host_t *h = s->hosts; h; h = h->next) {
 		bool known = h->load_us && now_us - h->load_us < LOAD_STALE_US;
 
-		if (known && lw_place_usable(h, now_us) && !h->draining &&
+		if ((known || !sure) && lw_place_usable(h, now_us) && !h->draining &&
 		    host_tier(h, now_us) == TIER_GOOD && !was_tried(tried, h) &&
-		    host_use(h, true) <= 1)
+		    host_use(h, known) <= 1)
 			return true;
 	}
 	return false;
