--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -423,6 +423,27 @@
     check(len([e for e in ends if e[1] == 200]) > 25, ends)
 
 
+@test({"front": 1, "back": 1})
+async def test_stop_answers_what_it_gives_up(f):
+    """A stopping node that has to leave before its last request is over closed
+    the connection without a word; its caller could not tell the stop from a
+    fault of the network, and did not learn that the request may have run.
+      E1006 stop_step step=exit_cutting_off active=1 running=0
+    It answers 502 as its last act, and 503 where no server was given it."""
+    async def hang(s, head, rid, stage):
+        if stage == "run":
+            await asyncio.sleep(30)
+    f.nodes["back"][0].server.behave = hang
+    node = f.nodes["front"][0]
+    task = asyncio.ensure_future(node.caller().ask("POST", "/up/1", "hang", body=b"x",
+                                                   deadline=20000))
+    await until(lambda: runs(f, "hang"), lambda n: n == 1)
+    node.signal(signal.SIGTERM)
+    a = await task
+    check(a.status == 502 and a.whole and a.head.get("connection") == "close", a)
+    await until(lambda: node.proc.poll(), lambda rc: rc == 0, 1)
+
+
 @test({"front": 1, "back": 2}, relays=True)
 async def test_call_to_a_process_that_never_spoke(f):
     """Requests that no server had seen ended 502, as if they might have run: 16
