A stopping node answers what it gives up

Cause: callers whose request outlasts the stop saw a closed connection. Change: before the exit each gets 502 where it may have run, else 503.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -148,6 +148,25 @@
 	}
 }
 
+/* the process leaves: the caller is told what is known of the request */
+static void end_for_exit(lw_exchange_t *x)
+{
+	x->attempts.maybe_ran |= x->call != NULL;
+	lw_exchange_abandon_call(x);
+	if (x->answering)
+		lw_exchange_after_failure(x, LW_FAIL_LEAVING);
+	else
+		lw_exchange_answer_verdict(x, lw_retry_final(&x->attempts, LW_FAIL_LEAVING),
+					   LW_FAIL_LEAVING);
+}
+
+/* lw_engine_end_all() - answer every request that is still under way, before the process exits. */
+void lw_engine_end_all(lw_engine_t *e)
+{
+	while (e->exchanges)
+		end_for_exit(e->exchanges);
+}
+
 static void on_timeout(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	lw_exchange_t *x = w->data;
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -82,6 +82,7 @@
 } lw_exchange_ask_t;
 
 uint64_t lw_engine_oldest_us(const lw_engine_t *e);
+void lw_engine_end_all(lw_engine_t *e);
 lw_exchange_t *lw_exchange_start(lw_engine_t *e, lw_reply_t *reply, const lw_exchange_ask_t *ask);
 void lw_exchange_send(lw_exchange_t *x);
 void lw_exchange_body(lw_exchange_t *x, lw_str_t data, bool fin);
--- a/src/proxystop.c
+++ b/src/proxystop.c
@@ -64,6 +64,7 @@
 		lw_callers_close_listeners(p->callers);
 	if (plan.exit) {
 		log_step(p, state.oldest_us ? "exit_cutting_off" : "exit", &state);
+		lw_engine_end_all(&p->engine);
 		ev_break(loop, EVBREAK_ALL);
 	}
 }
