A stop waits until answers are written, and closes everything before its last lines

Cause: the exit waited for requests only; up to 64 KiB of an answer that a caller had not taken yet were cut off. Change: an answer counts as under way until it is written; connections and listeners are closed before the log is waited for.

--- a/src/caller.c
+++ b/src/caller.c
@@ -232,6 +232,23 @@
 	}
 }
 
+/* lw_callers_unwritten() - whether a caller has not taken all of an answer yet. */
+bool lw_callers_unwritten(const lw_callers_t *cs)
+{
+	for (const lw_caller_t *c = cs->conns; c; c = c->next)
+		if (lw_bytebuf_len(&c->out) && !c->ready_only)
+			return true;
+	return false;
+}
+
+/* lw_callers_end() - the process exits: close everything, so that nobody waits for its last lines. */
+void lw_callers_end(lw_callers_t *cs)
+{
+	lw_callers_close_listeners(cs);
+	while (cs->conns)
+		lw_caller_close(cs->conns);
+}
+
 /* lw_callers_count() - open connections. */
 uint32_t lw_callers_count(const lw_callers_t *cs)
 {
--- a/src/meshlink.c
+++ b/src/meshlink.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "linux/sock.h"
 #include "log.h"
@@ -127,6 +128,29 @@
 	       (unsigned long long)((l->mesh->hub->now_us - l->heard_us) / 1000));
 }
 
+/* lw_mesh_unwritten() - whether a node that sent requests has not taken all of an answer yet. */
+bool lw_mesh_unwritten(const lw_mesh_t *m)
+{
+	for (const lw_link_t *l = m->links; l; l = l->next)
+		if (!l->outgoing && lw_bytebuf_len(&l->out))
+			return true;
+	return false;
+}
+
+/*
+ * lw_mesh_end() - the process exits: write what is queued and close everything.
+ * The last lines of the log take 50 ms; connections left open meanwhile draw
+ * requests that nobody reads.
+ */
+void lw_mesh_end(lw_mesh_t *m)
+{
+	lw_mesh_flush_all(m);
+	ev_io_stop(m->hub->loop, &m->accept_io);
+	close(m->listen_fd);
+	for (const lw_link_t *l = m->links; l; l = l->next)
+		close(l->fd);
+}
+
 /*
  * lw_link_lost() - the connection is gone. Requests on it that reached the peer
  * may still run there: what became of them is asked on another connection, and
--- a/src/proxystop.c
+++ b/src/proxystop.c
@@ -3,12 +3,18 @@
 #include "proxy_int.h"
 #include "stopplan.h"
 
-/* age of the oldest request under way, of callers or of other nodes; 0: there is none */
+/*
+ * Age of the oldest request under way, of callers or of other nodes; 0: there
+ * is none. One whose answer is here is under way until its sender has taken it:
+ * an exit would cut off up to a window of it.
+ */
 static uint64_t oldest_request_us(const lw_proxy_t *p)
 {
 	uint64_t theirs = lw_gate_oldest_us(&p->engine.gate);
 	uint64_t ours = lw_engine_oldest_us(&p->engine);
 
+	if (!ours && !theirs)
+		return lw_callers_unwritten(p->callers) || lw_mesh_unwritten(p->engine.mesh);
 	return ours > theirs ? ours : theirs;
 }
 
