Mesh logs: which connection was asked after, over which one, and what was told

Cause: the logs of a frozen host's peers told neither what was asked of it nor what it said, so that a request that ran twice could not be traced. Change: six lines about connections between nodes: silent, lost, asked after, told, heard, ended. At most one each for a connection and question.

--- a/src/log.h
+++ b/src/log.h
@@ -74,6 +74,15 @@
 	X(1501, drain_finished, LOG_NOTICE, "drain finished: nothing in flight")                   \
 	X(1405, node_lost, LOG_WARNING,                                                            \
 	  "a node could not be reached or went silent; it gets no new work for a while")           \
+	X(1406, link_silent, LOG_WARNING,                                                          \
+	  "nothing comes over a connection to a node although answers are due")                    \
+	X(1407, link_lost, LOG_WARNING, "a connection between nodes was lost with requests on it") \
+	X(1408, fate_asked, LOG_NOTICE,                                                            \
+	  "a node is asked, over another connection, what became of a connection's requests")      \
+	X(1409, fate_told, LOG_NOTICE, "this node told a peer what became of such requests")       \
+	X(1410, fate_heard, LOG_NOTICE, "a node told what became of such requests")                \
+	X(1411, link_ended, LOG_NOTICE,                                                            \
+	  "requests of a lost connection got their outcome, as nobody knew more of them")          \
 	X(1600, backend_error, LOG_WARNING, "the local backend server could not be reached")
 
 typedef enum lw_event_id {
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -2,6 +2,7 @@
 #include "mesh_int.h"
 
 #include "linux/sock.h"
+#include "log.h"
 #include "xalloc.h"
 
 /* nothing heard for so long while answers are due: ask, us */
@@ -81,6 +82,10 @@
 {
 	l->silent = true;
 	l->mesh->stats.links_silent++;
+	lw_log(LW_LOG_link_silent, "node=%s link=%016llx streams=%u unwritten=%llu quiet_ms=%llu",
+	       l->node, (unsigned long long)l->name, HASH_COUNT(l->streams),
+	       (unsigned long long)(l->queued_total - l->written_total),
+	       (unsigned long long)((l->mesh->hub->now_us - l->heard_us) / 1000));
 	l->mesh->ops->lost(l->mesh->ctx, l->node);
 	if (l->streams)
 		lw_mesh_ask_fate(l);
--- a/src/meshfate.c
+++ b/src/meshfate.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "log.h"
 #include "xalloc.h"
 
 /* no answer to the question after this: the peer is suspended or gone, us */
@@ -27,6 +28,7 @@
 void lw_link_drop_streams(lw_link_t *l)
 {
 	uint64_t written = l->written_total;
+	uint32_t nunsent = 0, nmoved = 0, n = HASH_COUNT(l->streams);
 	lw_stream_t *s;
 
 	while ((s = l->streams) != NULL) {
@@ -34,12 +36,22 @@
 		lw_call_t *job = s->job;
 		bool unsent = s->open_at >= written;
 
+		nunsent += unsent && !job;
+		nmoved += s->id >= LW_STREAM_MOVED;
 		lw_stream_free(s);
 		if (job)
 			job->ops->cancel(job);
 		else if (sink)
 			sink->ops->fail(sink, unsent ? LW_FAIL_UNSENT : LW_FAIL_BROKEN, 0, NULL);
 	}
+	if (n)
+		lw_log(LW_LOG_link_ended,
+		       "node=%s link=%016llx outgoing=%d streams=%u unsent=%u moved_here=%u written=%llu waited_ms=%llu",
+		       l->node, (unsigned long long)l->name, l->outgoing, n, nunsent, nmoved,
+		       (unsigned long long)written,
+		       l->orphan_us ?
+			       (unsigned long long)((l->mesh->hub->now_us - l->orphan_us) / 1000) :
+			       0);
 	lw_link_free(l);
 }
 
@@ -105,6 +117,9 @@
 	f.query = &q;
 	lw_link_send(other, &f);
 	m->stats.queries++;
+	lw_log(LW_LOG_fate_asked, "node=%s link=%016llx over=%016llx streams=%zu lost=%d new=%d",
+	       l->node, (unsigned long long)l->name, (unsigned long long)other->name, q.n_streams,
+	       l->orphan_us != 0, other->connecting);
 	free(ids);
 }
 
@@ -198,6 +213,25 @@
 		fate->kind = LW__FATE_KIND__FATE_NEVER;
 }
 
+static uint32_t count_kind(const Lw__Fates *w, Lw__FateKind kind)
+{
+	uint32_t n = 0;
+
+	for (size_t i = 0; i < w->n_fates; i++)
+		n += w->fates[i]->kind == kind;
+	return n;
+}
+
+static void log_told(const lw_link_t *l, const lw_link_t *old, const Lw__Fates *w)
+{
+	lw_log(LW_LOG_fate_told,
+	       "link=%016llx over=%016llx known=%d lost=%d opened=%u streams=%zu moved=%u never=%u maybe_ran=%u incarnation=%016llx",
+	       (unsigned long long)w->link, (unsigned long long)l->name, old != NULL,
+	       old && old->orphan_us, old ? old->last_open : 0, w->n_fates,
+	       count_kind(w, LW__FATE_KIND__FATE_MOVED), count_kind(w, LW__FATE_KIND__FATE_NEVER),
+	       count_kind(w, LW__FATE_KIND__FATE_GONE), (unsigned long long)w->incarnation);
+}
+
 /* lw_mesh_on_query() - a peer asks what became of requests on another connection. */
 void lw_mesh_on_query(lw_link_t *l, const Lw__FateQuery *q)
 {
@@ -222,6 +256,7 @@
 	f.body_case = LW__MESH_FRAME__BODY_FATES;
 	f.fates = &w;
 	lw_link_send(l, &f);
+	log_told(l, old, &w);
 	free(list);
 	free(fate);
 	if (!old)
@@ -266,6 +301,13 @@
 	lw_link_t *old = link_by_name(l->mesh, w->link, true);
 	bool same;
 
+	lw_log(LW_LOG_fate_heard,
+	       "node=%s link=%016llx over=%016llx known=%d lost=%d moved=%u never=%u maybe_ran=%u incarnation=%016llx before=%016llx",
+	       l->node, (unsigned long long)w->link, (unsigned long long)l->name, old != NULL,
+	       old && old->orphan_us, count_kind(w, LW__FATE_KIND__FATE_MOVED),
+	       count_kind(w, LW__FATE_KIND__FATE_NEVER), count_kind(w, LW__FATE_KIND__FATE_GONE),
+	       (unsigned long long)w->incarnation,
+	       old ? (unsigned long long)old->peer_incarnation : 0);
 	if (!old || old == l)
 		return;
 	same = old->peer_incarnation && old->peer_incarnation == w->incarnation;
--- a/src/meshlink.c
+++ b/src/meshlink.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include "linux/sock.h"
+#include "log.h"
 #include "xalloc.h"
 
 #define READ_BYTES 65536
@@ -100,6 +101,10 @@
 	if (l->closed)
 		return;
 	l->mesh->stats.links_lost++;
+	if (l->streams)
+		lw_log(LW_LOG_link_lost, "node=%s link=%016llx outgoing=%d silent=%d streams=%u",
+		       l->node, (unsigned long long)l->name, l->outgoing, l->silent,
+		       HASH_COUNT(l->streams));
 	link_close(l);
 	if (l->outgoing && !l->silent)
 		l->mesh->ops->lost(l->mesh->ctx, l->node);
