--- a/tests/mesh/relay.py
+++ b/tests/mesh/relay.py
@@ -1,4 +1,4 @@
-"""A loopback relay that can delay, reset, silence, refuse or swallow one way."""
+"""A loopback relay that can delay, reset, silence, refuse, keep back or swallow one way."""
 import asyncio
 
 
@@ -9,6 +9,8 @@
         self.addr, self.to = (ip, port), (to_ip, to_port)
         self.delay = 0.0
         self.mute = set()  # directions "in", "out" that are swallowed
+        self.kept = set()  # directions that are kept back until release()
+        self.waiting = []  # what is kept back, in the order it began to be
         self.refuse = False
         self.pairs = set()
 
@@ -37,6 +39,8 @@
         try:
             while True:
                 data = await reader.read(65536)
+                if way in self.kept:
+                    data = await self.keep(reader, data)
                 if not data:
                     break
                 if self.delay:
@@ -50,6 +54,30 @@
         finally:
             writer.close()
 
+    async def keep(self, reader, data):
+        """All that comes until release(); an end or reset shows at the next read."""
+        let_go = asyncio.get_event_loop().create_future()
+        self.waiting.append(let_go)
+        while data and not let_go.done():
+            more = asyncio.ensure_future(reader.read(65536))
+            await asyncio.wait({more, let_go}, return_when=asyncio.FIRST_COMPLETED)
+            if not more.done():
+                more.cancel()
+                await asyncio.wait({more})
+                break
+            if more.exception() or not more.result():
+                break
+            data += more.result()
+        await let_go
+        return data
+
+    async def release(self):
+        """Let go what was kept back, connection by connection."""
+        self.kept.clear()
+        while self.waiting:
+            self.waiting.pop(0).set_result(None)
+            await asyncio.sleep(0.01)
+
     def reset_all(self):
         for a, b in list(self.pairs):
             a.transport.abort()
