A request the peer said it has never counts as unsent

Cause: a request whose connection went silent goes on over another one. When that was lost and nobody knew more, the request's place among the bytes of its first connection was compared with the bytes written to the second; a fresh connection has fewer, so a request that ran counted as unsent and was given to another server, uploads too. Change: what the peer said it has is marked; it may have run.

--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -25,7 +25,8 @@
 	lw_call_t *job; /* incoming: the call at the gate */
 	lw_link_t *link;
 	uint32_t id;
-	uint64_t open_at; /* outgoing: bytes queued on the link before its first frame */
+	uint64_t open_at; /* outgoing: bytes queued before its first frame, on its first link */
+	bool received; /* outgoing: the peer said that it has it */
 	bool dead;
 	bool request_whole; /* incoming: the body of the request is complete */
 	bool answering; /* incoming: a part of the answer was sent */
--- a/src/meshfate.c
+++ b/src/meshfate.c
@@ -24,17 +24,25 @@
  */
 #define ORPHAN_WAIT_US 300000
 
+/*
+ * None of its bytes left this host. A stream that moved here counts its bytes on
+ * its first connection: compared with this one's, a request that runs looked unsent.
+ */
+static bool stream_unsent(const lw_stream_t *s)
+{
+	return !s->received && s->open_at >= s->link->written_total;
+}
+
 /* lw_link_drop_streams() - every request on a closed connection has its outcome now. */
 void lw_link_drop_streams(lw_link_t *l)
 {
-	uint64_t written = l->written_total;
 	uint32_t nunsent = 0, nmoved = 0, n = HASH_COUNT(l->streams);
 	lw_stream_t *s;
 
 	while ((s = l->streams) != NULL) {
 		lw_sink_t *sink = s->call.sink;
 		lw_call_t *job = s->job;
-		bool unsent = s->open_at >= written;
+		bool unsent = stream_unsent(s);
 
 		nunsent += unsent && !job;
 		nmoved += s->id >= LW_STREAM_MOVED;
@@ -48,7 +56,7 @@
 		lw_log(LW_LOG_link_ended,
 		       "node=%s link=%016llx outgoing=%d streams=%u unsent=%u moved_here=%u written=%llu waited_ms=%llu",
 		       l->node, (unsigned long long)l->name, l->outgoing, n, nunsent, nmoved,
-		       (unsigned long long)written,
+		       (unsigned long long)l->written_total,
 		       l->orphan_us ?
 			       (unsigned long long)((l->mesh->hub->now_us - l->orphan_us) / 1000) :
 			       0);
@@ -281,6 +289,7 @@
 		HASH_DEL(old->streams, s);
 		s->link = l;
 		s->id = fate->moved_to;
+		s->received = true;
 		HASH_ADD(hh, l->streams, id, sizeof(s->id), s);
 		l->mesh->stats.moved++;
 		return;
