Requests that move to a connection already asked after have a question of their own

Cause: when questions about two connections cross, the peer moves requests to the second one and then closes it, as the question about it did not name them. The sender counted that connection as asked after and never asked again: the requests were lost with their server at work (502; before, they ran twice). Change: each request knows whether a question named it; those not named are asked after as soon as the sender hears that they moved.

--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -27,6 +27,7 @@
 	uint32_t id;
 	uint64_t open_at; /* outgoing: bytes queued before its first frame, on its first link */
 	bool received; /* outgoing: the peer said that it has it */
+	bool asked; /* outgoing: named in a question that has no answer yet */
 	bool dead;
 	bool request_whole; /* incoming: the body of the request is complete */
 	bool answering; /* incoming: a part of the answer was sent */
--- a/src/meshfate.c
+++ b/src/meshfate.c
@@ -81,6 +81,13 @@
 		*at = l->next;
 }
 
+/* no question about @l was answered in time: all its streams may be asked after again */
+static void forget_questions(lw_link_t *l)
+{
+	for (lw_stream_t *s = l->streams; s; s = s->hh.next)
+		s->asked = false;
+}
+
 /* lw_link_orphan() - keep the streams of a lost connection for a moment. */
 void lw_link_orphan(lw_link_t *l)
 {
@@ -91,8 +98,11 @@
 	m->orphans = l;
 	if (!ev_is_active(&m->watch))
 		ev_timer_again(m->hub->loop, &m->watch);
-	if (l->outgoing && !l->query_us)
-		lw_mesh_ask_fate(l);
+	if (!l->outgoing)
+		return;
+	if (!l->query_us)
+		forget_questions(l);
+	lw_mesh_ask_fate(l);
 }
 
 static void orphan_over(lw_link_t *l)
@@ -101,24 +111,49 @@
 	lw_link_drop_streams(l);
 }
 
-/* lw_mesh_ask_fate() - ask the peer what became of the requests on @l. */
+/* the streams of @l that no question has named, from now on named in one; the caller frees them */
+static uint32_t *name_streams(lw_link_t *l, size_t *n)
+{
+	uint32_t *ids = xcalloc(HASH_COUNT(l->streams) + 1, sizeof(*ids));
+	lw_stream_t *s, *tmp;
+
+	HASH_ITER(hh, l->streams, s, tmp)
+	{
+		if (!s->asked)
+			ids[(*n)++] = s->id;
+		s->asked = true;
+	}
+	return ids;
+}
+
+static bool all_asked(const lw_link_t *l)
+{
+	for (const lw_stream_t *s = l->streams; s; s = s->hh.next)
+		if (!s->asked)
+			return false;
+	return true;
+}
+
+/*
+ * lw_mesh_ask_fate() - ask the peer what became of the requests on @l. The peer
+ * ends all that a question does not name, so those that come to @l after one
+ * have a question of their own.
+ */
 void lw_mesh_ask_fate(lw_link_t *l)
 {
 	lw_mesh_t *m = l->mesh;
-	lw_link_t *other = lw_link_to(m, l->node);
 	Lw__FateQuery q = LW__FATE_QUERY__INIT;
 	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
-	lw_stream_t *s, *tmp;
+	lw_link_t *other;
 	uint32_t *ids;
 
+	if (all_asked(l))
+		return;
 	l->query_us = m->hub->now_us;
+	other = lw_link_to(m, l->node);
 	if (!other)
 		return;
-	ids = xcalloc(HASH_COUNT(l->streams) + 1, sizeof(*ids));
-	HASH_ITER(hh, l->streams, s, tmp)
-	{
-		ids[q.n_streams++] = s->id;
-	}
+	ids = name_streams(l, &q.n_streams);
 	q.link = l->name;
 	q.streams = ids;
 	f.body_case = LW__MESH_FRAME__BODY_QUERY;
@@ -140,6 +175,7 @@
 		orphan_over(l);
 		return;
 	}
+	l->query_us = 0;
 	HASH_ITER(hh, l->streams, s, tmp)
 	{
 		if (!s->dead && s->call.sink)
@@ -290,6 +326,7 @@
 		s->link = l;
 		s->id = fate->moved_to;
 		s->received = true;
+		s->asked = false;
 		HASH_ADD(hh, l->streams, id, sizeof(s->id), s);
 		l->mesh->stats.moved++;
 		return;
@@ -322,6 +359,8 @@
 	same = old->peer_incarnation && old->peer_incarnation == w->incarnation;
 	for (size_t i = 0; i < w->n_fates; i++)
 		take_fate(old, l, w->fates[i], same);
+	if (l->silent)
+		lw_mesh_ask_fate(l);
 	if (old->streams)
 		return;
 	if (old->orphan_us)
@@ -344,9 +383,7 @@
 	}
 	for (lw_link_t *l = m->links; l; l = next) {
 		next = l->next;
-		if (l->silent && l->query_us && now - l->query_us > FATE_WAIT_US) {
-			l->query_us = 0;
+		if (l->silent && l->query_us && now - l->query_us > FATE_WAIT_US)
 			query_over(l);
-		}
 	}
 }
