A request that moved after its caller left is cancelled where it runs

Cause: a cancellation goes over the connection the sender knows; the peer had moved the request and closed that one, and the sender ignored the word of it. Change: a request told as moved that nobody waits for is cancelled there.

--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -107,6 +107,7 @@
 void lw_mesh_fill_load(lw_link_t *l, lw_meshframe_load_t *out, const lw_load_t *load);
 void lw_mesh_take_levels(lw_link_t *l, const Lw__Load *load);
 void lw_mesh_send_status(lw_link_t *l, bool is_reply);
+void lw_mesh_send_cancel(lw_link_t *l, uint32_t id);
 void lw_stream_free(lw_stream_t *s);
 void lw_mesh_on_open(lw_link_t *l, const Lw__Open *o);
 void lw_mesh_on_answer(lw_link_t *l, const Lw__Answer *w);
--- a/src/meshcall.c
+++ b/src/meshcall.c
@@ -69,18 +69,25 @@
 		send_credit(s, bytes);
 }
 
-static void call_cancel(lw_call_t *call)
+/* lw_mesh_send_cancel() - nobody waits for the answer of stream @id any more. */
+void lw_mesh_send_cancel(lw_link_t *l, uint32_t id)
 {
-	lw_stream_t *s = (lw_stream_t *)call;
 	Lw__Cancel c = LW__CANCEL__INIT;
 	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
 
-	if (s->dead)
-		return;
-	c.stream = s->id;
+	c.stream = id;
 	f.body_case = LW__MESH_FRAME__BODY_CANCEL;
 	f.cancel = &c;
-	lw_link_send(s->link, &f);
+	lw_link_send(l, &f);
+}
+
+static void call_cancel(lw_call_t *call)
+{
+	lw_stream_t *s = (lw_stream_t *)call;
+
+	if (s->dead)
+		return;
+	lw_mesh_send_cancel(s->link, s->id);
 	lw_stream_free(s);
 }
 
--- a/src/meshfate.c
+++ b/src/meshfate.c
@@ -312,15 +312,21 @@
 		lw_link_lost(old);
 }
 
+/* what became of one request; @old: its connection, NULL if nothing waits on it */
 static void take_fate(lw_link_t *old, lw_link_t *l, const Lw__Fate *fate, bool same_process)
 {
 	uint32_t id = fate->stream;
-	lw_stream_t *s;
+	lw_stream_t *s = NULL;
 	lw_sink_t *sink;
 
-	HASH_FIND(hh, old->streams, &id, sizeof(id), s);
-	if (!s || s->dead || !s->call.sink)
+	if (old)
+		HASH_FIND(hh, old->streams, &id, sizeof(id), s);
+	if (!s || s->dead || !s->call.sink) {
+		/* given up before this was heard: the word of that went to a closed connection */
+		if (fate->kind == LW__FATE_KIND__FATE_MOVED)
+			lw_mesh_send_cancel(l, fate->moved_to);
 		return;
+	}
 	if (same_process && fate->kind == LW__FATE_KIND__FATE_MOVED) {
 		HASH_DEL(old->streams, s);
 		s->link = l;
@@ -354,14 +360,14 @@
 	       count_kind(w, LW__FATE_KIND__FATE_NEVER), count_kind(w, LW__FATE_KIND__FATE_GONE),
 	       (unsigned long long)w->incarnation,
 	       old ? (unsigned long long)old->peer_incarnation : 0);
-	if (!old || old == l)
+	if (old == l)
 		return;
-	same = old->peer_incarnation && old->peer_incarnation == w->incarnation;
+	same = old && old->peer_incarnation && old->peer_incarnation == w->incarnation;
 	for (size_t i = 0; i < w->n_fates; i++)
 		take_fate(old, l, w->fates[i], same);
 	if (l->silent)
 		lw_mesh_ask_fate(l);
-	if (old->streams)
+	if (!old || old->streams)
 		return;
 	if (old->orphan_us)
 		orphan_over(old);
--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -1011,6 +1011,26 @@
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
+@test({"front": 1, "back": 2}, relays=True)
+async def test_left_while_moving(f):
+    """A server works on for a caller that is gone. Nothing came from the host for
+    a moment, the sender asked after an upload over a new connection and the host
+    moved it there. The caller left before the sender heard that, and what told
+    the host so went over the first connection, which the host had closed."""
+    node, host = f.nodes["front"][0], f.nodes["back"][0]
+    begin, _ = await upload_to_first(f, "left")
+    upload = begin()
+    await until(lambda: runs(f, "left"), lambda n: n == 1)
+    host.relay.kept.add("out")
+    await until(lambda: lines_with(host, "fate_told", "moved=1"), bool)
+    f.callers[-1].close()
+    await asyncio.sleep(0.2)
+    await host.relay.release()
+    await until(lambda: [r for _, r in host.server.cancelled if r == "left"], bool, 0.5)
+    await asyncio.gather(upload, return_exceptions=True)
+    check(not lines_with(node, "request_retried", "left"), "given to another server")
+
+
 @test({"front": 1, "back": 1})
 async def test_big_bodies_bounded(f):
     """A 64 MiB upload to a server that reads slowly, and a caller that reads a
