--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -25,7 +25,9 @@
 	lw_call_t *job; /* incoming: the call at the gate */
 	lw_link_t *link;
 	uint32_t id;
-	uint64_t open_at; /* outgoing: bytes queued on the link before its first frame */
+	uint64_t open_at; /* outgoing: bytes queued before its first frame, on its first link */
+	bool received; /* outgoing: the peer said that it has it */
+	bool asked; /* outgoing: named in a question that has no answer yet */
 	bool dead;
 	bool request_whole; /* incoming: the body of the request is complete */
 	bool answering; /* incoming: a part of the answer was sent */
@@ -92,6 +94,7 @@
 
 bool lw_link_greeted(const lw_link_t *l);
 void lw_link_drop_unsent(lw_link_t *l);
+bool lw_stream_unsent(const lw_stream_t *s);
 bool lw_link_may_wait(const lw_link_t *l);
 void lw_link_orphan(lw_link_t *l);
 void lw_link_drop_streams(lw_link_t *l);
@@ -108,6 +111,7 @@
 void lw_mesh_fill_load(lw_link_t *l, lw_meshframe_load_t *out, const lw_load_t *load);
 void lw_mesh_take_levels(lw_link_t *l, const Lw__Load *load);
 void lw_mesh_send_status(lw_link_t *l, bool is_reply);
+void lw_mesh_send_cancel(lw_link_t *l, uint32_t id);
 void lw_stream_free(lw_stream_t *s);
 void lw_mesh_on_open(lw_link_t *l, const Lw__Open *o);
 void lw_mesh_on_answer(lw_link_t *l, const Lw__Answer *w);
--- a/src/meshfate.c
+++ b/src/meshfate.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "log.h"
 #include "xalloc.h"
 
 /* no answer to the question after this: the peer is suspended or gone, us */
@@ -23,23 +24,42 @@
  */
 #define ORPHAN_WAIT_US 300000
 
+/*
+ * lw_stream_unsent() - whether none of its bytes left this host. A stream that moved here counts its bytes on
+ * its first connection: compared with this one's, a request that runs looked unsent.
+ */
+bool lw_stream_unsent(const lw_stream_t *s)
+{
+	return !s->received && s->open_at >= s->link->written_total;
+}
+
 /* lw_link_drop_streams() - every request on a closed connection has its outcome now. */
 void lw_link_drop_streams(lw_link_t *l)
 {
-	uint64_t written = l->written_total;
+	uint32_t nunsent = 0, nmoved = 0, n = HASH_COUNT(l->streams);
 	lw_stream_t *s;
 
 	while ((s = l->streams) != NULL) {
 		lw_sink_t *sink = s->call.sink;
 		lw_call_t *job = s->job;
-		bool unsent = s->open_at >= written;
+		bool unsent = lw_stream_unsent(s);
 
+		nunsent += unsent && !job;
+		nmoved += s->id >= LW_STREAM_MOVED;
 		lw_stream_free(s);
 		if (job)
 			job->ops->cancel(job);
 		else if (sink)
 			sink->ops->fail(sink, unsent ? LW_FAIL_UNSENT : LW_FAIL_BROKEN, 0, NULL);
 	}
+	if (n)
+		lw_log(LW_LOG_link_ended,
+		       "node=%s link=%016llx outgoing=%d streams=%u unsent=%u moved_here=%u written=%llu waited_ms=%llu",
+		       l->node, (unsigned long long)l->name, l->outgoing, n, nunsent, nmoved,
+		       (unsigned long long)l->written_total,
+		       l->orphan_us ?
+			       (unsigned long long)((l->mesh->hub->now_us - l->orphan_us) / 1000) :
+			       0);
 	lw_link_free(l);
 }
 
@@ -55,7 +75,7 @@
 	{
 		lw_sink_t *sink = s->call.sink;
 
-		if (s->dead || !sink || s->open_at < l->written_total)
+		if (s->dead || !sink || !lw_stream_unsent(s))
 			continue;
 		lw_stream_free(s);
 		sink->ops->fail(sink, LW_FAIL_UNSENT, 0, NULL);
@@ -78,6 +98,13 @@
 		*at = l->next;
 }
 
+/* no question about @l was answered in time: all its streams may be asked after again */
+static void forget_questions(lw_link_t *l)
+{
+	for (lw_stream_t *s = l->streams; s; s = s->hh.next)
+		s->asked = false;
+}
+
 /* lw_link_orphan() - keep the streams of a lost connection for a moment. */
 void lw_link_orphan(lw_link_t *l)
 {
@@ -88,8 +115,11 @@
 	m->orphans = l;
 	if (!ev_is_active(&m->watch))
 		ev_timer_again(m->hub->loop, &m->watch);
-	if (l->outgoing && !l->query_us)
-		lw_mesh_ask_fate(l);
+	if (!l->outgoing)
+		return;
+	if (!l->query_us)
+		forget_questions(l);
+	lw_mesh_ask_fate(l);
 }
 
 static void orphan_over(lw_link_t *l)
@@ -98,30 +128,58 @@
 	lw_link_drop_streams(l);
 }
 
-/* lw_mesh_ask_fate() - ask the peer what became of the requests on @l. */
+/* the streams of @l that no question has named, from now on named in one; the caller frees them */
+static uint32_t *name_streams(lw_link_t *l, size_t *n)
+{
+	uint32_t *ids = xcalloc(HASH_COUNT(l->streams) + 1, sizeof(*ids));
+	lw_stream_t *s, *tmp;
+
+	HASH_ITER(hh, l->streams, s, tmp)
+	{
+		if (!s->asked)
+			ids[(*n)++] = s->id;
+		s->asked = true;
+	}
+	return ids;
+}
+
+static bool all_asked(const lw_link_t *l)
+{
+	for (const lw_stream_t *s = l->streams; s; s = s->hh.next)
+		if (!s->asked)
+			return false;
+	return true;
+}
+
+/*
+ * lw_mesh_ask_fate() - ask the peer what became of the requests on @l. The peer
+ * ends all that a question does not name, so those that come to @l after one
+ * have a question of their own.
+ */
 void lw_mesh_ask_fate(lw_link_t *l)
 {
 	lw_mesh_t *m = l->mesh;
-	lw_link_t *other = lw_link_to(m, l->node);
 	Lw__FateQuery q = LW__FATE_QUERY__INIT;
 	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
-	lw_stream_t *s, *tmp;
+	lw_link_t *other;
 	uint32_t *ids;
 
+	if (all_asked(l))
+		return;
 	l->query_us = m->hub->now_us;
+	other = lw_link_to(m, l->node);
 	if (!other)
 		return;
-	ids = xcalloc(HASH_COUNT(l->streams) + 1, sizeof(*ids));
-	HASH_ITER(hh, l->streams, s, tmp)
-	{
-		ids[q.n_streams++] = s->id;
-	}
+	ids = name_streams(l, &q.n_streams);
 	q.link = l->name;
 	q.streams = ids;
 	f.body_case = LW__MESH_FRAME__BODY_QUERY;
 	f.query = &q;
 	lw_link_send(other, &f);
 	m->stats.queries++;
+	lw_log(LW_LOG_fate_asked, "node=%s link=%016llx over=%016llx streams=%zu lost=%d new=%d",
+	       l->node, (unsigned long long)l->name, (unsigned long long)other->name, q.n_streams,
+	       l->orphan_us != 0, other->connecting);
 	free(ids);
 }
 
@@ -134,6 +192,7 @@
 		orphan_over(l);
 		return;
 	}
+	l->query_us = 0;
 	HASH_ITER(hh, l->streams, s, tmp)
 	{
 		if (!s->dead && s->call.sink)
@@ -215,6 +274,25 @@
 		fate->kind = LW__FATE_KIND__FATE_NEVER;
 }
 
+static uint32_t count_kind(const Lw__Fates *w, Lw__FateKind kind)
+{
+	uint32_t n = 0;
+
+	for (size_t i = 0; i < w->n_fates; i++)
+		n += w->fates[i]->kind == kind;
+	return n;
+}
+
+static void log_told(const lw_link_t *l, const lw_link_t *old, const Lw__Fates *w)
+{
+	lw_log(LW_LOG_fate_told,
+	       "link=%016llx over=%016llx known=%d lost=%d opened=%u streams=%zu moved=%u never=%u maybe_ran=%u incarnation=%016llx",
+	       (unsigned long long)w->link, (unsigned long long)l->name, old != NULL,
+	       old && old->orphan_us, old ? old->last_open : 0, w->n_fates,
+	       count_kind(w, LW__FATE_KIND__FATE_MOVED), count_kind(w, LW__FATE_KIND__FATE_NEVER),
+	       count_kind(w, LW__FATE_KIND__FATE_GONE), (unsigned long long)w->incarnation);
+}
+
 /* lw_mesh_on_query() - a peer asks what became of requests on another connection. */
 void lw_mesh_on_query(lw_link_t *l, const Lw__FateQuery *q)
 {
@@ -239,6 +317,7 @@
 	f.body_case = LW__MESH_FRAME__BODY_FATES;
 	f.fates = &w;
 	lw_link_send(l, &f);
+	log_told(l, old, &w);
 	free(list);
 	free(fate);
 	if (!old)
@@ -250,19 +329,27 @@
 		lw_link_lost(old);
 }
 
+/* what became of one request; @old: its connection, NULL if nothing waits on it */
 static void take_fate(lw_link_t *old, lw_link_t *l, const Lw__Fate *fate, bool same_process)
 {
 	uint32_t id = fate->stream;
-	lw_stream_t *s;
+	lw_stream_t *s = NULL;
 	lw_sink_t *sink;
 
-	HASH_FIND(hh, old->streams, &id, sizeof(id), s);
-	if (!s || s->dead || !s->call.sink)
+	if (old)
+		HASH_FIND(hh, old->streams, &id, sizeof(id), s);
+	if (!s || s->dead || !s->call.sink) {
+		/* given up before this was heard: the word of that went to a closed connection */
+		if (fate->kind == LW__FATE_KIND__FATE_MOVED)
+			lw_mesh_send_cancel(l, fate->moved_to);
 		return;
+	}
 	if (same_process && fate->kind == LW__FATE_KIND__FATE_MOVED) {
 		HASH_DEL(old->streams, s);
 		s->link = l;
 		s->id = fate->moved_to;
+		s->received = true;
+		s->asked = false;
 		HASH_ADD(hh, l->streams, id, sizeof(s->id), s);
 		l->mesh->stats.moved++;
 		return;
@@ -283,12 +370,21 @@
 	lw_link_t *old = link_by_name(l->mesh, w->link, true);
 	bool same;
 
-	if (!old || old == l)
+	lw_log(LW_LOG_fate_heard,
+	       "node=%s link=%016llx over=%016llx known=%d lost=%d moved=%u never=%u maybe_ran=%u incarnation=%016llx before=%016llx",
+	       l->node, (unsigned long long)w->link, (unsigned long long)l->name, old != NULL,
+	       old && old->orphan_us, count_kind(w, LW__FATE_KIND__FATE_MOVED),
+	       count_kind(w, LW__FATE_KIND__FATE_NEVER), count_kind(w, LW__FATE_KIND__FATE_GONE),
+	       (unsigned long long)w->incarnation,
+	       old ? (unsigned long long)old->peer_incarnation : 0);
+	if (old == l)
 		return;
-	same = old->peer_incarnation && old->peer_incarnation == w->incarnation;
+	same = old && old->peer_incarnation && old->peer_incarnation == w->incarnation;
 	for (size_t i = 0; i < w->n_fates; i++)
 		take_fate(old, l, w->fates[i], same);
-	if (old->streams)
+	if (l->silent)
+		lw_mesh_ask_fate(l);
+	if (!old || old->streams)
 		return;
 	if (old->orphan_us)
 		orphan_over(old);
@@ -310,9 +406,7 @@
 	}
 	for (lw_link_t *l = m->links; l; l = next) {
 		next = l->next;
-		if (l->silent && l->query_us && now - l->query_us > FATE_WAIT_US) {
-			l->query_us = 0;
+		if (l->silent && l->query_us && now - l->query_us > FATE_WAIT_US)
 			query_over(l);
-		}
 	}
 }
--- a/src/meshlink.c
+++ b/src/meshlink.c
@@ -112,19 +112,20 @@
 	}
 }
 
-/* what an operator needs to tell whether the calls on a lost connection had arrived */
-static void log_calls_cut(const lw_link_t *l)
+/* what tells an operator whether the requests on a lost connection had arrived */
+static void log_lost(const lw_link_t *l)
 {
 	uint32_t unsent = 0;
 
-	if (!l->outgoing || !l->streams)
+	if (!l->streams)
 		return;
 	for (const lw_stream_t *s = l->streams; s; s = s->hh.next)
-		unsent += s->open_at >= l->written_total;
-	lw_log(LW_LOG_calls_cut,
-	       "node=%s calls=%u unsent=%u connected=%d heard=%d silent=%d opened_ms=%llu quiet_ms=%llu",
-	       l->node, HASH_COUNT(l->streams), unsent, !l->connecting, l->peer_incarnation != 0,
-	       l->silent, (unsigned long long)((l->mesh->hub->now_us - l->opened_us) / 1000),
+		unsent += l->outgoing && lw_stream_unsent(s);
+	lw_log(LW_LOG_link_lost,
+	       "node=%s link=%016llx outgoing=%d silent=%d streams=%u unsent=%u connected=%d heard=%d opened_ms=%llu quiet_ms=%llu",
+	       l->node, (unsigned long long)l->name, l->outgoing, l->silent, HASH_COUNT(l->streams),
+	       unsent, !l->connecting, l->peer_incarnation != 0,
+	       (unsigned long long)((l->mesh->hub->now_us - l->opened_us) / 1000),
 	       (unsigned long long)((l->mesh->hub->now_us - l->heard_us) / 1000));
 }
 
@@ -161,7 +162,7 @@
 	if (l->closed)
 		return;
 	l->mesh->stats.links_lost++;
-	log_calls_cut(l);
+	log_lost(l);
 	link_close(l);
 	if (l->outgoing && !l->silent)
 		l->mesh->ops->lost(l->mesh->ctx, l->node);
