--- a/src/bytebuf.c
+++ b/src/bytebuf.c
@@ -102,6 +102,12 @@
 	va_end(again);
 }
 
+/* lw_bytebuf_cut() - drop @len bytes from the end. */
+void lw_bytebuf_cut(lw_bytebuf_t *b, size_t len)
+{
+	b->end -= len;
+}
+
 /* lw_bytebuf_consume() - drop @len bytes from the front. */
 void lw_bytebuf_consume(lw_bytebuf_t *b, size_t len)
 {
--- a/src/bytebuf.h
+++ b/src/bytebuf.h
@@ -24,6 +24,7 @@
 void lw_bytebuf_append_c(lw_bytebuf_t *b, const char *s);
 void lw_bytebuf_append_str(lw_bytebuf_t *b, lw_str_t s);
 void lw_bytebuf_printf(lw_bytebuf_t *b, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+void lw_bytebuf_cut(lw_bytebuf_t *b, size_t len);
 void lw_bytebuf_consume(lw_bytebuf_t *b, size_t len);
 
 #endif
--- a/src/caller.c
+++ b/src/caller.c
@@ -12,6 +12,8 @@
 #define BODY_DEFAULT_BYTES (64u * 1024 * 1024)
 #define HEAD_DEFAULT_MS	   3000
 #define IDLE_DEFAULT_MS	   15000
+/* a connection without a request is not closed for a stop while it is younger, us */
+#define FRESH_US 500000
 /* descriptors left for peers, the backend server and files */
 #define FDS_RESERVED 700
 
@@ -207,15 +209,19 @@
 	cs->ready = ready;
 }
 
-/* lw_callers_close_idle() - close connections that carry no request now. */
+/*
+ * lw_callers_close_idle() - close connections that carry no request now, but for
+ * fresh ones: the first request of a caller, or a call of running work, may lie
+ * unread in the kernel (8 of 433 runs with a call failed so).
+ */
 void lw_callers_close_idle(lw_callers_t *cs)
 {
 	lw_caller_t *next;
 
 	for (lw_caller_t *c = cs->conns; c; c = next) {
 		next = c->next;
-		if (c->state == CALLER_HEAD && !lw_bytebuf_len(&c->in) && !c->ready_only &&
-		    !lw_bytebuf_len(&c->out))
+		if (cs->hub->now_us - c->since_us >= FRESH_US && c->state == CALLER_HEAD &&
+		    !lw_bytebuf_len(&c->in) && !c->ready_only && !lw_bytebuf_len(&c->out))
 			lw_caller_close(c);
 	}
 }
--- a/src/gate.c
+++ b/src/gate.c
@@ -1,6 +1,7 @@
 /* Admission to the backend server on this host; see gate.h. */
 #include "gate_int.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "admit.h"
@@ -18,8 +19,8 @@
 #define LOST_LEAST_US 100000
 /* the average of failures fades by this in each step: it halves in about 3 s */
 #define FAILING_FADES 0.977
-/* the longest run of late fades by this in each step: it halves in about 7 s */
-#define LONGEST_FADES 0.99
+/* the longest run of late counts half after this, us */
+#define LONGEST_HALVES_US 7000000
 /* a server that took no connection is tried again after this, us */
 #define DOWN_US 250000
 /* steps without work after which the level's timer stops */
@@ -93,6 +94,22 @@
 	g->lost = overdue < g->running - known ? overdue : g->running - known;
 }
 
+/* the longest run of late; it fades with time, also while nothing runs */
+static double longest_run_us(const lw_gate_t *g)
+{
+	return g->longest_us *
+	       exp2(-(double)(g->hub->now_us - g->longest_at_us) / LONGEST_HALVES_US);
+}
+
+/* lw_gate_ran() - a run took @took_us. */
+void lw_gate_ran(lw_gate_t *g, uint64_t took_us)
+{
+	if ((double)took_us < longest_run_us(g))
+		return;
+	g->longest_us = (double)took_us;
+	g->longest_at_us = g->hub->now_us;
+}
+
 /* whether a request that starts after @wait_us is over before this process exits */
 static bool ends_in_time(const lw_gate_t *g, uint64_t wait_us, uint64_t deadline_us)
 {
@@ -100,7 +117,7 @@
 	uint64_t left_us = hub->exit_us > hub->now_us ? hub->exit_us - hub->now_us : 0;
 
 	return !hub->exit_us ||
-	       lw_stopplan_takes(left_us, wait_us, (uint64_t)g->longest_us, deadline_us);
+	       lw_stopplan_takes(left_us, wait_us, (uint64_t)longest_run_us(g), deadline_us);
 }
 
 /* what waits, once its turn has come: started, or handed back as it would meet the exit */
@@ -344,7 +361,6 @@
 	g->quiet_steps = quiet ? g->quiet_steps + 1 : 0;
 	lw_level_step(&g->level, &in);
 	g->failing *= FAILING_FADES;
-	g->longest_us *= LONGEST_FADES;
 	count_lost(g);
 	if (g->queue.first)
 		lw_gate_dispatch(g);
--- a/src/gate.h
+++ b/src/gate.h
@@ -38,7 +38,8 @@
 	bool tells_load;
 	double failing; /* moving average: 0 none of its requests fails, 1 all do */
 	double service_us; /* moving average of the time a request runs */
-	double longest_us; /* longest run of late; fades */
+	double longest_us; /* longest run of late */
+	uint64_t longest_at_us; /* when it ended; it fades from then on */
 	bool leaving; /* the backend server takes no new work */
 	uint64_t down_until_us; /* it took no connection: none is tried until then */
 	bool refusing; /* this node is about to exit */
--- a/src/gate_int.h
+++ b/src/gate_int.h
@@ -52,6 +52,7 @@
 lw_bconn_t *lw_gate_take_connection(lw_gate_t *g);
 void lw_job_start(lw_job_t *j);
 void lw_gate_dispatch(lw_gate_t *g);
+void lw_gate_ran(lw_gate_t *g, uint64_t took_us);
 void lw_gate_server_down(lw_gate_t *g);
 lw_job_t *lw_job_new(lw_gate_t *g, lw_sink_t *sink, const lw_ask_t *ask);
 
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -199,8 +199,7 @@
 	 * failed while they said they were healthy drew a third of all calls of a
 	 * service, and 12,700 requests were lost in five seconds.
 	 */
-	if ((double)took > g->longest_us)
-		g->longest_us = (double)took;
+	lw_gate_ran(g, took);
 	if (j->answer_head.status < 500)
 		g->service_us += SERVICE_EWMA * ((double)took - g->service_us);
 	g->stats.answered++;
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -13,8 +13,11 @@
 #define WATCH_STEP_S 0.1
 /* an idle connection is tested so often: a middlebox may have dropped it, us */
 #define IDLE_ASK_US 2000000
-/* a connection on which the peer has not spoken after this has failed, us */
-#define CONNECT_MAX_US 700000
+/*
+ * A connection on which the peer has not spoken after this has failed. What is
+ * held for it meanwhile keeps the deadline it had when it was given, us.
+ */
+#define CONNECT_MAX_US 400000
 
 /* lw_mesh_on_frame() - act on one frame. */
 void lw_mesh_on_frame(lw_link_t *l, const Lw__MeshFrame *f)
--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -94,6 +94,7 @@
 
 bool lw_link_greeted(const lw_link_t *l);
 void lw_link_drop_unsent(lw_link_t *l);
+void lw_link_cut_held(lw_link_t *l);
 bool lw_stream_unsent(const lw_stream_t *s);
 bool lw_link_may_wait(const lw_link_t *l);
 void lw_link_orphan(lw_link_t *l);
--- a/src/meshfate.c
+++ b/src/meshfate.c
@@ -71,6 +71,7 @@
 {
 	lw_stream_t *s, *tmp;
 
+	lw_link_cut_held(l);
 	HASH_ITER(hh, l->streams, s, tmp)
 	{
 		lw_sink_t *sink = s->call.sink;
--- a/src/meshlink.c
+++ b/src/meshlink.c
@@ -75,6 +75,15 @@
 	lw_link_frame_queued(l, before);
 }
 
+/* lw_link_cut_held() - what was held for the peer's first words is never written. */
+void lw_link_cut_held(lw_link_t *l)
+{
+	uint64_t held = l->queued_total - l->hello_bytes;
+
+	lw_bytebuf_cut(&l->out, (size_t)held);
+	l->queued_total -= held;
+}
+
 static void link_flush(lw_link_t *l)
 {
 	while (!l->connecting && !l->closed && may_write(l)) {
--- a/src/proxy_int.h
+++ b/src/proxy_int.h
@@ -23,6 +23,8 @@
 	ev_signal interrupt;
 	ev_signal hangup;
 	uint64_t leaving_us;
+	uint64_t refusing_us; /* others were told that nothing is taken; 0: they were not */
+	uint64_t stop_grace_us; /* from SIGTERM to SIGKILL, as it was at SIGTERM */
 	ev_timer stopping; /* runs from then on */
 	bool had_self; /* the list has had the backend server on this host */
 	lw_serverlist_t *servers; /* in use; NULL before the first */
--- a/src/proxystop.c
+++ b/src/proxystop.c
@@ -28,31 +28,20 @@
 	       (unsigned long long)(state->oldest_us / 1000));
 }
 
-/* the grace may change with the settings while the process stops */
-static uint64_t grace_us(const lw_proxy_t *p)
-{
-	return (uint64_t)(p->set->grace_s * 1e6);
-}
-
-static void set_exit(lw_proxy_t *p)
-{
-	p->hub.exit_us = p->leaving_us + lw_stopplan_exit_us(grace_us(p));
-}
-
 /* the next steps of a stop */
 static void go_on_stopping(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	lw_proxy_t *p = w->data;
 	lw_stopstate_t state = {
 		.since_us = p->hub.now_us - p->leaving_us,
-		.grace_us = grace_us(p),
+		.grace_us = p->stop_grace_us,
 		.oldest_us = oldest_request_us(p),
+		.refusing_us = p->refusing_us ? p->hub.now_us - p->refusing_us : 0,
 		.at_work = p->engine.gate.ncalls || !p->engine.gate.refusing,
 	};
 	lw_stopplan_t plan = lw_stopplan(&state);
 
 	(void)revents;
-	set_exit(p);
 	if (plan.tell_peers && !p->hub.peers_told) {
 		log_step(p, "peers_told", &state);
 		p->hub.peers_told = true;
@@ -63,6 +52,7 @@
 	if (plan.refuse && !p->engine.gate.refusing) {
 		log_step(p, "refusing", &state);
 		lw_gate_refuse(&p->engine.gate);
+		p->refusing_us = p->hub.now_us;
 		lw_mesh_announce(p->engine.mesh);
 	}
 	p->hub.callers_refused = plan.refuse_callers;
@@ -87,7 +77,8 @@
 	       p->engine.gate.ncalls);
 	p->hub.leaving = true;
 	p->leaving_us = p->hub.now_us;
-	set_exit(p);
+	p->stop_grace_us = (uint64_t)(p->set->grace_s * 1e6);
+	p->hub.exit_us = p->leaving_us + lw_stopplan_exit_us(p->stop_grace_us);
 	ev_timer_init(&p->stopping, go_on_stopping, LW_STOPPLAN_STEP_S, LW_STOPPLAN_STEP_S);
 	p->stopping.data = p;
 	ev_timer_start(loop, &p->stopping);
--- a/src/stopplan.c
+++ b/src/stopplan.c
@@ -20,13 +20,16 @@
  * listener with the calls of what it runs; without it 13 of 41 requests of a
  * stop that a lost answer held up failed at the server, us.
  */
-#define REFUSE_CALLERS_US 3000000
+#define REFUSE_CALLERS_US 2800000
 /*
- * Between the word that nothing is taken any more and the exit: what others
- * sent before they heard it is handed back in that time. A request that meets
- * the exit may have run, for all its sender knows, us.
+ * Between the word that nothing is taken any more and the exit, whenever that
+ * word was given: what others sent before they heard it is handed back in that
+ * time. A request that meets the exit may have run, for all its sender knows (20
+ * of 20 under way 30 ms each way, when both came in one step), us.
  */
 #define OTHERS_KNOW_US 200000
+/* a step may come this much early, us */
+#define STEP_EARLY_US 20000
 /*
  * This much before SIGKILL the process exits whatever is under way: enough for
  * the last answers to leave. What is cut off then would be by SIGKILL, us.
@@ -42,10 +45,12 @@
 #define STRAGGLER_US 1000000
 /*
  * A stopping node expects a run to last as long as the longest one of late and
- * one part in so many more, and this at least, us.
+ * one part in so many more, this at least, and no more than that: one run of
+ * 4.6 s would leave the node without work for the whole stop, us.
  */
 #define RUN_SPARE    4
 #define RUN_LEAST_US 1000000
+#define RUN_MOST_US  2600000
 
 /*
  * lw_stopplan_exit_us() - when a process that has @grace_us between SIGTERM and
@@ -71,6 +76,8 @@
 
 	if (run_us < RUN_LEAST_US)
 		run_us = RUN_LEAST_US;
+	if (run_us > RUN_MOST_US)
+		run_us = RUN_MOST_US;
 	last_us = wait_us + run_us;
 	return left_us >= (last_us < deadline_us ? last_us : deadline_us);
 }
@@ -83,6 +90,13 @@
 	return s->since_us >= CALLERS_KNOW_US && s->oldest_us < STRAGGLER_US;
 }
 
+/* nothing is under way, and everybody has heard that nothing is taken */
+static bool may_leave(const lw_stopstate_t *s)
+{
+	return s->since_us >= CALLERS_KNOW_US + OTHERS_KNOW_US && !s->oldest_us &&
+	       s->refusing_us + STEP_EARLY_US >= OTHERS_KNOW_US;
+}
+
 /*
  * lw_stopplan() - what to do now. From the moment at which the node could
  * leave it takes no work of others: where the nodes beside all servers of a
@@ -99,7 +113,6 @@
 		.close_listeners = s->since_us >= REFUSE_CALLERS_US && !s->at_work,
 	};
 
-	p.exit = (s->since_us >= CALLERS_KNOW_US + OTHERS_KNOW_US && !s->oldest_us) ||
-		 s->since_us > lw_stopplan_exit_us(s->grace_us);
+	p.exit = may_leave(s) || s->since_us > lw_stopplan_exit_us(s->grace_us);
 	return p;
 }
--- a/src/stopplan.h
+++ b/src/stopplan.h
@@ -27,6 +27,7 @@
 	uint64_t since_us; /* SIGTERM */
 	uint64_t grace_us; /* from SIGTERM to SIGKILL */
 	uint64_t oldest_us; /* age of the oldest request under way; 0: none is */
+	uint64_t refusing_us; /* since others were told that nothing is taken; 0: they were not */
 	bool at_work; /* the backend server runs requests, or may still be given some */
 } lw_stopstate_t;
 
