Failing tests: a call runs on more servers than its route allows

Cause: an attempt that reached no server goes to any other, also when the route's servers are used up; and a resend goes to any server the call has been to, also to one that handed it back and never ran it. The scripted runs pass over a script that is listed there and print it, as the mesh tests do; DECIDE_RED=1 plays it.

--- a/tests/decide.c
+++ b/tests/decide.c
@@ -146,6 +146,24 @@
 		(int)strcspn(got, "\n"), got);
 }
 
+/* whether KNOWN-RED.txt lists the script: passed over, unless DECIDE_RED asks for it */
+static bool known_red(const char *name)
+{
+	FILE *f = fopen("KNOWN-RED.txt", "r");
+	char line[2048], path[300];
+	bool red = false;
+
+	snprintf(path, sizeof(path), "decisions/%s", name);
+	while (f && !red && fgets(line, sizeof(line), f))
+		red = strstr(line, path) != NULL;
+	if (f)
+		fclose(f);
+	if (!red || getenv("DECIDE_RED"))
+		return false;
+	fprintf(stderr, "\n  known red, passed over: %s\n", name);
+	return true;
+}
+
 static void run_scripts(void)
 {
 	DIR *d = opendir(scripts_dir);
@@ -158,7 +176,7 @@
 		char path[512];
 		bool same;
 
-		if (!strstr(e->d_name, ".txt"))
+		if (!strstr(e->d_name, ".txt") || known_red(e->d_name))
 			continue;
 		snprintf(path, sizeof(path), "%s/%s", scripts_dir, e->d_name);
 		same = play(path, &want, &got) && strcmp(want.data, got.data) == 0;
--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -1101,6 +1101,52 @@
     check((await block).status == 200, "block")
 
 
+@test({"front": 1, "back": 3})
+async def test_call_stays_on_its_servers(f):
+    """A call of a running request ran on three servers though its route allows
+    two. Both that had it lost their answers. It was sent to one of them again,
+    had no room there, and went on to servers that had never had it:
+      E1310 request_retried after=broken given=1 handed_back=0
+      E1310 request_retried after=broken given=2 handed_back=0
+      E1310 request_retried after=busy given=2 handed_back=1
+      E1310 request_retried after=busy given=2 handed_back=2
+    An attempt that reached no server was free to go to any other, whatever had
+    gone before. And the server that the call was sent to again was chosen among
+    all it had been to, also those that had handed it back and never run it."""
+    node, backs = f.nodes["front"][0], f.nodes["back"]
+
+    def ran(rid):
+        return [n.server for n in backs if runs_at(n, rid)]
+
+    async def lose(s, head, rid, stage):
+        if stage != "run" or rid.startswith("w") or runs(f, rid) > 2:
+            return None
+        if runs(f, rid) == 2 and rid == "back.1":
+            await backs[0].server.start()
+            await asyncio.sleep(0.7)  # until its node gives it work again
+        elif runs(f, rid) == 2:
+            for server in ran(rid):
+                server.stop()
+        return "lost"
+
+    async def ask(rid, tried):
+        """The answer's status and the servers that ran it; @tried was logged."""
+        a = await node.caller().ask("GET", "/leaf/1", rid)
+        await until(lambda: [line for line in node.logged("request_retried")
+                             if f"id={rid} " in line and tried in line], bool, 2)
+        return a.status, [s.id for s in ran(rid)]
+    for n in backs:
+        n.server.behave = lose
+    for i in range(400):  # they earn the allowance for repeats, whatever the rank
+        await node.caller().ask("GET", "/leaf/1", f"w{i}")
+    backs[0].server.stop()  # the nearest: it is asked first and hands the call back
+    told = [await ask("back.1", "given=0 handed_back=1")]
+    await asyncio.sleep(1)  # it counts as well again
+    told.append(await ask("used.1", "given=2 handed_back=1"))
+    check([len(servers) for _, servers in told] == [2, 2], told)
+    check([status for status, _ in told] == [200, 502], told)
+
+
 @test({"front": 1, "back": 1})
 async def test_big_bodies_bounded(f):
     """A 64 MiB upload to a server that reads slowly, and a caller that reads a
