A call goes to no more servers than its route allows, whoever hands it back

Cause: an attempt that reached no server was repeated at any other, also when the route's servers were used up, so that a resend that was handed back went on to a new one. And a resend was chosen among all servers tried, also those that handed the call back and never ran it. Change: an attempt that was handed back goes to a new server only while fewer than allowed have had the call; then only to one that had it and has not handed it back since, within the limits on resends, else the call is over. The repeat allowance has counted the resend that reached nobody, the next one is not counted again.

--- a/src/exchattempt.c
+++ b/src/exchattempt.c
@@ -178,7 +178,7 @@
 	}
 	if (x->tried.n || x->attempts.given)
 		lw_exchange_log_retry(x, last);
-	x->tried.host[x->tried.n++] = x->host;
+	lw_place_try(&x->tried, x->host);
 	x->resending = false;
 	lw_exchange_give(x);
 }
--- a/src/exchoutcome.c
+++ b/src/exchoutcome.c
@@ -30,13 +30,16 @@
 	lw_exchange_give(x);
 }
 
-/* once more to one of the servers that had it, the best of them; false if none takes it */
-static bool resend(lw_exchange_t *x, lw_fail_t why)
+/*
+ * Once more to one of the servers that had it, the best of them; false if none
+ * takes it. @paid: the allowance has counted it.
+ */
+static bool resend(lw_exchange_t *x, lw_fail_t why, bool paid)
 {
 	lw_place_ask_t ask = lw_exchange_choice(x);
 	const lw_place_host_t *host = lw_place_pick_again(x->service, &x->tried, &ask);
 
-	if (!lw_place_takes(host, ask.now_us) || !take_retry(x))
+	if (!lw_place_takes(host, ask.now_us) || !(paid || take_retry(x)))
 		return false;
 	send_again(x, why, &ask);
 	return true;
@@ -74,7 +77,8 @@
 		lw_exchange_attempt(x, why);
 	} else if (v == LW_VERDICT_AGAIN_COUNTED && take_retry(x)) {
 		lw_exchange_attempt(x, why);
-	} else if (v != LW_VERDICT_SAME_COUNTED || !resend(x, why)) {
+	} else if ((v != LW_VERDICT_SAME && v != LW_VERDICT_SAME_COUNTED) ||
+		   !resend(x, why, v == LW_VERDICT_SAME)) {
 		lw_exchange_answer_verdict(x, lw_retry_final(&x->attempts, why), why);
 	}
 }
@@ -125,6 +129,8 @@
 		x->room_ms = retry_after_ms;
 	if (why == LW_FAIL_MISDIRECTED && x->host)
 		host_replaced(x);
+	if (!lw_fail_reached_server(why))
+		lw_place_handed_back(&x->tried, x->host);
 	lw_exchange_attempt_ended(x, why < LW_FAIL_SHED && why != LW_FAIL_NO_SERVER);
 	lw_exchange_after_failure(x, why);
 }
--- a/src/place.c
+++ b/src/place.c
@@ -77,6 +77,33 @@
 	return false;
 }
 
+/* whether the host had the request and may get it again */
+static bool may_again(const lw_place_tried_t *tried, const lw_place_host_t *h)
+{
+	for (size_t i = 0; i < tried->n; i++)
+		if (tried->host[i] == h)
+			return !tried->back[i];
+	return false;
+}
+
+/* lw_place_try() - the request goes to @h, which has not had it; there must be room. */
+void lw_place_try(lw_place_tried_t *tried, const lw_place_host_t *h)
+{
+	tried->back[tried->n] = false;
+	tried->host[tried->n++] = h;
+}
+
+/*
+ * lw_place_handed_back() - @h handed the request back. It gets it no more: sent
+ * again there, the request could reach more servers than its route allows.
+ */
+void lw_place_handed_back(lw_place_tried_t *tried, const lw_place_host_t *h)
+{
+	for (size_t i = 0; i < tried->n; i++)
+		if (tried->host[i] == h)
+			tried->back[i] = true;
+}
+
 /* part of a host's slots in use: as its node told, and what was sent since */
 static double host_use(const lw_place_host_t *h, bool known)
 {
@@ -172,8 +199,8 @@
 	return n ? sum / n : 0;
 }
 
-/* the best host of @s among those that are in @tried, or are not */
-static lw_place_host_t *pick(lw_place_service_t *s, const lw_place_tried_t *tried, bool in_tried,
+/* the best host of @s among those that had the request, or of those not in @tried */
+static lw_place_host_t *pick(lw_place_service_t *s, const lw_place_tried_t *tried, bool again,
 			     const lw_place_ask_t *ask)
 {
 	uint32_t random = ask->random;
@@ -186,7 +213,8 @@
 		double cost;
 
 		if (!lw_place_usable(h, ask->now_us) || h->draining || refuses(h, ask->now_us) ||
-		    ask->now_us < h->replaced_until_us || was_tried(tried, h) != in_tried)
+		    ask->now_us < h->replaced_until_us ||
+		    !(again ? may_again(tried, h) : !was_tried(tried, h)))
 			continue;
 		random = random * 1664525u + 1013904223u;
 		cost = host_cost(h, ask, mean);
--- a/src/place.h
+++ b/src/place.h
@@ -62,6 +62,7 @@
 #define LW_PLACE_TRIED_MAX 8
 typedef struct lw_place_tried {
 	const lw_place_host_t *host[LW_PLACE_TRIED_MAX];
+	bool back[LW_PLACE_TRIED_MAX]; /* it handed the request back when it was last sent there */
 	size_t n;
 } lw_place_tried_t;
 
@@ -82,6 +83,8 @@
 		      uint64_t now_us);
 void lw_place_node_addr(char *dst, size_t len, const char *backend, uint32_t mesh_port);
 lw_place_service_t *lw_place_service(lw_place_t *p, const char *name);
+void lw_place_try(lw_place_tried_t *tried, const lw_place_host_t *h);
+void lw_place_handed_back(lw_place_tried_t *tried, const lw_place_host_t *h);
 lw_place_host_t *lw_place_pick(lw_place_service_t *s, const lw_place_tried_t *tried,
 			       const lw_place_ask_t *ask);
 lw_place_host_t *lw_place_pick_again(lw_place_service_t *s, const lw_place_tried_t *tried,
--- a/src/retryrule.c
+++ b/src/retryrule.c
@@ -27,12 +27,28 @@
 	       (why == LW_FAIL_SHED || (why == LW_FAIL_BROKEN && a->idempotent));
 }
 
+/*
+ * What follows an attempt that reached no server. Once the route's servers are
+ * used up it was a resend, and counted: the next one is within the allowance.
+ */
+static lw_verdict_t after_hand_back(const lw_attempts_t *a, lw_fail_t why)
+{
+	lw_fail_t before = a->maybe_ran ? LW_FAIL_BROKEN : LW_FAIL_SHED;
+
+	if (a->handed_back > LW_HANDBACKS_MAX)
+		return lw_retry_final(a, why);
+	if (a->given < a->max_given)
+		return LW_VERDICT_AGAIN;
+	return may_resend(a, before) ? LW_VERDICT_SAME : lw_retry_final(a, why);
+}
+
 /*
  * lw_retry_verdict() - what follows a call that failed with @why; @a counts
  * that call already. An attempt that reached no backend server is repeated
- * elsewhere freely: nothing was done for it yet. A route limits to how many
- * backend servers a request may be given; one that shed it did not run it, and
- * may be asked again. That is for calls of running requests: a user's request
+ * elsewhere freely: nothing was done for it yet. Not so once as many had the
+ * request as its route allows: only one of them may get it then. A route limits
+ * to how many backend servers a request may be given; one that shed it did not
+ * run it, and may be asked again. That is for calls of running requests: a user's request
  * can come back by itself, a refused call loses all that was done. Where all servers of a service shed half of their
  * requests at random, two servers asked once each leave a request with five
  * calls a chance of 17%, asked twice each one of 62%.
@@ -45,8 +61,7 @@
 	    why == LW_FAIL_TIMEOUT)
 		return lw_retry_final(a, why);
 	if (!lw_fail_reached_server(why))
-		return a->handed_back <= LW_HANDBACKS_MAX ? LW_VERDICT_AGAIN :
-							    lw_retry_final(a, why);
+		return after_hand_back(a, why);
 	if (a->given < a->max_given)
 		return LW_VERDICT_AGAIN_COUNTED;
 	return may_resend(a, why) ? LW_VERDICT_SAME_COUNTED : lw_retry_final(a, why);
--- a/src/retryrule.h
+++ b/src/retryrule.h
@@ -14,6 +14,7 @@
 typedef enum lw_verdict {
 	LW_VERDICT_AGAIN, /* another backend server; costs nothing */
 	LW_VERDICT_AGAIN_COUNTED, /* the same, if the retry limit allows it */
+	LW_VERDICT_SAME, /* one that had it already; the attempt handed back paid for it */
 	LW_VERDICT_SAME_COUNTED, /* one that had it already, if the limit allows it */
 	LW_VERDICT_REFUSE, /* not run: the caller may come back */
 	LW_VERDICT_FAIL, /* it may have run */
--- a/tests/decide_place.c
+++ b/tests/decide_place.c
@@ -181,6 +181,23 @@
 		say(w, "none %ld", none);
 }
 
+/* pick-again SERVICE AT [had ID | back ID]...: who gets again what the first had, the others not */
+static void do_pick_again(world_t *w, const words_t *a)
+{
+	lw_place_service_t *s = lw_place_service(&w->place, word(a, 1));
+	lw_place_ask_t ask = { ms(a, 2), 0, 12345 };
+	lw_place_tried_t tried = { .n = 0 };
+	const lw_place_host_t *pick;
+
+	for (int i = 3; i + 1 < a->n; i += 2) {
+		lw_place_try(&tried, host_of(w, word(a, i + 1)));
+		if (strcmp(word(a, i), "back") == 0)
+			lw_place_handed_back(&tried, host_of(w, word(a, i + 1)));
+	}
+	pick = lw_place_pick_again(s, &tried, &ask);
+	say(w, "%s", pick ? pick->id : "none");
+}
+
 /* readers ADDR...: which of the nodes beside these backend servers read */
 static void do_readers(world_t *w, const words_t *a)
 {
@@ -210,6 +227,7 @@
 	{ "lost", do_lost },
 	{ "outcomes", do_outcomes },
 	{ "pick", do_pick },
+	{ "pick-again", do_pick_again },
 	{ "readers", do_readers },
 	{ NULL, NULL },
 };
--- a/tests/decide_retry.c
+++ b/tests/decide_retry.c
@@ -74,7 +74,7 @@
 /* verdict WHY|silent GIVEN MAX HANDED_BACK LEFT [idempotent] [kept] [maybe_ran] [nested] [resent] */
 static void do_verdict(world_t *w, const words_t *a)
 {
-	static const char *const names[] = { "again",  "again_counted", "same_counted",
+	static const char *const names[] = { "again",  "again_counted", "same",	  "same_counted",
 					     "refuse", "fail",		"timeout" };
 	lw_attempts_t t = {
 		.idempotent = has(a, "idempotent"),
