Soak: rolling stops, open connections, and a check that planned work loses nothing

Cause: two orders were lost in overlapping rolling restarts, and the soak stopped one node at a time, judged no lost request and never kept a server busy for long.

Change: the series of faults has a file of its own, series.py, and every step draws from a generator of its own, so that a seed draws the same series whatever the callers do (seeds draw other series than before). New: rolls over all or half of the nodes at gaps of 0.2 to 1 s, two at once, SIGTERM again and SIGHUP while stopping, SIGTERM within 0.2 s of the start, settings rewritten before SIGHUP, a quarter of them broken, and the node must say that it took or refused them; servers where requests last 0.3 to 1.6 s or never answer. Callers open the next connection of the same node only when the last is closed; some send in bursts, some open new ones, some are slow. Every third seed draws planned work only. Where planned work was all from 3 s before a request to its end, one that a server had begun must be answered by it or reach its time, a connection that ends without an answer ends within 0.2 s, and no server works on for over 0.5 s after the end. A process that ended by itself fails the seed, and so does a planned seed in which few requests were judged. Logs of passed seeds are removed now; the line said so, but they stayed.

--- /dev/null
+++ b/tests/soak/series.py
@@ -0,0 +1,265 @@
+"""The series of faults and planned work of a soak: each step is a coroutine
+that begins, waits and ends one. All that is random in a step comes from a
+generator of its own, so that a seed draws the same series whatever else runs."""
+import asyncio
+import os
+import random
+import signal
+import time
+
+import fleet as fl
+
+DRAIN_S = 2.0
+GRACE_S = 6.0
+# a signal is not sent to a process younger than this: before main() has begun
+# nobody can handle one
+YOUNG_S = 0.1
+# a process has read its settings by then
+START_S = 0.5
+# a node says so soon after SIGHUP, also while it is stopping
+HANGUP_S = 1.5
+# rolls begin so far apart at least, or nothing but rolls would be seen
+ROLL_S = 4.0
+# settings that SIGHUP must take, and some that it must refuse
+GOOD_SETTINGS = [{"retry_extra": 47}, {"retry_extra": 5}, {"retry_ratio": 0.05},
+                 {"retry_window_s": 4}, {"retry_ratio": 0, "retry_extra": 0}]
+BAD_SETTINGS = ["[terms\n", "[log]\nrequest_lines_per_s = 100000\n",
+                "[terms]\nretry_ratio = -1\n", "no settings at all\x00\n"]
+
+
+class Series:
+    """What happens to the fleet `self.f`; Soak has the rest."""
+
+    def note(self, what, ip=None, store=False):
+        self.faults.append(f"{time.monotonic() - self.begin:.2f} {what}")
+        if ip:
+            self.disturbed[ip] = time.monotonic()
+        if store:
+            self.store_disturbed = time.monotonic()
+
+    def unplanned(self):
+        """A disruption that is no planned work begins; end it with .append(time)."""
+        span = [time.monotonic()]
+        self.spans.append(span)
+        return span
+
+    async def kill(self, node, rng):
+        span = self.unplanned()
+        self.note(f"kill {node.ip}", node.ip)
+        node.kill()
+        await asyncio.sleep(rng.random() * 1.5)
+        node.start()
+        span.append(time.monotonic())
+        self.note(f"start {node.ip}", node.ip)
+
+    async def term(self, node, rng):
+        """A stop, sometimes with more signals on the way, and a start. A node
+        that is being stopped already gets one more signal."""
+        again, hup, soon, when = (rng.random() for _ in range(4))
+        if node.ip in self.stopping_nodes:
+            self.note(f"term again {node.ip}", node.ip)
+            node.signal(signal.SIGTERM)
+            return
+        if node.ip in self.busy:
+            return
+        self.busy.add(node.ip)
+        self.stopping_nodes.add(node.ip)
+        extra = []
+        if again < 0.3:
+            extra.append(asyncio.ensure_future(self.later(0.1 + when * 3, self.term(node, rng))))
+        if hup < 0.3:
+            extra.append(asyncio.ensure_future(self.later(when * 2.5, self.hangup(node, rng))))
+        await self.stop(node)
+        self.stopping_nodes.discard(node.ip)
+        await asyncio.gather(*extra)
+        await asyncio.sleep(0.2)
+        node.start()
+        self.note(f"start {node.ip}", node.ip)
+        if soon < 0.2:
+            await asyncio.sleep(when * 0.2)
+            await self.stop(node)
+            node.start()
+            self.note(f"start {node.ip}", node.ip)
+        self.busy.discard(node.ip)
+
+    async def later(self, seconds, step):
+        await asyncio.sleep(seconds)
+        await step
+
+    async def stop(self, node):
+        began = time.monotonic()
+        self.note(f"term {node.ip}", node.ip)
+        self.terms.append((began, node.ip))
+        node.signal(signal.SIGTERM)
+        while node.proc.poll() is None and time.monotonic() < began + GRACE_S:
+            await asyncio.sleep(0.05)
+        if node.proc.poll() is None:
+            self.fail(f"{node.ip}: still runs {GRACE_S:.0f} s after SIGTERM")
+            node.kill()
+        elif node.proc.returncode != 0 and not (
+                node.proc.returncode == -signal.SIGTERM and began - node.started < YOUNG_S):
+            self.fail(f"{node.ip}: ended with {node.proc.returncode} after SIGTERM")
+        self.note(f"exit {node.ip}", node.ip)
+
+    async def roll(self, node, rng):
+        """One node after the other is stopped and started again."""
+        nodes = self.f.all() if rng.random() < 0.5 else self.f.all()[::2]
+        nodes = rng.sample(nodes, len(nodes))
+        gap = 0.2 + rng.random() * 0.8
+        self.note(f"roll of {len(nodes)} each {gap:.2f} s")
+        steps = []
+        for n in nodes:
+            steps.append(asyncio.ensure_future(self.term(n, random.Random(rng.random()))))
+            await asyncio.sleep(gap)
+        await asyncio.gather(*steps)
+
+    async def two_rolls(self, node, rng):
+        other = random.Random(rng.random())
+        await asyncio.gather(self.roll(node, rng), self.later(rng.random() * 1.5,
+                                                              self.roll(node, other)))
+
+    async def pause(self, node, rng):
+        span = self.unplanned()
+        self.note(f"pause {node.ip}", node.ip)
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(0.3 + rng.random() * 2.5)
+        node.signal(signal.SIGCONT)
+        span.append(time.monotonic())
+        self.note(f"wake {node.ip}", node.ip)
+
+    async def hangup(self, node, rng):
+        """SIGHUP; the file is new or broken, and the node must say which."""
+        how, good, bad, lines = (rng.random(), rng.choice(GOOD_SETTINGS),
+                                 rng.choice(BAD_SETTINGS), rng.randrange(1000))
+        if node.proc.poll() is not None or time.monotonic() - node.started < YOUNG_S:
+            return
+        text = node.settings()
+        if time.monotonic() - node.started < START_S:
+            how = 1  # the file may not have been read yet
+        if how < 0.25:
+            text += bad
+        elif how < 0.75:
+            for key, value in good.items():
+                text = "\n".join(f"{key} = {value}" if line.startswith(key + " ") else line
+                                 for line in text.split("\n"))
+            text += f"[log]\nrequest_lines_per_s = {lines}\n"
+        expected = "settings_invalid" if how < 0.25 else "settings_reloaded"
+        proc, log = node.proc, os.path.join(self.f.dir, node.ip + ".log")
+        written, began = os.path.getsize(log), time.monotonic()
+        node.write_settings(text)
+        self.note(f"hup {node.ip} {expected}", node.ip)
+        node.signal(signal.SIGHUP)
+        await asyncio.sleep(HANGUP_S)
+        with open(log, "rb") as f:
+            f.seek(written)
+            said = f" {expected} ".encode() in f.read()
+        calm = self.calm(began, time.monotonic())
+        if not said and proc is node.proc and proc.poll() is None and calm:
+            self.fail(f"{node.ip}: no {expected} in {HANGUP_S} s after SIGHUP")
+
+    async def link(self, node, rng):
+        how = rng.choice(["reset", "silence", "mute-in", "mute-out", "delay", "refuse"])
+        relay = rng.choice([node.relay, node.store_relay])
+        span = self.unplanned()
+        self.note(f"{how} at {relay.addr[0]}:{relay.addr[1]}", node.ip)
+        if how == "reset":
+            relay.reset_all()
+        elif how == "silence":
+            relay.silence_open()
+        else:
+            if how == "refuse":
+                relay.refuse = True
+                relay.reset_all()
+            elif how == "delay":
+                relay.delay = 0.05 + rng.random() * 0.3
+            else:
+                relay.mute.add(how[5:])
+            await asyncio.sleep(0.5 + rng.random() * 2)
+            relay.refuse, relay.delay = False, 0.0
+            relay.mute.clear()
+            # what was swallowed never comes: the connections are gone for good
+            relay.reset_all()
+        span.append(time.monotonic())
+        for n in self.f.all():
+            self.disturbed[n.ip] = time.monotonic()
+        self.note(f"{how} over", node.ip)
+
+    async def server_fault(self, node, rng):
+        fault = rng.choice(["lost", "shed", "slow", "error", "cut", "extra", "late-extra",
+                            "garbage", "hang", "unframed", "unframed-reset"])
+        span = self.unplanned()
+        self.fault_of[node.server.id] = (fault, 0.05 + rng.random() * 0.6)
+        self.note(f"server {node.server.id} {fault}")
+        await asyncio.sleep(0.5 + rng.random() * 2)
+        self.fault_of.pop(node.server.id, None)
+        span.append(time.monotonic())
+
+    async def store_fault(self, _node, rng):
+        mode = rng.choice(["silent", "503", "429", "reset", "compact"])
+        span = self.unplanned()
+        self.note(f"store {mode}", store=True)
+        if mode == "compact":
+            self.f.store.compact()
+        else:
+            self.f.store.mode = mode
+            await asyncio.sleep(0.3 + rng.random() * 2.5)
+            self.f.store.mode = "ok"
+        span.append(time.monotonic())
+        self.note(f"store {mode} over", store=True)
+
+    async def change(self, _node, _rng):
+        self.version += 1
+        self.f.store.put("op/config", fl.config(self.version, self.rules()))
+        self.changed_at = time.monotonic()
+        self.note(f"config {self.version}")
+        await asyncio.sleep(0.1)
+
+    async def drain(self, node, _rng):
+        """A server leaves and another takes its place at the same address."""
+        old = node.server
+        if old.draining or sum(not n.server.draining for n in self.f.nodes[old.service]) < 2:
+            return
+        old.draining = True
+        self.f.register(old)
+        self.drained[old.id] = time.monotonic()
+        self.note(f"drain {old.id}")
+        await asyncio.sleep(DRAIN_S + 1)
+        self.f.store.remove("servers/" + old.id)
+        old.draining = False
+        old.id = f"{old.id}+"
+        self.f.register(old)
+        self.note(f"new {old.id}")
+
+    async def alone(self, step, node, rng):
+        """A step that no other of its kind may meet at the same node."""
+        if node.ip in self.busy:
+            return
+        self.busy.add(node.ip)
+        await step(node, rng)
+        self.busy.discard(node.ip)
+
+    async def series(self):
+        """Steps at drawn times; `planned` seeds draw planned work only."""
+        planned = [self.term, self.term, self.roll, self.two_rolls, self.hangup, self.hangup,
+                   self.change, self.change, self.drain]
+        mixed = [self.kill, self.term, self.roll, self.pause, self.hangup, self.link, self.link,
+                 self.server_fault, self.server_fault, self.store_fault, self.change, self.drain]
+        running = []
+        at = rolled = 0.0
+        while at < self.seconds:
+            gap = 0.1 + self.chaos_rng.random() * 0.8
+            await asyncio.sleep(gap)
+            at += gap
+            node = self.chaos_rng.choice(self.f.all())
+            step = self.chaos_rng.choice(planned if self.planned else mixed)
+            rng = random.Random(self.chaos_rng.random())
+            if step in (self.roll, self.two_rolls):
+                if rolled and at < rolled + ROLL_S:
+                    step = self.hangup
+                else:
+                    rolled = at
+            if step in (self.kill, self.pause):
+                running.append(asyncio.ensure_future(self.alone(step, node, rng)))
+            else:
+                running.append(asyncio.ensure_future(step(node, rng)))
+        await asyncio.gather(*running)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,36 +4,56 @@
   python3 tests/soak/soak.py --seeds 1-50 --seconds 15 [--nodes 9] [--verbose]
 
 Every node is reached through relays that can delay, reset, silence or refuse;
-processes are stopped, paused, killed and restarted; servers drain, lose
-answers, shed, hang and send foreign bytes; the store goes silent, refuses and
-forgets. A seed draws the same series of faults each time."""
+processes are stopped in turn, paused, killed and restarted, get settings that
+are new or broken; servers drain, lose answers, shed, hang and send foreign
+bytes; the store goes silent, refuses and forgets (series.py). Every third seed
+draws planned work only: whatever a server has begun must be answered then. A
+seed draws the same series each time."""
 import argparse
 import asyncio
 import os
 import random
-import signal
+import shutil
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "mesh"))
 import fleet as fl  # noqa: E402
 import standin  # noqa: E402
+from series import DRAIN_S, Series  # noqa: E402
 
 # a node or store counts as undisturbed this long after the last fault on it
 TOUCH_S = 3.0
-DRAIN_S = 2.0
 CONFIG_S = 2.0
-
-
-class Soak:
+# time of a request by its route and by its caller, in seconds
+TIME_S = 2
+# a server is at work for a caller that is gone no longer than this
+GONE_S = 0.5
+# a connection that closes without an answer does so this soon after a request
+# that it crossed
+SLACK_S = 0.2
+# a fifth of the requests of a planned seed must be fit to be judged
+JUDGED_SHARE = 0.2
+
+
+class Soak(Series):
     def __init__(self, seed, seconds, nodes, net):
         self.rng = random.Random(seed)  # of the clients and servers
         self.chaos_rng = random.Random(f"chaos {seed}")  # of the series of faults alone
         self.seconds = seconds
         self.net = net
+        self.planned = seed % 3 == 0
         self.broken = []
         self.asked = {}  # id -> (kind, node, time)
         self.outcome = {}  # id -> status, 0 for none
+        self.ended = {}  # id -> (time, whether it is a server's whole answer)
+        self.runs = {}  # id -> [[begin, end, server]] of its runs
+        self.spoiled = set()  # ids whose answer a server lost
+        self.judged = 0
+        self.busy = set()  # ips of nodes that are stopped, paused or killed
+        self.stopping_nodes = set()
+        self.terms = []  # (time, ip) of each SIGTERM
+        self.spans = []  # [begin, end] of what is no planned work
         self.disturbed = {}  # ip -> time of the last fault
         self.store_disturbed = 0.0
         self.faults = []
@@ -46,6 +66,9 @@
         for n in self.f.all():
             n.server.behave = self.behave
         self.fault_of = {}  # server id -> (fault, share)
+        # share of requests that last long, and whose answer never comes, by server
+        self.long = {n.server.ip: self.chaos_rng.choice([(0, 0), (0.05, 0.002), (0.15, 0),
+                                                         (0.3, 0.005)]) for n in self.f.all()}
 
     def rules(self):
         return [fl.route("read", "/get/", "back", timeout=2, target=0.5),
@@ -58,61 +81,86 @@
         bad = fault and self.rng.random() < share
         if stage == "head":
             return "shed" if bad and fault == "shed" else None
-        await asyncio.sleep(0.01 if not (bad and fault == "slow") else 0.4)
+        run = [time.monotonic(), None, server.id]
+        self.runs.setdefault(rid, []).append(run)
+        try:
+            await self.work(server, rid, bad and fault == "slow")
+        finally:
+            run[1] = time.monotonic()
         if bad and fault not in ("shed", "slow"):
             if fault == "error":
                 return (None, 500, b"failed")
             return fault
         return None
 
+    async def work(self, server, rid, slow):
+        long, lost = self.long[server.ip] if not self.settled else (0, 0)
+        await asyncio.sleep(0.4 if slow else 0.01)
+        if rid.startswith("s") and self.rng.random() < long:
+            await asyncio.sleep(0.3 + self.rng.random() * 1.3)
+        if rid.startswith("s") and self.rng.random() < lost:
+            self.spoiled.add(rid)
+            await asyncio.sleep(60)
+
     def fail(self, what):
         if len(self.broken) < 10:
             self.broken.append(f"{time.monotonic() - self.begin:.2f} s: {what}")
 
-    def note(self, what, ip=None, store=False):
-        self.faults.append(f"{time.monotonic() - self.begin:.2f} {what}")
-        if ip:
-            self.disturbed[ip] = time.monotonic()
-        if store:
-            self.store_disturbed = time.monotonic()
-
     def in_touch(self, node):
         now = time.monotonic()
         return (now - self.disturbed.get(node.ip, 0) > TOUCH_S and
                 now - self.store_disturbed > TOUCH_S)
 
+    def calm(self, since, until):
+        """Whether there was planned work only, from a while before."""
+        return all(span[0] > until or (len(span) > 1 and span[1] < since - TOUCH_S)
+                   for span in self.spans)
+
     async def client(self, number):
-        """Keeps an open connection for as long as it works."""
+        """Uses an open connection until its process is gone, then the next one
+        of the same node. Of four clients one sends several requests in a row,
+        one opens a new connection every few requests, one is slow."""
         node = self.f.all()[number % len(self.f.all())]
-        c, n = None, 0
+        habit = ("steady", "bursts", "fickle", "slow")[number // len(self.f.all()) % 4]
+        c, n, left = None, 0, 0
         while not self.stopping:
             n += 1
-            kind = self.rng.choice(["get", "get", "put", "front"])
+            kind = self.rng.choice(["get", "get", "put", "put", "front"])
             rid = f"s{number}-{n}"
-            self.asked[rid] = (kind, node, time.monotonic())
             try:
                 if c is None:
                     c = node.caller()
+                    await c.open()
+                self.asked[rid] = (kind, node, time.monotonic())
                 a = await c.ask("POST" if kind == "put" else "GET", f"/{kind}/{rid}", rid,
-                                body=b"order" * 20 if kind == "put" else b"", deadline=2000,
-                                timeout=8)
+                                body=b"order" * 20 if kind == "put" else b"",
+                                deadline=TIME_S * 1000, timeout=8)
                 self.check_answer(rid, kind, a)
-                if a.head.get("connection") == "close" or not a.whole:
+                if (a.head.get("connection") == "close" or not a.whole or
+                        (habit == "fickle" and self.rng.random() < 0.3)):
                     c.close()
                     c = None
             except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as e:
                 if isinstance(e, asyncio.TimeoutError) and self.in_touch(node):
                     self.fail(f"{rid}: no answer within 8 s")
-                self.outcome[rid] = 0
+                if rid in self.asked:
+                    self.outcome[rid] = 0
+                    self.ended[rid] = (time.monotonic(), False)
                 c.close()
                 c = None
-                await asyncio.sleep(0.1)
+                await asyncio.sleep(0.02 + self.rng.random() * 0.08)
             if self.outcome.get(rid) in (502, 503, 504):
                 await asyncio.sleep(0.05)
-            await asyncio.sleep(self.rng.random() * 0.03)
+            left = left - 1 if left else self.rng.randrange(2, 9)
+            if habit == "slow":
+                await asyncio.sleep(self.rng.random() * 1.5)
+            elif habit != "bursts" or not left:
+                await asyncio.sleep(self.rng.random() * (0.3 if habit == "bursts" else 0.03))
 
     def check_answer(self, rid, kind, a):
         self.outcome[rid] = a.status
+        self.ended[rid] = (time.monotonic(),
+                           a.whole and a.head.get("x-server-stamp") == "st-" + rid)
         if self.settled:
             self.served_late["all"] += 1
             self.served_late["good"] += a.status == 200 and a.whole
@@ -138,6 +186,29 @@
             if kind == "put" and self.outcome.get(rid) in (429, 503, 408, 421):
                 self.fail(f"{rid}: answered {self.outcome[rid]} and ran")
 
+    def check_planned(self):
+        """Planned work alone loses nothing: what a server has begun is answered
+        or reaches its time, a connection that closes does so at once, and no
+        server works on for a caller that was answered or cut off."""
+        for rid, (kind, node, sent) in self.asked.items():
+            end, answered = self.ended[rid]
+            if not self.calm(sent, end + GONE_S):
+                continue
+            self.judged += 1
+            runs = self.runs.get(rid, [])
+            status = self.outcome[rid]
+            what = (f"{rid} ({kind}) sent to {node.ip} at {sent - self.begin:.2f} s, "
+                    f"{status or 'no answer'} after {end - sent:.2f} s, ran " + ", ".join(
+                        f"{s} {b - self.begin:.2f}-{e - self.begin if e else 0:.2f}"
+                        for b, e, s in runs))
+            timely = end - sent < TIME_S and rid not in self.spoiled
+            if runs and not answered and timely:
+                self.fail(f"lost: {what}")
+            elif not status and timely and end - sent > SLACK_S:
+                self.fail(f"closed late: {what}")
+            if any((e or time.monotonic()) > end + GONE_S for _, e, _ in runs):
+                self.fail(f"ran on: {what}")
+
     async def probe_config(self):
         """Undisturbed nodes serve the newest route in time and never go back."""
         newest = {}
@@ -177,137 +248,15 @@
                 if origin and calm and self.store_disturbed < since - TOUCH_S:
                     self.fail(f"{rid}: reached {n.server.id} {at - since:.1f} s after its drain")
 
-    # faults: each is a coroutine that begins, waits and ends one
-
-    async def kill(self, node):
-        self.note(f"kill {node.ip}", node.ip)
-        node.kill()
-        await asyncio.sleep(self.chaos_rng.random() * 1.5)
-        node.start()
-        self.note(f"start {node.ip}", node.ip)
-
-    async def term(self, node):
-        self.note(f"term {node.ip}", node.ip)
-        began = time.monotonic()
-        node.signal(signal.SIGTERM)
-        end = time.monotonic() + 6
-        while node.proc.poll() is None and time.monotonic() < end:
-            await asyncio.sleep(0.05)
-        if node.proc.poll() is None:
-            self.fail(f"{node.ip}: still runs 6 s after SIGTERM")
-            node.kill()
-        elif node.proc.returncode != 0 and not (
-                # before main() has begun nobody can handle a signal
-                node.proc.returncode == -signal.SIGTERM and began - node.started < 0.1):
-            self.fail(f"{node.ip}: ended with {node.proc.returncode} after SIGTERM")
-        await asyncio.sleep(0.2)
-        node.start()
-        self.note(f"start {node.ip}", node.ip)
-
-    async def pause(self, node):
-        self.note(f"pause {node.ip}", node.ip)
-        node.signal(signal.SIGSTOP)
-        await asyncio.sleep(0.3 + self.chaos_rng.random() * 2.5)
-        node.signal(signal.SIGCONT)
-        self.note(f"wake {node.ip}", node.ip)
-
-    async def hangup(self, node):
-        self.note(f"hup {node.ip}", node.ip)
-        node.signal(signal.SIGHUP)
-
-    async def link(self, node):
-        how = self.chaos_rng.choice(["reset", "silence", "mute-in", "mute-out", "delay", "refuse"])
-        relay = self.chaos_rng.choice([node.relay, node.store_relay])
-        self.note(f"{how} at {relay.addr[0]}:{relay.addr[1]}", node.ip)
-        if how == "reset":
-            relay.reset_all()
-        elif how == "silence":
-            relay.silence_open()
-        else:
-            if how == "refuse":
-                relay.refuse = True
-                relay.reset_all()
-            elif how == "delay":
-                relay.delay = 0.05 + self.chaos_rng.random() * 0.3
-            else:
-                relay.mute.add(how[5:])
-            await asyncio.sleep(0.5 + self.chaos_rng.random() * 2)
-            relay.refuse, relay.delay = False, 0.0
-            relay.mute.clear()
-            # what was swallowed never comes: the connections are gone for good
-            relay.reset_all()
-        for n in self.f.all():
-            self.disturbed[n.ip] = time.monotonic()
-        self.note(f"{how} over", node.ip)
-
-    async def server_fault(self, node):
-        fault = self.chaos_rng.choice(["lost", "shed", "slow", "error", "cut", "extra", "late-extra",
-                                 "garbage", "hang", "unframed", "unframed-reset"])
-        self.fault_of[node.server.id] = (fault, 0.05 + self.chaos_rng.random() * 0.6)
-        self.note(f"server {node.server.id} {fault}")
-        await asyncio.sleep(0.5 + self.chaos_rng.random() * 2)
-        self.fault_of.pop(node.server.id, None)
-
-    async def store_fault(self, _node):
-        mode = self.chaos_rng.choice(["silent", "503", "429", "reset", "compact"])
-        self.note(f"store {mode}", store=True)
-        if mode == "compact":
-            self.f.store.compact()
-        else:
-            self.f.store.mode = mode
-            await asyncio.sleep(0.3 + self.chaos_rng.random() * 2.5)
-            self.f.store.mode = "ok"
-        self.note(f"store {mode} over", store=True)
-
-    async def change(self, _node):
-        self.version += 1
-        self.f.store.put("op/config", fl.config(self.version, self.rules()))
-        self.changed_at = time.monotonic()
-        self.note(f"config {self.version}")
-        await asyncio.sleep(0.1)
-
-    async def drain(self, node):
-        """A server leaves and another takes its place at the same address."""
-        old = node.server
-        if old.draining or sum(not n.server.draining for n in self.f.nodes[old.service]) < 2:
-            return
-        old.draining = True
-        self.f.register(old)
-        self.drained[old.id] = time.monotonic()
-        self.note(f"drain {old.id}")
-        await asyncio.sleep(DRAIN_S + 1)
-        self.f.store.remove("servers/" + old.id)
-        old.draining = False
-        old.id = f"{old.id}+"
-        self.f.register(old)
-        self.note(f"new {old.id}")
-
-    async def chaos(self):
-        kinds = [self.kill, self.term, self.pause, self.hangup, self.link, self.link,
-                 self.server_fault, self.server_fault, self.store_fault, self.change, self.drain]
-        running = []
-        end = time.monotonic() + self.seconds
-        busy = set()
-        while time.monotonic() < end:
-            await asyncio.sleep(0.1 + self.chaos_rng.random() * 0.8)
-            node = self.chaos_rng.choice(self.f.all())
-            kind = self.chaos_rng.choice(kinds)
-            if node.ip in busy and kind in (self.kill, self.term, self.pause, self.hangup):
-                continue
-            busy.add(node.ip)
-            task = asyncio.ensure_future(kind(node))
-            task.add_done_callback(lambda _, ip=node.ip: busy.discard(ip))
-            running.append(task)
-        await asyncio.gather(*running)
-
     async def run(self):
         self.begin = time.monotonic()
         self.stopping = self.settled = False
         try:
             await self.f.start()
-            clients = [asyncio.ensure_future(self.client(i)) for i in range(24)]
+            clients = [asyncio.ensure_future(self.client(i))
+                       for i in range(max(27, 2 * len(self.f.all())))]
             probe = asyncio.ensure_future(self.probe_config())
-            await self.chaos()
+            await self.series()
             await asyncio.sleep(5)
             self.settled = True
             await asyncio.sleep(2)
@@ -315,7 +264,13 @@
             await asyncio.gather(*clients, probe)
             await asyncio.sleep(0.5)
             self.check_history()
+            self.check_planned()
             self.check_drains()
+            for n in self.f.all():
+                if n.proc.poll() is not None:
+                    self.fail(f"{n.ip}: ended by itself with {n.proc.returncode}")
+            if self.planned and self.judged < JUDGED_SHARE * len(self.asked):
+                self.fail(f"only {self.judged} of {len(self.asked)} requests were judged")
             good, total = self.served_late["good"], self.served_late["all"]
             if total < 50 or good < 0.95 * total:
                 self.fail(f"five seconds after the last fault {good} of {total} are served")
@@ -343,8 +298,11 @@
         requests = asyncio.run(s.run())
         failed += bool(s.broken)
         passed += not s.broken
-        print(f"{'FAILED' if s.broken else 'passed'} seed {seed}: {requests} requests, "
-              f"{len(s.faults)} fault steps, logs {s.f.dir if s.broken else 'dropped'}", flush=True)
+        if not s.broken:
+            shutil.rmtree(s.f.dir)
+        print(f"{'FAILED' if s.broken else 'passed'} seed {seed}{' (planned)' if s.planned else ''}: "
+              f"{requests} requests, {s.judged} judged for planned work, {len(s.terms)} stops, "
+              f"{len(s.faults)} steps, logs {s.f.dir if s.broken else 'dropped'}", flush=True)
         if s.broken or args.verbose:
             print("  " + "\n  ".join(s.broken + ["faults:"] + s.faults), flush=True)
     print(f"soak: {passed} passed, {failed} failed")
