Soak: a relay listens while its node does

Change: relays close their listener when the process is gone and open it 0.1 s after its start. Nothing is eased: the fault "refuse" of a link still accepts and breaks off.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,6 +26,8 @@
 # a node or store counts as undisturbed this long after the last fault on it
 TOUCH_S = 3.0
 CONFIG_S = 2.0
+# a process listens so long after its start
+UP_S = 0.1
 # callers, or two for each node if that is more
 CLIENTS = 27
 # time of a request by its route and by its caller, in seconds
@@ -67,8 +69,7 @@
         self.drained = {}  # server id -> time of its entry
         self.served_late = {"good": 0, "all": 0}
         layout = {"front": nodes // 3, "back": nodes - nodes // 3}
-        # a relay accepts for a process that is gone, and the request sent to it
-        # may have run for all its sender knows: none where planned work is judged
+        # planned work has no use for relays, see follow()
         self.f = fl.Fleet(net, layout, rules=self.rules(), relays=not self.planned)
         for n in self.f.all():
             n.server.behave = self.behave
@@ -217,6 +218,19 @@
             if any((e or time.monotonic()) > end + GONE_S for _, e, _ in runs):
                 self.fail(f"ran on: {what}")
 
+    async def follow(self):
+        """A relay listens while its node does: what stands between two hosts
+        takes no connection for a process that is gone. One that it took would
+        bear requests that may have run for all their sender knows."""
+        while not self.planned:
+            for n in self.f.all():
+                up = n.proc.poll() is None and time.monotonic() - n.started > UP_S
+                if not up:
+                    n.relay.server.close()
+                elif not n.relay.server.is_serving():
+                    await n.relay.start()
+            await asyncio.sleep(0.005)
+
     async def probe_config(self):
         """Undisturbed nodes serve the newest route in time and never go back."""
         newest = {}
@@ -266,12 +280,14 @@
             clients = [asyncio.ensure_future(self.client(i))
                        for i in range(self.clients)]
             probe = asyncio.ensure_future(self.probe_config())
+            relays = asyncio.ensure_future(self.follow())
             await self.series()
             await asyncio.sleep(5)
             self.settled = True
             await asyncio.sleep(2)
             self.stopping = True
             await asyncio.gather(*clients, probe)
+            relays.cancel()
             await asyncio.sleep(0.5)
             self.check_history()
             self.check_planned()
