--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -28,6 +28,8 @@
 CONFIG_S = 2.0
 # a process listens so long after its start
 UP_S = 0.1
+# shares of requests that last long, and whose answer never comes, at a server
+LONG = [(0, 0), (0.05, 0.002), (0.15, 0), (0.3, 0.005), (0.6, 0.01)]
 # callers, or two for each node if that is more
 CLIENTS = 27
 # time of a request by its route and by its caller, in seconds
@@ -74,14 +76,13 @@
         for n in self.f.all():
             n.server.behave = self.behave
         self.fault_of = {}  # server id -> (fault, share)
-        # share of requests that last long, and whose answer never comes, by server
-        self.long = {n.server.ip: self.chaos_rng.choice([(0, 0), (0.05, 0.002), (0.15, 0),
-                                                         (0.3, 0.005)]) for n in self.f.all()}
+        self.long = {n.server.ip: self.chaos_rng.choice(LONG) for n in self.f.all()}
 
     def rules(self):
         return [fl.route("read", "/get/", "back", timeout=2, target=0.5),
                 fl.route("order", "/put/", "back", "unsafe", 0, 2, 0.5),
                 fl.route("front", "/front/", "front", timeout=2, target=0.5),
+                fl.route("front-order", "/frontput/", "front", "unsafe", 1, 2, 0.5),
                 fl.route("version", f"/v{getattr(self, 'version', 1)}/", "front", timeout=1)]
 
     async def behave(self, server, head, rid, stage):
@@ -134,15 +135,16 @@
         c, n, left = None, 0, 0
         while not self.stopping:
             n += 1
-            kind = self.rng.choice(["get", "get", "put", "put", "front"])
+            kind = self.rng.choice(["get", "put", "put", "front", "frontput"])
             rid = f"s{number}-{n}"
             try:
                 if c is None:
                     c = node.caller()
                     await c.open()
                 self.asked[rid] = (kind, node, time.monotonic())
-                a = await c.ask("POST" if kind == "put" else "GET", f"/{kind}/{rid}", rid,
-                                body=b"order" * 20 if kind == "put" else b"",
+                order = kind.endswith("put")
+                a = await c.ask("POST" if order else "GET", f"/{kind}/{rid}", rid,
+                                body=b"order" * 20 if order else b"",
                                 deadline=TIME_S * 1000, timeout=8)
                 self.check_answer(rid, kind, a)
                 if (a.head.get("connection") == "close" or not a.whole or
@@ -189,10 +191,10 @@
                 if not rid.startswith("probe"):
                     self.fail(f"{rid}: ran, but was never sent")
                 continue
-            kind = self.asked[rid][0]
-            if kind == "put" and len(times) > 1:
+            order = self.asked[rid][0].endswith("put")
+            if order and len(times) > 1:
                 self.fail(f"{rid}: an order ran {len(times)} times")
-            if kind == "put" and self.outcome.get(rid) in (429, 503, 408, 421):
+            if order and self.outcome.get(rid) in (429, 503, 408, 421):
                 self.fail(f"{rid}: answered {self.outcome[rid]} and ran")
 
     def check_planned(self):
