--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -176,7 +176,8 @@
             self.served_late["all"] += 1
             self.served_late["good"] += a.status == 200 and a.whole
         if a.status == 200 and a.whole:
-            if a.head.get("x-server-stamp") != "st-" + rid or f"/{kind}/{rid} ".encode() not in a.body:
+            if (a.head.get("x-server-stamp") != "st-" + rid or
+                    f"/{kind}/{rid} ".encode() not in a.body):
                 self.fail(f"{rid}: another request's answer {a.head.fields} {a.body[:60]}")
         if a.status == 404:
             self.fail(f"{rid}: 404 for a route that always was there")
@@ -338,9 +339,11 @@
         passed += not s.broken
         if not s.broken:
             shutil.rmtree(s.f.dir)
-        print(f"{'FAILED' if s.broken else 'passed'} seed {seed}{' (planned)' if s.planned else ''}: "
-              f"{requests} requests, {s.judged} judged for planned work, {len(s.terms)} stops, "
-              f"{len(s.faults)} steps, late by {s.late * 1000:.0f} ms at most, logs {s.f.dir if s.broken else 'dropped'}", flush=True)
+        kind = "planned" if s.planned else "mixed"
+        print(f"{'FAILED' if s.broken else 'passed'} seed {seed} ({kind}): {requests} requests, "
+              f"{s.judged} judged for planned work, {len(s.terms)} stops, "
+              f"{len(s.faults)} steps, late by {s.late * 1000:.0f} ms at most, "
+              f"logs {s.f.dir if s.broken else 'dropped'}", flush=True)
         if s.broken or args.verbose:
             print("  " + "\n  ".join(s.broken + ["faults:"] + s.faults), flush=True)
     print(f"soak: {passed} passed, {failed} failed")
