--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -1382,6 +1382,42 @@
     check([status for status, _ in told] == [200, 502], told)
 
 
+@test({"front": 1, "back": 2}, slots=64)
+async def test_call_kept_for_a_host_that_is_gone(f):
+    """Reads ended 502 with their server at work, in a rolling restart: a read that
+    took long was given up as another host was thought to have room. That host's
+    node had said that it takes nothing and was gone; half a second later it no
+    longer counted as lost, and the load it told last, none, looked like room.
+    Nobody was left to take the read:
+      E1405 node_lost, then E1308 status=502 why=broken given=1 handed_back=0"""
+    async def by_id(s, head, rid, stage):
+        if stage == "run":
+            await asyncio.sleep(0.9 if rid.startswith("slow") else 0.01)
+    for n in f.nodes["back"]:
+        n.server.behave = by_id
+    node, gone = f.nodes["front"][0], f.nodes["back"][1]
+    for i in range(40):
+        check((await node.caller().ask("GET", "/leaf/1", f"q{i}")).status == 200, "warm-up")
+    gone.signal(signal.SIGTERM)
+    tasks = []
+    end = time.monotonic() + 5
+
+    async def quick(number):
+        """What runs usually: against it a slow read counts as stalled."""
+        n = 0
+        while time.monotonic() < end + 1:
+            n += 1
+            await node.caller().ask("GET", "/leaf/1", f"quick{number}-{n}")
+    usual = [asyncio.ensure_future(quick(i)) for i in range(4)]
+    while time.monotonic() < end:
+        tasks.append(asyncio.ensure_future(
+            node.caller().ask("GET", "/leaf/1", f"slow{len(tasks)}")))
+        await asyncio.sleep(0.1)
+    bad = [(i, a) for i, a in enumerate(await asyncio.gather(*tasks)) if a.status != 200]
+    await asyncio.gather(*usual)
+    check(not bad, (len(bad), len(tasks), bad[:3]))
+
+
 @test({"front": 1, "back": 1})
 async def test_big_bodies_bounded(f):
     """A 64 MiB upload to a server that reads slowly, and a caller that reads a
