A call at work is given up only for a host that is chosen and has room

Cause: whether a host has room was asked apart from the choice of one: a host that takes nothing, or was replaced, counted as room and was then passed over, and the choice fell on hosts that nothing was known of. Change: one function picks the best host that has room, and the call goes there.

--- a/src/exchange_int.h
+++ b/src/exchange_int.h
@@ -64,6 +64,7 @@
 void lw_exchange_stalled(struct ev_loop *loop, ev_timer *w, int revents);
 void lw_exchange_hold_over(struct ev_loop *loop, ev_timer *w, int revents);
 void lw_exchange_attempt(lw_exchange_t *x, lw_fail_t last);
+void lw_exchange_attempt_at(lw_exchange_t *x, lw_place_host_t *host, lw_fail_t last);
 void lw_exchange_give(lw_exchange_t *x);
 lw_place_ask_t lw_exchange_choice(const lw_exchange_t *x);
 void lw_exchange_log_retry(const lw_exchange_t *x, lw_fail_t last);
--- a/src/exchattempt.c
+++ b/src/exchattempt.c
@@ -169,13 +169,20 @@
 void lw_exchange_attempt(lw_exchange_t *x, lw_fail_t last)
 {
 	lw_place_ask_t ask = lw_exchange_choice(x);
+	lw_place_host_t *host = NULL;
 
 	if (x->tried.n < LW_PLACE_TRIED_MAX)
-		x->host = lw_place_pick(x->service, &x->tried, &ask);
-	if (!x->host) {
+		host = lw_place_pick(x->service, &x->tried, &ask);
+	if (host)
+		lw_exchange_attempt_at(x, host, last);
+	else
 		no_host(x, last);
-		return;
-	}
+}
+
+/* lw_exchange_attempt_at() - give the request to @host, which has not had it; @last: why again */
+void lw_exchange_attempt_at(lw_exchange_t *x, lw_place_host_t *host, lw_fail_t last)
+{
+	x->host = host;
 	if (x->tried.n || x->attempts.given)
 		lw_exchange_log_retry(x, last);
 	lw_place_try(&x->tried, x->host);
--- a/src/exchoutcome.c
+++ b/src/exchoutcome.c
@@ -268,43 +268,57 @@
 	ev_timer_start(loop, &x->stall);
 }
 
+/* the call under way is given up for another try: @v says where, @room is a host that has room */
+static void try_elsewhere(lw_exchange_t *x, lw_verdict_t v, lw_place_host_t *room,
+			  const lw_place_ask_t *ask)
+{
+	if (!take_retry(x))
+		return;
+	x->attempts.given += !x->resending;
+	x->attempts.maybe_ran = true;
+	lw_exchange_abandon_call(x);
+	if (v == LW_VERDICT_AGAIN_COUNTED)
+		lw_exchange_attempt_at(x, room, LW_FAIL_BROKEN);
+	else
+		send_again(x, LW_FAIL_BROKEN, ask);
+}
+
 /*
- * The node that runs the request has gone silent. A request that may run
- * twice goes elsewhere, a call also to another server that had it; any other
- * can only wait. So does one that no other server is known to have room for:
- * given up for a refusal there it is lost (502), though its server is at work.
+ * Nothing is heard of the call under way, or it takes far longer than usual. A
+ * request that may run twice goes elsewhere, a call also to another server that
+ * had it; any other can only wait. So does one that no other host has room for,
+ * @sure: is known to have room for: given up for a refusal there it is lost
+ * (502), though its server is at work.
  */
-static void sink_silent(lw_sink_t *s)
+static void give_up_for_room(lw_exchange_t *x, bool sure)
 {
-	lw_exchange_t *x = (lw_exchange_t *)s;
-	const lw_place_host_t *again;
-	lw_place_ask_t ask;
+	lw_place_ask_t ask = lw_exchange_choice(x);
+	const lw_place_host_t *again = lw_place_pick_again(x->service, &x->tried, &ask);
+	lw_place_host_t *room = NULL;
 	lw_verdict_t v;
 
-	if (x->dead || x->answering)
-		return;
-	ask = lw_exchange_choice(x);
-	again = lw_place_pick_again(x->service, &x->tried, &ask);
+	if (x->tried.n < LW_PLACE_TRIED_MAX)
+		room = lw_place_pick_room(x->service, &x->tried, &ask, sure);
 	x->attempts.left_ms = lw_exchange_left_ms(x, x->give_up_us);
 	x->attempts.body_kept = x->body_base == 0;
 	v = lw_retry_silent(&x->attempts);
-	if (v == LW_VERDICT_AGAIN_COUNTED &&
-	    !lw_place_has_room(x->service, &x->tried, ask.now_us, false)) {
+	if (!room && (sure || v == LW_VERDICT_AGAIN_COUNTED)) {
 		watch_for_room(x);
 		return;
 	}
 	if (v == LW_VERDICT_SAME_COUNTED &&
 	    (again == x->host || !lw_place_takes(again, ask.now_us)))
 		return;
-	if (v == LW_VERDICT_FAIL || !take_retry(x))
-		return;
-	x->attempts.given += !x->resending;
-	x->attempts.maybe_ran = true;
-	lw_exchange_abandon_call(x);
-	if (v == LW_VERDICT_AGAIN_COUNTED)
-		lw_exchange_attempt(x, LW_FAIL_BROKEN);
-	else
-		send_again(x, LW_FAIL_BROKEN, &ask);
+	if (v != LW_VERDICT_FAIL)
+		try_elsewhere(x, v, room, &ask);
+}
+
+static void sink_silent(lw_sink_t *s)
+{
+	lw_exchange_t *x = (lw_exchange_t *)s;
+
+	if (!x->dead && !x->answering)
+		give_up_for_room(x, false);
 }
 
 const lw_sink_ops_t lw_exchange_sink_ops = {
@@ -316,24 +330,16 @@
 };
 
 /*
- * lw_exchange_stalled() - An answer that takes far longer than usual was lost, or the server hangs. A
- * request that may run twice goes elsewhere while its caller still waits, but
- * only where there is room: the call may just have waited long in a queue, and
- * given up for a refusal elsewhere it is lost (502 with its server at work). A
- * node that stops breaks nothing off.
+ * lw_exchange_stalled() - timer: an answer that takes far longer than usual was
+ * lost, or the server hangs, or the call has just waited long in a queue. A node
+ * that stops breaks nothing off.
  */
 void lw_exchange_stalled(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	lw_exchange_t *x = w->data;
-	const lw_hub_t *hub = x->engine->hub;
 
+	(void)loop;
 	(void)revents;
-	if (hub->leaving || x->answering)
-		return;
-	if (lw_place_has_room(x->service, &x->tried, hub->now_us, true)) {
-		sink_silent(&x->sink);
-		return;
-	}
-	ev_timer_set(w, STALL_AGAIN_S, 0);
-	ev_timer_start(loop, w);
+	if (!x->engine->hub->leaving && !x->dead && !x->answering)
+		give_up_for_room(x, true);
 }
--- a/src/place.c
+++ b/src/place.c
@@ -186,6 +186,13 @@
 	return h->load_us && !h->load.limit && now_us - h->load_us < LOAD_STALE_US;
 }
 
+/* whether @h may get work at all, however busy it is */
+static bool gets_work(const lw_place_host_t *h, uint64_t now_us)
+{
+	return lw_place_usable(h, now_us) && !h->draining && !refuses(h, now_us) &&
+	       now_us >= h->replaced_until_us;
+}
+
 static double mean_service(const lw_place_service_t *s)
 {
 	double sum = 0;
@@ -212,8 +219,7 @@
 		tier_t tier = host_tier(h, ask->now_us);
 		double cost;
 
-		if (!lw_place_usable(h, ask->now_us) || h->draining || refuses(h, ask->now_us) ||
-		    ask->now_us < h->replaced_until_us ||
+		if (!gets_work(h, ask->now_us) ||
 		    !(again ? may_again(tried, h) : !was_tried(tried, h)))
 			continue;
 		random = random * 1664525u + 1013904223u;
@@ -248,23 +254,41 @@
 	return pick(s, tried, true, ask);
 }
 
+/* whether @h has room for a request now; @sure: not if nothing is known of it */
+static bool has_room(const lw_place_host_t *h, uint64_t now_us, bool sure)
+{
+	bool known = h->load_us && now_us - h->load_us < LOAD_STALE_US;
+
+	return (known || !sure) && gets_work(h, now_us) && host_tier(h, now_us) == TIER_GOOD &&
+	       host_use(h, known) <= 1;
+}
+
 /*
- * lw_place_has_room() - whether a host of @s other than @tried has room for a
- * request now; @sure: one of which nothing is known does not count. Giving up a
- * call that may yet be answered is only worth it then.
+ * lw_place_pick_room() - the best host of @s other than @tried that has room for
+ * a request now, NULL if none has; @sure: one of which nothing is known does not
+ * count. Giving up a call that may yet be answered is only worth it for such a
+ * host: of 50 reads that took long while a node stopped 14 to 23 were given up for
+ * a node that was gone, and failed with their server at work.
  */
-bool lw_place_has_room(const lw_place_service_t *s, const lw_place_tried_t *tried, uint64_t now_us,
-		       bool sure)
+lw_place_host_t *lw_place_pick_room(const lw_place_service_t *s, const lw_place_tried_t *tried,
+				    const lw_place_ask_t *ask, bool sure)
 {
-	for (const lw_place_host_t *h = s->hosts; h; h = h->next) {
-		bool known = h->load_us && now_us - h->load_us < LOAD_STALE_US;
+	double mean = mean_service(s);
+	lw_place_host_t *best = NULL;
+	double best_cost = 0;
 
-		if ((known || !sure) && lw_place_usable(h, now_us) && !h->draining &&
-		    host_tier(h, now_us) == TIER_GOOD && !was_tried(tried, h) &&
-		    host_use(h, known) <= 1)
-			return true;
+	for (lw_place_host_t *h = s->hosts; h; h = h->next) {
+		double cost;
+
+		if (was_tried(tried, h) || !has_room(h, ask->now_us, sure))
+			continue;
+		cost = host_cost(h, ask, mean);
+		if (!best || cost < best_cost) {
+			best = h;
+			best_cost = cost;
+		}
 	}
-	return false;
+	return best;
 }
 
 /* lw_place_takes() - whether @h is there and takes new work; NULL does not. */
