--- a/Makefile
+++ b/Makefile
@@ -97,7 +97,7 @@
 	sh tests/faults.sh
 	SIM=$(BUILD)/lwsim sh tests/sim.sh
 	LWPROXY=$(BUILD)/lwproxy python3 tests/mesh/run.py
-	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1,2 --seconds 8
+	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1,2,18 --seconds 8
 
 lint:
 	@sh tools/lint.sh
