--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -10,6 +10,7 @@
 
 sys.path.insert(0, os.path.dirname(__file__))
 import fleet as fl  # noqa: E402
+import standin  # noqa: E402
 from fleet import Fleet, config, route, until  # noqa: E402
 
 TESTS = []
@@ -567,6 +568,50 @@
     check(not bad, (len(bad), len(ends), bad[:3]))
 
 
+@test({"front": 6, "back": 1}, slots=64)
+async def test_nothing_is_taken_after_the_exit_is_decided(f):
+    """A request got no answer from a stopping node and had been passed on to a
+    server: it came in the turn of the loop in which the node decided to leave as
+    nothing was under way. What had arrived was still read in that turn, and sent
+    on with the last frames, though nobody was left to wait for the answer:
+      23.681 s the request is sent, 2.465 s after SIGTERM
+      23.717 s the connection is closed with no answer; the server runs it
+    Here the node stands still while the moment of its exit passes and a request
+    comes. Whoever gets no answer has reached no server."""
+    async def slow(s, head, rid, stage):
+        if stage == "run":
+            await asyncio.sleep(0.3)
+    f.nodes["back"][0].server.behave = slow
+
+    async def late_at(node):
+        rid = "late" + node.ip
+        await until(lambda: node.caller().ask("POST", "/up/1", f"warm{time.monotonic()}", body=b"x"),
+                    lambda a: a.status == 200)
+        node.signal(signal.SIGTERM)
+        began = time.monotonic()
+        await asyncio.sleep(2.3)
+        c, probe = node.caller(), standin.Caller(node.ip, fl.READY)
+        await c.open()
+        await probe.open()
+        await asyncio.sleep(began + 2.45 - time.monotonic())
+        # work that is no request: stopped at it, the node looks for input and time at once
+        probe.writer.write(b"GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n" * 2000)
+        await asyncio.sleep(0.002)
+        node.signal(signal.SIGSTOP)
+        task = asyncio.ensure_future(c.ask("POST", "/up/1", rid, body=b"x"))
+        await asyncio.sleep(0.2)
+        node.signal(signal.SIGCONT)
+        try:
+            status = (await task).status
+        except (OSError, asyncio.IncompleteReadError):
+            status = 0
+        probe.close()
+        await until(lambda: node.proc.poll(), lambda rc: rc == 0, 4)
+        return status in (200, 503) or not runs(f, rid)
+    sound = await asyncio.gather(*[late_at(n) for n in f.nodes["front"]])
+    check(all(sound), f"passed on and not answered at {sound.count(False)} of {len(sound)} nodes")
+
+
 @test({"front": 1, "back": 2}, relays=True)
 async def test_call_to_a_process_that_never_spoke(f):
     """Requests that no server had seen ended 502, as if they might have run: 16
