The exit closes everything in the step that decides it

Cause: what arrives in the turn of the loop in which a stopping node leaves was still read, and passed on with the last frames (LOST). Change: callers, listeners and connections between nodes are closed, and nothing that is pending on them is acted on, before the loop is told to end.

--- a/src/meshlink.c
+++ b/src/meshlink.c
@@ -154,11 +154,17 @@
  */
 void lw_mesh_end(lw_mesh_t *m)
 {
+	struct ev_loop *loop = m->hub->loop;
+
 	lw_mesh_flush_all(m);
-	ev_io_stop(m->hub->loop, &m->accept_io);
+	ev_io_stop(loop, &m->accept_io);
 	close(m->listen_fd);
-	for (const lw_link_t *l = m->links; l; l = l->next)
+	for (lw_link_t *l = m->links; l; l = l->next) {
+		ev_io_stop(loop, &l->io);
+		ev_clear_pending(loop, &l->io);
+		l->closed = true;
 		close(l->fd);
+	}
 }
 
 /*
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -173,8 +173,6 @@
 	       set->callers, set->backend);
 	lw_proxy_mask_signals(SIG_UNBLOCK);
 	ev_run(p->hub.loop, 0);
-	lw_callers_end(p->callers);
-	lw_mesh_end(p->engine.mesh);
 	lw_log(LW_LOG_stopped, "active=%u", p->engine.active);
 	lw_log_flush();
 	return LW_OK;
--- a/src/proxystop.c
+++ b/src/proxystop.c
@@ -28,6 +28,18 @@
 	       (unsigned long long)(state->oldest_us / 1000));
 }
 
+/*
+ * Answer what is given up and close everything, in the step that decides it: the
+ * loop still acts on what has arrived in this turn, and a request taken then
+ * would be passed on with nobody left to wait for its answer.
+ */
+static void leave(lw_proxy_t *p)
+{
+	lw_engine_end_all(&p->engine);
+	lw_callers_end(p->callers);
+	lw_mesh_end(p->engine.mesh);
+}
+
 /* the next steps of a stop */
 static void go_on_stopping(struct ev_loop *loop, ev_timer *w, int revents)
 {
@@ -60,7 +72,7 @@
 		lw_callers_close_listeners(p->callers);
 	if (plan.exit) {
 		log_step(p, state.oldest_us ? "exit_cutting_off" : "exit", &state);
-		lw_engine_end_all(&p->engine);
+		leave(p);
 		ev_break(loop, EVBREAK_ALL);
 	}
 }
