Only a refused connection says that a host's process is gone

Callers saw 502 for orders that were at work, with the answer on its way. Cause: any lost connection to a host, also an old silent one that was closed as nobody waited on it any more, ended the waits for all answers to questions to that host. Now only a connection that nobody takes (refused) does: then the process that ran them is gone, and nothing more can come.

--- a/src/linux/sock.c
+++ b/src/linux/sock.c
@@ -131,13 +131,22 @@
 	fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
 }
 
-/* lw_sock_connected() - true once the connection begun on @fd stands. */
-bool lw_sock_connected(int fd)
+/*
+ * lw_sock_connect_error() - why the connection begun on @fd does not stand, as an
+ * errno value; 0: it stands.
+ */
+int lw_sock_connect_error(int fd)
 {
 	int err = 0;
 	socklen_t len = sizeof(err);
 
-	return getsockopt(fd, SOL_SOCKET, SO_ERROR, &err, &len) == 0 && err == 0;
+	return getsockopt(fd, SOL_SOCKET, SO_ERROR, &err, &len) ? errno : err;
+}
+
+/* lw_sock_connected() - true once the connection begun on @fd stands. */
+bool lw_sock_connected(int fd)
+{
+	return lw_sock_connect_error(fd) == 0;
 }
 
 /*
--- a/src/linux/sock.h
+++ b/src/linux/sock.h
@@ -12,6 +12,7 @@
 int lw_sock_accept(int lfd);
 lw_status_t lw_sock_start_connect(const char *addr, int *fd);
 void lw_sock_nonblock(int fd);
+int lw_sock_connect_error(int fd);
 bool lw_sock_connected(int fd);
 void lw_sock_tune(int fd);
 void lw_sock_abort(int fd);
--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -44,6 +44,7 @@
 	bool closed;
 	bool dirty;
 	bool failed;
+	bool refused; /* nobody listens at its other end: that process is gone */
 	bool silent; /* carries no new requests */
 	uint64_t name; /* drawn by the side that opened it; 0: not told yet */
 	uint64_t peer_incarnation; /* 0: not told yet */
@@ -103,7 +104,7 @@
 void lw_mesh_on_query(lw_link_t *l, const Lw__FateQuery *q);
 void lw_mesh_on_fates(lw_link_t *l, const Lw__Fates *w);
 void lw_mesh_check_orphans(lw_mesh_t *m);
-void lw_mesh_query_failed(lw_mesh_t *m, const char *node);
+void lw_mesh_peer_gone(lw_mesh_t *m, const char *node);
 bool lw_mesh_is_refused(const lw_mesh_t *m, uint64_t name);
 void lw_link_free(lw_link_t *l);
 void lw_link_frame_queued(lw_link_t *l, size_t before);
--- a/src/meshfate.c
+++ b/src/meshfate.c
@@ -201,8 +201,13 @@
 	}
 }
 
-/* lw_mesh_query_failed() - no connection to @node: its process is gone. */
-void lw_mesh_query_failed(lw_mesh_t *m, const char *node)
+/*
+ * lw_mesh_peer_gone() - nobody listens at @node: its process is gone, and nothing
+ * more will be heard of what it ran. A lost connection alone does not say so: an
+ * older silent one, closed as nobody waited on it any more, ended the wait for
+ * answers that were on their way (502 for orders at work).
+ */
+void lw_mesh_peer_gone(lw_mesh_t *m, const char *node)
 {
 	lw_link_t *next;
 
--- a/src/meshlink.c
+++ b/src/meshlink.c
@@ -181,8 +181,8 @@
 	link_close(l);
 	if (l->outgoing && !l->silent)
 		l->mesh->ops->lost(l->mesh->ctx, l->node);
-	if (l->outgoing)
-		lw_mesh_query_failed(l->mesh, l->node);
+	if (l->refused)
+		lw_mesh_peer_gone(l->mesh, l->node);
 	if (l->streams && lw_link_may_wait(l))
 		lw_link_orphan(l);
 	else
@@ -280,7 +280,10 @@
 		return;
 	}
 	if (l->connecting) {
-		if (!lw_sock_connected(l->fd)) {
+		int err = lw_sock_connect_error(l->fd);
+
+		if (err) {
+			l->refused = err == ECONNREFUSED;
 			lw_link_lost(l);
 			return;
 		}
--- a/tests/mesh/fates.py
+++ b/tests/mesh/fates.py
@@ -267,12 +267,13 @@
     it had left. Any lost connection to a host ended the waits for all questions to
     that host: "E1408 fate_asked lost=1" and "E1409 fate_told moved=1" 1 ms later, "E1411
     link_ended streams=1 waited_ms=218" with "E1308 status=502 why=broken"."""
-    _, second, caller = await two_orders_behind(f)
+    first, second, caller = await two_orders_behind(f)
     caller.close()
     await asyncio.sleep(0.25)
     await f.nodes["back"][0].relay.release()
     a = await second
     check(a.status == 200 and runs(f, "second") == 1, (a, runs(f, "second")))
+    await asyncio.gather(first, return_exceptions=True)
 
 
 @test({"front": 1, "back": 2}, relays=True)
