A question what became of a request is asked until it is answered

Callers saw 504 for orders that their server had answered in time, and 502 for orders at work or that no server ever had. Cause: the question was asked once for each connection and was lost with the connection that carried it or its answer, as beside a host that stands still for longer than a connection waits for its first words; after 0.6 s the host was taken for gone; and it knew a request that had moved by its new place only, so that asking again could not find it, and a question that named less ended it.

Now a request keeps its name (connection sent over, id there) on both sides. A question names all that is still waited for of one connection and is asked again over the next until one that carried it lives; numbers keep late ones from moving anything back, only the answer to the last one counts. So no single loss can end the wait, and none can make two of one request: elsewhere it goes only by the word "never received" of the same process.

--- a/src/mesh.c
+++ b/src/mesh.c
@@ -90,6 +90,7 @@
 	       (unsigned long long)(l->queued_total - l->written_total),
 	       (unsigned long long)((l->mesh->hub->now_us - l->heard_us) / 1000));
 	l->mesh->ops->lost(l->mesh->ctx, l->node);
+	lw_mesh_forget_questions(l);
 	if (l->streams)
 		lw_mesh_ask_fate(l);
 }
@@ -115,7 +116,7 @@
 			link_silent(l);
 		return;
 	}
-	if (quiet > (l->streams ? SILENT_ASK_US : IDLE_ASK_US)) {
+	if (quiet > (l->streams || l->questions ? SILENT_ASK_US : IDLE_ASK_US)) {
 		l->asked_us = now;
 		lw_mesh_send_status(l, false);
 	}
@@ -131,7 +132,7 @@
 	(void)revents;
 	for (lw_link_t *l = m->links; l; l = next) {
 		next = l->next;
-		if (!l->outgoing || !l->streams)
+		if (!l->outgoing || !(l->streams || l->questions))
 			continue;
 		under_way = true;
 		check_link(l, m->hub->now_us);
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -1781,7 +1781,7 @@
   (ProtobufCMessageInit) lw__status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__fate_query__field_descriptors[2] =
+static const ProtobufCFieldDescriptor lw__fate_query__field_descriptors[3] =
 {
   {
     "link",
@@ -1807,15 +1807,28 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "number",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lw__FateQuery, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__fate_query__field_indices_by_name[] = {
   0,   /* field[0] = link */
+  2,   /* field[2] = number */
   1,   /* field[1] = streams */
 };
 static const ProtobufCIntRange lw__fate_query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor lw__fate_query__descriptor =
 {
@@ -1825,7 +1838,7 @@
   "Lw__FateQuery",
   "lw",
   sizeof(Lw__FateQuery),
-  2,
+  3,
   lw__fate_query__field_descriptors,
   lw__fate_query__field_indices_by_name,
   1,  lw__fate_query__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -329,24 +329,38 @@
 
 /*
  * What became of requests sent over a connection that has gone silent or was
- * lost? Asked on another connection to the same node. A request never received
- * is refused from then on.
+ * lost? Asked on another connection to the same node, and again on a further one
+ * when that is silent or lost, too. A request never received is refused from then
+ * on; one that is not named is ended.
  */
 struct  Lw__FateQuery
 {
   ProtobufCMessage base;
+  /*
+   * the requests were sent over, wherever they are now
+   */
   uint64_t link;
+  /*
+   * their ids there
+   */
   size_t n_streams;
   uint32_t *streams;
+  /*
+   * of the sender's questions: an older one that comes late changes nothing
+   */
+  uint64_t number;
 };
 #define LW__FATE_QUERY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__fate_query__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0 }
 
 
 struct  Lw__Fate
 {
   ProtobufCMessage base;
+  /*
+   * as in the question
+   */
   uint32_t stream;
   Lw__FateKind kind;
   /*
--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -15,6 +15,15 @@
 
 typedef struct lw_link lw_link_t;
 
+/*
+ * Names a request for both sides, wherever it moves: the connection it was sent
+ * over and its id there.
+ */
+typedef struct lw_origin {
+	uint64_t link;
+	uint64_t id;
+} lw_origin_t;
+
 /*
  * One request on a connection. On the side that sent it, it is the call; on
  * the side that runs it, it is the sink of a call at the gate.
@@ -23,15 +32,22 @@
 	lw_call_t call; /* outgoing: sink is set */
 	lw_sink_t as_sink; /* incoming */
 	lw_call_t *job; /* incoming: the call at the gate */
-	lw_link_t *link;
-	uint32_t id;
+	lw_link_t *link; /* it is on now */
+	uint32_t id; /* on that link */
+	lw_origin_t origin;
 	uint64_t open_at; /* outgoing: bytes queued before its first frame, on its first link */
 	bool received; /* outgoing: the peer said that it has it */
-	bool asked; /* outgoing: named in a question that has no answer yet */
+	uint64_t
+		asked_over; /* outgoing: name of the link that carries the question about it; 0: none */
+	uint64_t asked_us; /* outgoing: when it was first asked about, 0: not */
+	bool told_silent; /* outgoing: its sink knows that nothing is heard */
 	bool dead;
 	bool request_whole; /* incoming: the body of the request is complete */
 	bool answering; /* incoming: a part of the answer was sent */
-	UT_hash_handle hh;
+	uint64_t question; /* incoming: number of the newest question about it */
+	uint64_t named; /* incoming: the question acted on last that named it, as counted here */
+	UT_hash_handle hh; /* in its link's streams, by id */
+	UT_hash_handle by_origin; /* in the mesh's sent or taken */
 } lw_stream_t;
 
 struct lw_link {
@@ -50,7 +66,7 @@
 	uint64_t peer_incarnation; /* 0: not told yet */
 	uint32_t last_open; /* incoming: highest stream opened, plus one */
 	uint32_t next_moved; /* incoming: next id of a stream moved here */
-	uint64_t query_us; /* outgoing: the peer was asked what became of its streams */
+	uint32_t questions; /* outgoing: questions it carried that have no answer yet */
 	uint64_t orphan_us; /* the socket is gone, the streams still wait; since when */
 	uint32_t next_id;
 	lw_stream_t *streams;
@@ -81,6 +97,10 @@
 	ev_io accept_io;
 	lw_link_t *links;
 	lw_link_t *orphans; /* lost connections whose streams still wait */
+	lw_stream_t *sent; /* requests of this node, by origin */
+	lw_stream_t *taken; /* requests of other nodes, by origin */
+	uint64_t asked; /* questions asked: the number of the newest */
+	uint64_t heard; /* questions of others acted on */
 	uint64_t refused[LW_MESH_REFUSED]; /* names of connections that may bring nothing more */
 	uint32_t nrefused;
 	uint64_t incarnation; /* of this process */
@@ -101,8 +121,10 @@
 void lw_link_orphan(lw_link_t *l);
 void lw_link_drop_streams(lw_link_t *l);
 void lw_mesh_ask_fate(lw_link_t *l);
+void lw_mesh_ask_again(lw_mesh_t *m);
 void lw_mesh_on_query(lw_link_t *l, const Lw__FateQuery *q);
 void lw_mesh_on_fates(lw_link_t *l, const Lw__Fates *w);
+void lw_mesh_forget_questions(const lw_link_t *l);
 void lw_mesh_check_orphans(lw_mesh_t *m);
 void lw_mesh_peer_gone(lw_mesh_t *m, const char *node);
 bool lw_mesh_is_refused(const lw_mesh_t *m, uint64_t name);
@@ -115,6 +137,9 @@
 void lw_mesh_send_status(lw_link_t *l, bool is_reply);
 void lw_mesh_send_cancel(lw_link_t *l, uint32_t id);
 void lw_stream_free(lw_stream_t *s);
+void lw_stream_add(lw_stream_t *s, lw_link_t *l, uint32_t id);
+void lw_stream_move(lw_stream_t *s, lw_link_t *to, uint32_t id);
+lw_stream_t *lw_stream_by_origin(lw_stream_t *table, uint64_t link, uint32_t id);
 void lw_mesh_on_open(lw_link_t *l, const Lw__Open *o);
 void lw_mesh_on_answer(lw_link_t *l, const Lw__Answer *w);
 void lw_mesh_on_data(lw_link_t *l, const Lw__Data *d);
--- /dev/null
+++ b/src/meshask.c
@@ -0,0 +1,217 @@
+/*
+ * The side that asks what became of its requests. Failure it guards against:
+ * something between two hosts loses track of open connections while new ones
+ * work, or resets them, or a host stands still for a moment. The requests on such
+ * a connection end as "may have run" although most wait in a buffer or run on
+ * undisturbed; seen as a wave of 502 and 504 with healthy servers. The peer is
+ * asked over another connection, and asked again until a question comes through:
+ * what it never received is placed elsewhere, what runs there is answered over
+ * the new connection.
+ */
+#include "mesh_int.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+#include "xalloc.h"
+
+/*
+ * No answer to the question after this: the peer is suspended or gone. A request
+ * that may run twice goes elsewhere then, any other is waited for, us.
+ */
+#define FATE_WAIT_US 600000
+
+/*
+ * lw_mesh_forget_questions() - @l is lost or silent, and with it the questions it
+ * carried: they are asked again over another connection. Left alone, a request
+ * that the host has answered, or never had, ends 504 or 502: seen wherever a
+ * host stands still longer than a connection waits for its first words.
+ */
+void lw_mesh_forget_questions(const lw_link_t *l)
+{
+	if (!l->outgoing)
+		return;
+	for (lw_stream_t *s = l->mesh->sent; s; s = s->by_origin.next)
+		if (s->asked_over == l->name)
+			s->asked_over = 0;
+}
+
+/* all requests sent over @link that are not over, from now on named in a question; the caller frees them */
+static uint32_t *name_streams(lw_mesh_t *m, uint64_t link, const lw_link_t *over, size_t *n)
+{
+	uint32_t *ids = xcalloc(HASH_CNT(by_origin, m->sent), sizeof(*ids));
+
+	for (lw_stream_t *s = m->sent; s; s = s->by_origin.next) {
+		if (s->origin.link != link)
+			continue;
+		ids[(*n)++] = (uint32_t)s->origin.id;
+		s->asked_over = over->name;
+		if (!s->asked_us)
+			s->asked_us = m->hub->now_us;
+	}
+	return ids;
+}
+
+/*
+ * Ask @over what became of what was sent over @link, all of it: the peer ends what
+ * the question does not name, and it may not know where its sender believes a
+ * request to be, as when word of a move was lost.
+ */
+static void ask(lw_link_t *over, uint64_t link, bool lost)
+{
+	lw_mesh_t *m = over->mesh;
+	Lw__FateQuery q = LW__FATE_QUERY__INIT;
+	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
+	uint32_t *ids = name_streams(m, link, over, &q.n_streams);
+
+	q.link = link;
+	q.streams = ids;
+	q.number = ++m->asked;
+	f.body_case = LW__MESH_FRAME__BODY_QUERY;
+	f.query = &q;
+	lw_link_send(over, &f);
+	over->questions++;
+	m->stats.queries++;
+	lw_log(LW_LOG_fate_asked, "node=%s link=%016llx over=%016llx streams=%zu lost=%d new=%d",
+	       over->node, (unsigned long long)link, (unsigned long long)over->name, q.n_streams,
+	       lost, over->connecting);
+	free(ids);
+}
+
+/*
+ * lw_mesh_ask_fate() - ask the peer what became of the requests on @l, if no
+ * question about them is under way.
+ */
+void lw_mesh_ask_fate(lw_link_t *l)
+{
+	for (lw_stream_t *s = l->streams; s; s = s->hh.next) {
+		lw_link_t *over;
+
+		if (s->asked_over)
+			continue;
+		over = lw_link_to(l->mesh, l->node);
+		if (!over)
+			return;
+		ask(over, s->origin.link, l->orphan_us != 0);
+	}
+}
+
+/* nothing was heard of some requests for long: those that may run twice go elsewhere */
+static void tell_silent(lw_mesh_t *m)
+{
+	lw_stream_t *s, *next;
+
+	for (s = m->sent; s; s = next) {
+		next = s->by_origin.next;
+		if (s->told_silent || !s->asked_us || m->hub->now_us - s->asked_us < FATE_WAIT_US)
+			continue;
+		s->told_silent = true;
+		s->call.sink->ops->silent(s->call.sink);
+	}
+}
+
+/*
+ * lw_mesh_ask_again() - requests on lost and silent connections whose question was
+ * lost are asked after again.
+ */
+void lw_mesh_ask_again(lw_mesh_t *m)
+{
+	tell_silent(m);
+	for (lw_link_t *l = m->orphans; l; l = l->next)
+		if (l->outgoing)
+			lw_mesh_ask_fate(l);
+	for (lw_link_t *l = m->links; l; l = l->next)
+		if (l->silent)
+			lw_mesh_ask_fate(l);
+}
+
+/* the peer runs the request, and its answer comes over @l */
+static void go_on(lw_stream_t *s, lw_link_t *l, uint32_t id)
+{
+	lw_stream_move(s, l, id);
+	s->received = true;
+	s->asked_over = 0;
+	s->asked_us = 0;
+	s->told_silent = false;
+	l->mesh->stats.moved++;
+}
+
+static bool same_process(const lw_stream_t *s, const Lw__Fates *w)
+{
+	return s->link->peer_incarnation && s->link->peer_incarnation == w->incarnation;
+}
+
+/* what became of one request, as told over @l; false if nobody waits for that word */
+static bool take_fate(lw_link_t *l, const Lw__Fates *w, const Lw__Fate *fate)
+{
+	lw_stream_t *s = lw_stream_by_origin(l->mesh->sent, w->link, fate->stream);
+	bool same;
+	lw_sink_t *sink;
+
+	if (!s) {
+		/* given up before this was heard: the word of that went to a closed connection */
+		if (fate->kind == LW__FATE_KIND__FATE_MOVED)
+			lw_mesh_send_cancel(l, fate->moved_to);
+		return false;
+	}
+	if (s->asked_over != l->name)
+		return false; /* it was asked about again: only the last answer holds */
+	same = same_process(s, w);
+	if (same && fate->kind == LW__FATE_KIND__FATE_MOVED) {
+		go_on(s, l, fate->moved_to);
+		return true;
+	}
+	sink = s->call.sink;
+	lw_stream_free(s);
+	if (same && fate->kind == LW__FATE_KIND__FATE_NEVER) {
+		l->mesh->stats.never_received++;
+		sink->ops->fail(sink, LW_FAIL_UNSENT, 0, NULL);
+	} else {
+		sink->ops->fail(sink, LW_FAIL_BROKEN, 0, NULL);
+	}
+	return true;
+}
+
+static uint32_t count_kind(const Lw__Fates *w, Lw__FateKind kind)
+{
+	uint32_t n = 0;
+
+	for (size_t i = 0; i < w->n_fates; i++)
+		n += w->fates[i]->kind == kind;
+	return n;
+}
+
+/* silent connections to @node on which nothing is left */
+static void close_emptied(lw_mesh_t *m, const char *node)
+{
+	lw_link_t *next;
+
+	for (lw_link_t *l = m->links; l; l = next) {
+		next = l->next;
+		if (l->silent && !l->streams && strcmp(l->node, node) == 0)
+			lw_link_lost(l);
+	}
+}
+
+/* lw_mesh_on_fates() - the peer tells what became of requests on a lost connection. */
+void lw_mesh_on_fates(lw_link_t *l, const Lw__Fates *w)
+{
+	char node[LW_NAME_MAX];
+	uint32_t waited_for = 0;
+
+	lw_str_copy(node, sizeof(node), lw_str_c(l->node));
+	if (l->questions)
+		l->questions--;
+	for (size_t i = 0; i < w->n_fates; i++)
+		waited_for += take_fate(l, w, w->fates[i]);
+	lw_log(LW_LOG_fate_heard,
+	       "node=%s link=%016llx over=%016llx waited_for=%u moved=%u never=%u maybe_ran=%u incarnation=%016llx before=%016llx",
+	       node, (unsigned long long)w->link, (unsigned long long)l->name, waited_for,
+	       count_kind(w, LW__FATE_KIND__FATE_MOVED), count_kind(w, LW__FATE_KIND__FATE_NEVER),
+	       count_kind(w, LW__FATE_KIND__FATE_GONE), (unsigned long long)w->incarnation,
+	       (unsigned long long)l->peer_incarnation);
+	if (l->silent)
+		lw_mesh_ask_fate(l);
+	close_emptied(l->mesh, node);
+}
--- a/src/meshcall.c
+++ b/src/meshcall.c
@@ -8,12 +8,51 @@
 
 #include "xalloc.h"
 
+/* the table of @s by origin: what this node sent, or what it took from others */
+static lw_stream_t **table_of(const lw_stream_t *s)
+{
+	lw_mesh_t *m = s->link->mesh;
+
+	return s->call.sink ? &m->sent : &m->taken;
+}
+
+/* lw_stream_by_origin() - the request in @table that was sent over @link as @id; NULL: there is none. */
+lw_stream_t *lw_stream_by_origin(lw_stream_t *table, uint64_t link, uint32_t id)
+{
+	lw_stream_t key, *s;
+
+	memset(&key, 0, sizeof(key));
+	key.origin = (lw_origin_t){ link, id };
+	HASH_FIND(by_origin, table, &key.origin, sizeof(key.origin), s);
+	return s;
+}
+
+/* lw_stream_add() - a new request is on @l as @id. */
+void lw_stream_add(lw_stream_t *s, lw_link_t *l, uint32_t id)
+{
+	s->link = l;
+	s->id = id;
+	s->origin = (lw_origin_t){ l->name, id };
+	HASH_ADD(hh, l->streams, id, sizeof(s->id), s);
+	HASH_ADD(by_origin, *table_of(s), origin, sizeof(s->origin), s);
+}
+
+/* lw_stream_move() - the request goes on over @to as @id. */
+void lw_stream_move(lw_stream_t *s, lw_link_t *to, uint32_t id)
+{
+	HASH_DEL(s->link->streams, s);
+	s->link = to;
+	s->id = id;
+	HASH_ADD(hh, to->streams, id, sizeof(s->id), s);
+}
+
 /* lw_stream_free() - the stream is over; freed when this turn of the loop ends. */
 void lw_stream_free(lw_stream_t *s)
 {
 	if (s->dead)
 		return;
 	s->dead = true;
+	HASH_DELETE(by_origin, *table_of(s), s);
 	HASH_DEL(s->link->streams, s);
 	lw_hub_free_later(s->link->mesh->hub, s);
 }
@@ -219,12 +258,10 @@
 	}
 	s = xcalloc(1, sizeof(*s));
 	s->as_sink.ops = &sink_ops;
-	s->link = l;
-	s->id = o->stream;
 	s->request_whole = o->fin;
 	if (o->stream >= l->last_open)
 		l->last_open = o->stream + 1;
-	HASH_ADD(hh, l->streams, id, sizeof(s->id), s);
+	lw_stream_add(s, l, o->stream);
 	s->job = lw_gate_submit(l->mesh->gate, &s->as_sink, &ask, lw_meshframe_str(o->body), o->fin,
 				&why, &retry_after_ms);
 	if (!s->job) {
@@ -335,10 +372,8 @@
 	s = xcalloc(1, sizeof(*s));
 	s->call.ops = &call_ops;
 	s->call.sink = sink;
-	s->link = l;
-	s->id = l->next_id++;
 	s->open_at = l->queued_total;
-	HASH_ADD(hh, l->streams, id, sizeof(s->id), s);
+	lw_stream_add(s, l, l->next_id++);
 	if (!ev_is_active(&m->watch))
 		ev_timer_again(m->hub->loop, &m->watch);
 	o.stream = s->id;
--- a/src/meshfate.c
+++ b/src/meshfate.c
@@ -1,11 +1,7 @@
 /*
- * What became of requests whose connection went silent or was lost. Failure it
- * guards against: something between two hosts loses track of open connections
- * while new ones work, or resets them. The requests on them end as "may have
- * run" although most wait in a buffer or run on undisturbed; seen as a wave of
- * 502 and 504 with healthy servers. The peer is asked on a new connection:
- * what it never received is placed elsewhere, what runs there is answered over
- * the new connection.
+ * Connections between nodes that were lost with requests on them, and what this
+ * node tells the others of requests they sent over such a connection; meshask.c
+ * is the side that asks.
  */
 #include "mesh_int.h"
 
@@ -15,8 +11,6 @@
 #include "log.h"
 #include "xalloc.h"
 
-/* no answer to the question after this: the peer is suspended or gone, us */
-#define FATE_WAIT_US 600000
 /*
  * A request whose connection was lost runs on for so long, in case its sender
  * asks. Shorter than the half second in which the work of a caller that left
@@ -99,13 +93,6 @@
 		*at = l->next;
 }
 
-/* no question about @l was answered in time: all its streams may be asked after again */
-static void forget_questions(lw_link_t *l)
-{
-	for (lw_stream_t *s = l->streams; s; s = s->hh.next)
-		s->asked = false;
-}
-
 /* lw_link_orphan() - keep the streams of a lost connection for a moment. */
 void lw_link_orphan(lw_link_t *l)
 {
@@ -116,11 +103,8 @@
 	m->orphans = l;
 	if (!ev_is_active(&m->watch))
 		ev_timer_again(m->hub->loop, &m->watch);
-	if (!l->outgoing)
-		return;
-	if (!l->query_us)
-		forget_questions(l);
-	lw_mesh_ask_fate(l);
+	if (l->outgoing)
+		lw_mesh_ask_fate(l);
 }
 
 static void orphan_over(lw_link_t *l)
@@ -129,78 +113,6 @@
 	lw_link_drop_streams(l);
 }
 
-/* the streams of @l that no question has named, from now on named in one; the caller frees them */
-static uint32_t *name_streams(lw_link_t *l, size_t *n)
-{
-	uint32_t *ids = xcalloc(HASH_COUNT(l->streams) + 1, sizeof(*ids));
-	lw_stream_t *s, *tmp;
-
-	HASH_ITER(hh, l->streams, s, tmp)
-	{
-		if (!s->asked)
-			ids[(*n)++] = s->id;
-		s->asked = true;
-	}
-	return ids;
-}
-
-static bool all_asked(const lw_link_t *l)
-{
-	for (const lw_stream_t *s = l->streams; s; s = s->hh.next)
-		if (!s->asked)
-			return false;
-	return true;
-}
-
-/*
- * lw_mesh_ask_fate() - ask the peer what became of the requests on @l. The peer
- * ends all that a question does not name, so those that come to @l after one
- * have a question of their own.
- */
-void lw_mesh_ask_fate(lw_link_t *l)
-{
-	lw_mesh_t *m = l->mesh;
-	Lw__FateQuery q = LW__FATE_QUERY__INIT;
-	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
-	lw_link_t *other;
-	uint32_t *ids;
-
-	if (all_asked(l))
-		return;
-	l->query_us = m->hub->now_us;
-	other = lw_link_to(m, l->node);
-	if (!other)
-		return;
-	ids = name_streams(l, &q.n_streams);
-	q.link = l->name;
-	q.streams = ids;
-	f.body_case = LW__MESH_FRAME__BODY_QUERY;
-	f.query = &q;
-	lw_link_send(other, &f);
-	m->stats.queries++;
-	lw_log(LW_LOG_fate_asked, "node=%s link=%016llx over=%016llx streams=%zu lost=%d new=%d",
-	       l->node, (unsigned long long)l->name, (unsigned long long)other->name, q.n_streams,
-	       l->orphan_us != 0, other->connecting);
-	free(ids);
-}
-
-/* the connection cannot ask: what waits for it has no better outcome coming */
-static void query_over(lw_link_t *l)
-{
-	lw_stream_t *s, *tmp;
-
-	if (l->orphan_us) {
-		orphan_over(l);
-		return;
-	}
-	l->query_us = 0;
-	HASH_ITER(hh, l->streams, s, tmp)
-	{
-		if (!s->dead && s->call.sink)
-			s->call.sink->ops->silent(s->call.sink);
-	}
-}
-
 /*
  * lw_mesh_peer_gone() - nobody listens at @node: its process is gone, and nothing
  * more will be heard of what it ran. A lost connection alone does not say so: an
@@ -213,7 +125,7 @@
 
 	for (lw_link_t *l = m->orphans; l; l = next) {
 		next = l->next;
-		if (l->outgoing && l->query_us && strcmp(l->node, node) == 0)
+		if (l->outgoing && strcmp(l->node, node) == 0)
 			orphan_over(l);
 	}
 }
@@ -234,50 +146,53 @@
 	m->refused[m->nrefused++ % LW_MESH_REFUSED] = name;
 }
 
-static lw_link_t *link_by_name(const lw_mesh_t *m, uint64_t name, bool outgoing)
+/* the connection that another node opened and named @name; NULL: it is not known */
+static lw_link_t *link_by_name(const lw_mesh_t *m, uint64_t name)
 {
 	lw_link_t *l;
 
 	for (l = m->links; l; l = l->next)
-		if (l->name == name && l->outgoing == outgoing)
+		if (l->name == name && !l->outgoing)
 			return l;
 	for (l = m->orphans; l; l = l->next)
-		if (l->name == name && l->outgoing == outgoing)
+		if (l->name == name && !l->outgoing)
 			return l;
 	return NULL;
 }
 
-/* the request goes on over @to, if nothing of it was lost on the way */
-static void move_stream(lw_stream_t *s, lw_link_t *to, Lw__Fate *fate)
+/* whether the request can go on over another connection: nothing of it was lost on the way */
+static bool can_move(const lw_stream_t *s)
 {
-	if (!s->request_whole || s->answering)
-		return;
-	HASH_DEL(s->link->streams, s);
-	s->link = to;
-	s->id = to->next_moved++;
-	HASH_ADD(hh, to->streams, id, sizeof(s->id), s);
-	fate->kind = LW__FATE_KIND__FATE_MOVED;
-	fate->moved_to = s->id;
+	return s->job && s->request_whole && !s->answering;
 }
 
 /*
- * The connection asked about is known: what it brought is known, and it will
- * bring nothing more. One that is not known and was not refused never reached
- * this process, or is long over: it may have run.
+ * What became of request @id that was sent over the connection named @link, @old
+ * if it is still known. One of a connection that is not known may have run.
  */
-static void find_fate(lw_link_t *old, lw_link_t *to, uint32_t id, Lw__Fate *fate)
+static void find_fate(lw_link_t *to, const Lw__FateQuery *q, const lw_link_t *old, uint32_t id,
+		      Lw__Fate *fate)
 {
-	lw_stream_t *s;
+	lw_mesh_t *m = to->mesh;
+	lw_stream_t *s = lw_stream_by_origin(m->taken, q->link, id);
 
 	lw__fate__init(fate);
 	fate->stream = id;
-	if (!old)
+	if (!s) {
+		if (old && id >= old->last_open)
+			fate->kind = LW__FATE_KIND__FATE_NEVER;
 		return;
-	HASH_FIND(hh, old->streams, &id, sizeof(id), s);
-	if (s && s->job)
-		move_stream(s, to, fate);
-	else if (id < LW_STREAM_MOVED && id >= old->last_open)
-		fate->kind = LW__FATE_KIND__FATE_NEVER;
+	}
+	if (q->number && q->number < s->question)
+		return; /* asked again meanwhile: whoever asked waits for that answer */
+	s->question = q->number;
+	if (!can_move(s))
+		return;
+	s->named = m->heard;
+	if (s->link != to)
+		lw_stream_move(s, to, to->next_moved++);
+	fate->kind = LW__FATE_KIND__FATE_MOVED;
+	fate->moved_to = s->id;
 }
 
 static uint32_t count_kind(const Lw__Fates *w, Lw__FateKind kind)
@@ -299,25 +214,19 @@
 	       count_kind(w, LW__FATE_KIND__FATE_GONE), (unsigned long long)w->incarnation);
 }
 
-/* lw_mesh_on_query() - a peer asks what became of requests on another connection. */
-void lw_mesh_on_query(lw_link_t *l, const Lw__FateQuery *q)
+static void tell(lw_link_t *l, const Lw__FateQuery *q, const lw_link_t *old)
 {
-	lw_mesh_t *m = l->mesh;
-	lw_link_t *old = link_by_name(m, q->link, false);
 	Lw__Fate *fate = xcalloc(q->n_streams + 1, sizeof(*fate));
 	Lw__Fate **list = xcalloc(q->n_streams + 1, sizeof(void *));
 	Lw__Fates w = LW__FATES__INIT;
 	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
 
-	if (old == l)
-		old = NULL;
-	refuse_name(m, q->link);
 	for (size_t i = 0; i < q->n_streams; i++) {
-		find_fate(old, l, q->streams[i], &fate[i]);
+		find_fate(l, q, old, q->streams[i], &fate[i]);
 		list[i] = &fate[i];
 	}
 	w.link = q->link;
-	w.incarnation = m->incarnation;
+	w.incarnation = l->mesh->incarnation;
 	w.n_fates = q->n_streams;
 	w.fates = list;
 	f.body_case = LW__MESH_FRAME__BODY_FATES;
@@ -326,93 +235,66 @@
 	log_told(l, old, &w);
 	free(list);
 	free(fate);
-	if (!old)
-		return;
-	/* the rest of its requests were given up or answered */
-	if (old->orphan_us)
-		orphan_over(old);
-	else
-		lw_link_lost(old);
 }
 
-/* what became of one request; @old: its connection, NULL if nothing waits on it */
-static void take_fate(lw_link_t *old, lw_link_t *l, const Lw__Fate *fate, bool same_process)
+/*
+ * What was sent over the connection asked about and has not moved by this
+ * question: its sender gave it up, or was told that it may have run. What a newer
+ * question moved stays.
+ */
+static void end_unnamed(lw_mesh_t *m, const Lw__FateQuery *q)
 {
-	uint32_t id = fate->stream;
-	lw_stream_t *s = NULL;
-	lw_sink_t *sink;
-
-	if (old)
-		HASH_FIND(hh, old->streams, &id, sizeof(id), s);
-	if (!s || s->dead || !s->call.sink) {
-		/* given up before this was heard: the word of that went to a closed connection */
-		if (fate->kind == LW__FATE_KIND__FATE_MOVED)
-			lw_mesh_send_cancel(l, fate->moved_to);
-		return;
-	}
-	if (same_process && fate->kind == LW__FATE_KIND__FATE_MOVED) {
-		HASH_DEL(old->streams, s);
-		s->link = l;
-		s->id = fate->moved_to;
-		s->received = true;
-		s->asked = false;
-		HASH_ADD(hh, l->streams, id, sizeof(s->id), s);
-		l->mesh->stats.moved++;
-		return;
-	}
-	sink = s->call.sink;
-	lw_stream_free(s);
-	if (same_process && fate->kind == LW__FATE_KIND__FATE_NEVER) {
-		l->mesh->stats.never_received++;
-		sink->ops->fail(sink, LW_FAIL_UNSENT, 0, NULL);
-	} else {
-		sink->ops->fail(sink, LW_FAIL_BROKEN, 0, NULL);
+	lw_stream_t **ended = xcalloc(HASH_CNT(by_origin, m->taken) + 1, sizeof(void *));
+	size_t n = 0;
+
+	for (lw_stream_t *s = m->taken; s; s = s->by_origin.next)
+		if (s->origin.link == q->link && s->named != m->heard &&
+		    (!q->number || s->question <= q->number))
+			ended[n++] = s;
+	/* an end may bring others about */
+	for (size_t i = 0; i < n; i++) {
+		lw_call_t *job = ended[i]->job;
+
+		if (ended[i]->dead)
+			continue;
+		lw_stream_free(ended[i]);
+		if (job)
+			job->ops->cancel(job);
 	}
+	free(ended);
 }
 
-/* lw_mesh_on_fates() - the peer tells what became of requests on a lost connection. */
-void lw_mesh_on_fates(lw_link_t *l, const Lw__Fates *w)
+/*
+ * lw_mesh_on_query() - a peer asks what became of requests it sent over another
+ * connection. That one will bring nothing more.
+ */
+void lw_mesh_on_query(lw_link_t *l, const Lw__FateQuery *q)
 {
-	lw_link_t *old = link_by_name(l->mesh, w->link, true);
-	bool same;
-
-	lw_log(LW_LOG_fate_heard,
-	       "node=%s link=%016llx over=%016llx known=%d lost=%d moved=%u never=%u maybe_ran=%u incarnation=%016llx before=%016llx",
-	       l->node, (unsigned long long)w->link, (unsigned long long)l->name, old != NULL,
-	       old && old->orphan_us, count_kind(w, LW__FATE_KIND__FATE_MOVED),
-	       count_kind(w, LW__FATE_KIND__FATE_NEVER), count_kind(w, LW__FATE_KIND__FATE_GONE),
-	       (unsigned long long)w->incarnation,
-	       old ? (unsigned long long)old->peer_incarnation : 0);
+	lw_mesh_t *m = l->mesh;
+	lw_link_t *old = link_by_name(m, q->link);
+
 	if (old == l)
-		return;
-	same = old && old->peer_incarnation && old->peer_incarnation == w->incarnation;
-	for (size_t i = 0; i < w->n_fates; i++)
-		take_fate(old, l, w->fates[i], same);
-	if (l->silent)
-		lw_mesh_ask_fate(l);
-	if (!old || old->streams)
-		return;
-	if (old->orphan_us)
-		orphan_over(old);
-	else
+		old = NULL;
+	refuse_name(m, q->link);
+	m->heard++;
+	tell(l, q, old);
+	end_unnamed(m, q);
+	if (old && !old->orphan_us)
 		lw_link_lost(old);
 }
 
-/* lw_mesh_check_orphans() - end the wait of lost and silent connections. */
+/*
+ * lw_mesh_check_orphans() - lost connections: what others sent over them ends if
+ * nobody asks after it in time, what this node sent is asked after.
+ */
 void lw_mesh_check_orphans(lw_mesh_t *m)
 {
-	uint64_t now = m->hub->now_us;
 	lw_link_t *next;
 
 	for (lw_link_t *l = m->orphans; l; l = next) {
 		next = l->next;
-		if (now - l->orphan_us > (l->outgoing ? FATE_WAIT_US : ORPHAN_WAIT_US) ||
-		    !l->streams)
+		if (!l->streams || (!l->outgoing && m->hub->now_us - l->orphan_us > ORPHAN_WAIT_US))
 			orphan_over(l);
 	}
-	for (lw_link_t *l = m->links; l; l = next) {
-		next = l->next;
-		if (l->silent && l->query_us && now - l->query_us > FATE_WAIT_US)
-			query_over(l);
-	}
+	lw_mesh_ask_again(m);
 }
--- a/src/meshlink.c
+++ b/src/meshlink.c
@@ -179,6 +179,7 @@
 	l->mesh->stats.links_lost++;
 	log_lost(l);
 	link_close(l);
+	lw_mesh_forget_questions(l);
 	if (l->outgoing && !l->silent)
 		l->mesh->ops->lost(l->mesh->ctx, l->node);
 	if (l->refused)
