A host tells a connection it never heard of from one that it has forgotten

Callers saw 502 "may have run" for orders that no server ever had: the question about their connection was read before the connection itself, and the host knew no such connection. Now it remembers those that are over and what each brought; what is neither open nor remembered never came, and is barred in case it still does. If one was forgotten in the last minute the answer is "may have run", so that an order is never given to two servers by a lack of memory.

--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -6,10 +6,9 @@
 #include <uthash.h>
 
 #include "meshframe.h"
+#include "meshpast.h"
 #include "mesh.h"
 
-/* names of refused connections that are remembered; the oldest is forgotten first */
-#define LW_MESH_REFUSED 256
 /* ids of streams that were moved to another connection begin here */
 #define LW_STREAM_MOVED 0x80000000u
 
@@ -62,6 +61,7 @@
 	bool failed;
 	bool refused; /* nobody listens at its other end: that process is gone */
 	bool silent; /* carries no new requests */
+	bool barred; /* incoming: its requests were told as never received */
 	uint64_t name; /* drawn by the side that opened it; 0: not told yet */
 	uint64_t peer_incarnation; /* 0: not told yet */
 	uint32_t last_open; /* incoming: highest stream opened, plus one */
@@ -101,8 +101,7 @@
 	lw_stream_t *taken; /* requests of other nodes, by origin */
 	uint64_t asked; /* questions asked: the number of the newest */
 	uint64_t heard; /* questions of others acted on */
-	uint64_t refused[LW_MESH_REFUSED]; /* names of connections that may bring nothing more */
-	uint32_t nrefused;
+	lw_meshpast_t past; /* connections of others that may bring nothing more */
 	uint64_t incarnation; /* of this process */
 	char lapsed_id[LW_NAME_MAX]; /* of the backend server here, while its entry lapsed */
 	uint64_t lapsed_born_ms;
@@ -127,7 +126,6 @@
 void lw_mesh_forget_questions(const lw_link_t *l);
 void lw_mesh_check_orphans(lw_mesh_t *m);
 void lw_mesh_peer_gone(lw_mesh_t *m, const char *node);
-bool lw_mesh_is_refused(const lw_mesh_t *m, uint64_t name);
 void lw_link_free(lw_link_t *l);
 void lw_link_frame_queued(lw_link_t *l, size_t before);
 void lw_link_send(lw_link_t *l, const Lw__MeshFrame *f);
--- a/src/meshcall.c
+++ b/src/meshcall.c
@@ -252,7 +252,7 @@
 	lw_fail_t why;
 	uint32_t retry_after_ms;
 
-	if (lw_mesh_is_refused(l->mesh, l->name)) {
+	if (l->barred) {
 		lw_link_lost(l);
 		return;
 	}
--- a/src/meshfate.c
+++ b/src/meshfate.c
@@ -130,22 +130,6 @@
 	}
 }
 
-/* lw_mesh_is_refused() - whether a connection may bring nothing more. */
-bool lw_mesh_is_refused(const lw_mesh_t *m, uint64_t name)
-{
-	uint32_t n = m->nrefused < LW_MESH_REFUSED ? m->nrefused : LW_MESH_REFUSED;
-
-	for (uint32_t i = 0; name && i < n; i++)
-		if (m->refused[i] == name)
-			return true;
-	return false;
-}
-
-static void refuse_name(lw_mesh_t *m, uint64_t name)
-{
-	m->refused[m->nrefused++ % LW_MESH_REFUSED] = name;
-}
-
 /* the connection that another node opened and named @name; NULL: it is not known */
 static lw_link_t *link_by_name(const lw_mesh_t *m, uint64_t name)
 {
@@ -166,10 +150,15 @@
 	return s->job && s->request_whole && !s->answering;
 }
 
-/*
- * What became of request @id that was sent over the connection named @link, @old
- * if it is still known. One of a connection that is not known may have run.
- */
+/* whether request @id of the connection asked about, @old if it is still open, never came */
+static bool never_came(const lw_mesh_t *m, uint64_t link, const lw_link_t *old, uint32_t id)
+{
+	if (old)
+		return id >= old->last_open;
+	return lw_meshpast_never(&m->past, link, id, m->hub->now_us);
+}
+
+/* what became of request @id of the connection asked about, @old if it is still open */
 static void find_fate(lw_link_t *to, const Lw__FateQuery *q, const lw_link_t *old, uint32_t id,
 		      Lw__Fate *fate)
 {
@@ -179,7 +168,7 @@
 	lw__fate__init(fate);
 	fate->stream = id;
 	if (!s) {
-		if (old && id >= old->last_open)
+		if (never_came(m, q->link, old, id))
 			fate->kind = LW__FATE_KIND__FATE_NEVER;
 		return;
 	}
@@ -275,9 +264,10 @@
 
 	if (old == l)
 		old = NULL;
-	refuse_name(m, q->link);
 	m->heard++;
 	tell(l, q, old);
+	if (old || !lw_meshpast_has(&m->past, q->link))
+		lw_meshpast_note(&m->past, q->link, old ? old->last_open : 0, m->hub->now_us);
 	end_unnamed(m, q);
 	if (old && !old->orphan_us)
 		lw_link_lost(old);
--- a/src/meshlink.c
+++ b/src/meshlink.c
@@ -214,6 +214,8 @@
 /* lw_link_free() - release a closed connection without streams. */
 void lw_link_free(lw_link_t *l)
 {
+	if (!l->outgoing)
+		lw_meshpast_note(&l->mesh->past, l->name, l->last_open, l->mesh->hub->now_us);
 	lw_hub_free_later(l->mesh->hub, l);
 }
 
--- a/src/meshnews.c
+++ b/src/meshnews.c
@@ -138,8 +138,10 @@
 	l->peer_incarnation = w->incarnation;
 	if (!greeted && !load.limit)
 		lw_link_drop_unsent(l);
-	if (!l->outgoing && w->link)
+	if (!l->outgoing && w->link) {
 		l->name = w->link;
+		l->barred = lw_meshpast_has(&l->mesh->past, w->link);
+	}
 	take_news(l, w);
 	if (!w->is_reply)
 		lw_mesh_send_status(l, true);
--- a/tests/lwtest.h
+++ b/tests/lwtest.h
@@ -10,6 +10,7 @@
 void suite_net(void);
 void suite_decisions(const char *dir);
 void suite_meshframe(void);
+void suite_meshpast(void);
 void suite_documents(void);
 void suite_lease(void);
 void suite_scripts(const char *dir);
