A host keeps the outcomes of requests for a moment

Callers saw 502 "may have run" for orders that their server had answered, and for requests that a host had refused. Cause: the outcome was written to a connection that had gone silent, and forgotten; asked half a second later the host had nothing to say. Now it keeps outcomes for three seconds, within 1 MiB, and sends one again over the connection by which it is asked.

--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -46,7 +46,7 @@
    */
   LW__FATE_KIND__FATE_NEVER = 1,
   /*
-   * it runs; its answer comes over this connection
+   * it runs or is over; its outcome comes over this connection
    */
   LW__FATE_KIND__FATE_MOVED = 2
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LW__FATE_KIND)
--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -6,6 +6,7 @@
 #include <uthash.h>
 
 #include "meshframe.h"
+#include "meshkept.h"
 #include "meshpast.h"
 #include "mesh.h"
 
@@ -14,15 +15,6 @@
 
 typedef struct lw_link lw_link_t;
 
-/*
- * Names a request for both sides, wherever it moves: the connection it was sent
- * over and its id there.
- */
-typedef struct lw_origin {
-	uint64_t link;
-	uint64_t id;
-} lw_origin_t;
-
 /*
  * One request on a connection. On the side that sent it, it is the call; on
  * the side that runs it, it is the sink of a call at the gate.
@@ -101,6 +93,7 @@
 	lw_stream_t *taken; /* requests of other nodes, by origin */
 	uint64_t asked; /* questions asked: the number of the newest */
 	uint64_t heard; /* questions of others acted on */
+	lw_meshkept_t kept; /* what became of requests of others, of late */
 	lw_meshpast_t past; /* connections of others that may bring nothing more */
 	uint64_t incarnation; /* of this process */
 	char lapsed_id[LW_NAME_MAX]; /* of the backend server here, while its entry lapsed */
@@ -134,6 +127,7 @@
 void lw_mesh_take_levels(lw_link_t *l, const Lw__Load *load);
 void lw_mesh_send_status(lw_link_t *l, bool is_reply);
 void lw_mesh_send_cancel(lw_link_t *l, uint32_t id);
+void lw_mesh_send_kept(lw_link_t *l, uint32_t id, const lw_kept_t *o);
 void lw_stream_free(lw_stream_t *s);
 void lw_stream_add(lw_stream_t *s, lw_link_t *l, uint32_t id);
 void lw_stream_move(lw_stream_t *s, lw_link_t *to, uint32_t id);
--- a/src/meshcall.c
+++ b/src/meshcall.c
@@ -151,18 +151,15 @@
 		send_credit(s, bytes);
 }
 
-static void sink_answer(lw_sink_t *sink, const lw_answer_t *a, lw_str_t body, bool fin,
+static void send_answer(lw_link_t *to, uint32_t id, const lw_answer_t *a, lw_str_t body, bool fin,
 			const lw_load_t *load)
 {
-	lw_stream_t *s = stream_of_sink(sink);
 	lw_meshframe_load_t l;
 	Lw__Answer w = LW__ANSWER__INIT;
 	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
 
-	if (s->dead)
-		return;
-	lw_mesh_fill_load(s->link, &l, load);
-	w.stream = s->id;
+	lw_mesh_fill_load(to, &l, load);
+	w.stream = id;
 	w.status = a->status;
 	w.body_length = a->body_length;
 	w.head = lw_meshframe_bytes(a->head);
@@ -171,10 +168,23 @@
 	w.load = &l.load;
 	f.body_case = LW__MESH_FRAME__BODY_ANSWER;
 	f.answer = &w;
+	lw_link_send(to, &f);
+}
+
+static void sink_answer(lw_sink_t *sink, const lw_answer_t *a, lw_str_t body, bool fin,
+			const lw_load_t *load)
+{
+	lw_stream_t *s = stream_of_sink(sink);
+	lw_mesh_t *m = s->link->mesh;
+
+	if (s->dead)
+		return;
+	send_answer(s->link, s->id, a, body, fin, load);
 	s->answering = true;
-	lw_link_send(s->link, &f);
-	if (fin)
-		lw_stream_free(s);
+	if (!fin)
+		return;
+	lw_meshkept_answer(&m->kept, &s->origin, a, body, m->hub->now_us);
+	lw_stream_free(s);
 }
 
 static void sink_data(lw_sink_t *sink, lw_str_t data, bool fin)
@@ -205,15 +215,36 @@
 	lw_link_send(l, &f);
 }
 
+/* the request is over without an answer: its sender is told */
+static void end_failed(lw_stream_t *s, lw_fail_t why, uint32_t retry_after_ms,
+		       const lw_load_t *load)
+{
+	lw_mesh_t *m = s->link->mesh;
+
+	send_failed(s->link, s->id, why, retry_after_ms, load);
+	lw_meshkept_failure(&m->kept, &s->origin, why, retry_after_ms, m->hub->now_us);
+	lw_stream_free(s);
+}
+
 static void sink_fail(lw_sink_t *sink, lw_fail_t why, uint32_t retry_after_ms,
 		      const lw_load_t *load)
 {
 	lw_stream_t *s = stream_of_sink(sink);
 
-	if (s->dead)
-		return;
-	send_failed(s->link, s->id, why, retry_after_ms, load);
-	lw_stream_free(s);
+	if (!s->dead)
+		end_failed(s, why, retry_after_ms, load);
+}
+
+/* lw_mesh_send_kept() - the outcome of a request once more, as that of stream @id. */
+void lw_mesh_send_kept(lw_link_t *l, uint32_t id, const lw_kept_t *o)
+{
+	lw_load_t own;
+
+	lw_gate_load(l->mesh->gate, &own);
+	if (o->why)
+		send_failed(l, id, o->why, o->retry_after_ms, &own);
+	else
+		send_answer(l, id, &o->answer, o->body, true, &own);
 }
 
 static void sink_silent(lw_sink_t *sink)
@@ -268,8 +299,7 @@
 		lw_load_t own;
 
 		lw_gate_load(l->mesh->gate, &own);
-		send_failed(l, s->id, why, retry_after_ms, &own);
-		lw_stream_free(s);
+		end_failed(s, why, retry_after_ms, &own);
 	}
 }
 
--- a/src/meshfate.c
+++ b/src/meshfate.c
@@ -167,6 +167,11 @@
 
 	lw__fate__init(fate);
 	fate->stream = id;
+	if (!s && lw_meshkept_find(&m->kept, q->link, id)) {
+		fate->kind = LW__FATE_KIND__FATE_MOVED;
+		fate->moved_to = to->next_moved++;
+		return;
+	}
 	if (!s) {
 		if (never_came(m, q->link, old, id))
 			fate->kind = LW__FATE_KIND__FATE_NEVER;
@@ -203,6 +208,18 @@
 	       count_kind(w, LW__FATE_KIND__FATE_GONE), (unsigned long long)w->incarnation);
 }
 
+/* the outcomes of those that are over: their answers may have been lost with the connection */
+static void send_outcomes(lw_link_t *l, const Lw__Fates *w)
+{
+	for (size_t i = 0; i < w->n_fates; i++) {
+		const Lw__Fate *fate = w->fates[i];
+		const lw_kept_t *o = lw_meshkept_find(&l->mesh->kept, w->link, fate->stream);
+
+		if (o && fate->kind == LW__FATE_KIND__FATE_MOVED)
+			lw_mesh_send_kept(l, fate->moved_to, o);
+	}
+}
+
 static void tell(lw_link_t *l, const Lw__FateQuery *q, const lw_link_t *old)
 {
 	Lw__Fate *fate = xcalloc(q->n_streams + 1, sizeof(*fate));
@@ -222,6 +239,7 @@
 	f.fates = &w;
 	lw_link_send(l, &f);
 	log_told(l, old, &w);
+	send_outcomes(l, &w);
 	free(list);
 	free(fate);
 }
--- /dev/null
+++ b/src/meshkept.c
@@ -0,0 +1,97 @@
+/* Outcomes kept for a moment after they were sent; see meshkept.h. */
+#include "meshkept.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "xalloc.h"
+
+/*
+ * An outcome is kept for so long: a silent connection is noticed after half a
+ * second, and its sender asks again while this host stands still, us.
+ */
+#define KEPT_US 3000000
+/* what all of them may hold; beyond it the oldest go, in bytes */
+#define KEPT_ALL_BYTES (1024 * 1024)
+/* a longer answer is not kept, in bytes */
+#define KEPT_ONE_BYTES 16384
+
+static size_t size_of(const lw_kept_t *o)
+{
+	return sizeof(*o) + o->answer.head.len + o->body.len;
+}
+
+static void drop_oldest(lw_meshkept_t *k)
+{
+	lw_kept_t *o = k->oldest;
+
+	if (!o || !k->by_origin)
+		return;
+	k->oldest = o->newer;
+	if (!k->oldest)
+		k->newest = NULL;
+	HASH_DEL(k->by_origin, o);
+	k->bytes -= size_of(o);
+	free(o);
+}
+
+static void add(lw_meshkept_t *k, lw_kept_t *o, uint64_t now_us)
+{
+	o->kept_us = now_us;
+	if (k->newest)
+		k->newest->newer = o;
+	else
+		k->oldest = o;
+	k->newest = o;
+	HASH_ADD(hh, k->by_origin, origin, sizeof(o->origin), o);
+	k->bytes += size_of(o);
+	while (k->oldest && (k->bytes > KEPT_ALL_BYTES || now_us - k->oldest->kept_us > KEPT_US))
+		drop_oldest(k);
+}
+
+/* lw_meshkept_answer() - the request was answered with @a and the whole @body. */
+void lw_meshkept_answer(lw_meshkept_t *k, const lw_origin_t *origin, const lw_answer_t *a,
+			lw_str_t body, uint64_t now_us)
+{
+	size_t len = a->head.len + body.len;
+	lw_kept_t *o;
+
+	if (!origin->link || len > KEPT_ONE_BYTES)
+		return;
+	o = xcalloc(1, sizeof(*o) + len);
+	o->origin = *origin;
+	if (a->head.len)
+		memcpy(o->bytes, a->head.ptr, a->head.len);
+	if (body.len)
+		memcpy(o->bytes + a->head.len, body.ptr, body.len);
+	o->answer = *a;
+	o->answer.head.ptr = o->bytes;
+	o->body = (lw_str_t){ o->bytes + a->head.len, body.len };
+	add(k, o, now_us);
+}
+
+/* lw_meshkept_failure() - the request ended without an answer, and @why. */
+void lw_meshkept_failure(lw_meshkept_t *k, const lw_origin_t *origin, lw_fail_t why,
+			 uint32_t retry_after_ms, uint64_t now_us)
+{
+	lw_kept_t *o;
+
+	if (!origin->link)
+		return;
+	o = xcalloc(1, sizeof(*o));
+	o->origin = *origin;
+	o->why = why;
+	o->retry_after_ms = retry_after_ms;
+	add(k, o, now_us);
+}
+
+/* lw_meshkept_find() - the outcome of the request sent over @link as @id; NULL: it is not kept. */
+const lw_kept_t *lw_meshkept_find(const lw_meshkept_t *k, uint64_t link, uint32_t id)
+{
+	lw_kept_t key, *o;
+
+	memset(&key, 0, sizeof(key));
+	key.origin = (lw_origin_t){ link, id };
+	HASH_FIND(hh, k->by_origin, &key.origin, sizeof(key.origin), o);
+	return o;
+}
--- a/tests/lwtest.h
+++ b/tests/lwtest.h
@@ -11,6 +11,7 @@
 void suite_decisions(const char *dir);
 void suite_meshframe(void);
 void suite_meshpast(void);
+void suite_meshkept(void);
 void suite_documents(void);
 void suite_lease(void);
 void suite_scripts(const char *dir);
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -16,6 +16,7 @@
 	suite_net();
 	suite_meshframe();
 	suite_meshpast();
+	suite_meshkept();
 	suite_documents();
 	suite_lease();
 	suite_decisions(argc > 2 ? argv[2] : "tests/decisions");
