--- a/tests/mesh/fates.py
+++ b/tests/mesh/fates.py
@@ -1,7 +1,11 @@
 """Failure tests of what becomes of requests whose connection between two hosts
 went silent or was lost: the peer is asked over another one."""
 import asyncio
+import collections
+import os
+import random
 import signal
+import time
 
 from fleet import until
 from harness import check, lines_with, runs, runs_at, test
@@ -356,3 +360,105 @@
     check(not [line for line in node.logged("request_retried") if "id=anew " in line],
           "given to another server")
     check(host.proc.poll() is None, "it runs again")
+
+
+class Storm:
+    """Random faults, in series and overlapping, between the hosts of a fleet."""
+
+    def __init__(self, f, seed):
+        self.f, self.rng = f, random.Random(seed)
+        self.tasks = set()
+
+    async def freeze(self, node):
+        if node.proc.poll() is None:
+            node.signal(signal.SIGSTOP)
+            await asyncio.sleep(self.rng.uniform(0.2, 1.4))
+            node.signal(signal.SIGCONT)
+
+    async def hold_up(self, node):
+        """What the host says is held up, then let through."""
+        node.relay.kept.add("out")
+        await asyncio.sleep(self.rng.uniform(0.1, 0.9))
+        await node.relay.release()
+
+    async def swallow(self, node):
+        """Nothing passes either way, then all is reset."""
+        node.relay.mute |= {"in", "out"}
+        await asyncio.sleep(self.rng.uniform(0.1, 0.9))
+        node.relay.mute.clear()
+        node.relay.reset_all()
+
+    async def hold_new(self, node):
+        node.relay.hold_new = True
+        await asyncio.sleep(self.rng.uniform(0.1, 0.8))
+        node.relay.hold_new = False
+        node.relay.let_go()
+
+    async def silence(self, node):
+        node.relay.silence_open()
+
+    async def reset(self, node):
+        node.relay.reset_all()
+
+    async def reset_one(self, node):
+        if node.relay.pairs:
+            node.relay.reset_last()
+
+    async def blow(self, seconds):
+        faults = [self.freeze, self.hold_up, self.swallow, self.hold_new, self.silence,
+                  self.silence, self.reset, self.reset, self.reset_one]
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            fault, node = self.rng.choice(faults), self.rng.choice(self.f.nodes["back"])
+            task = asyncio.ensure_future(fault(node))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            await asyncio.sleep(self.rng.uniform(0.05, 0.25))
+        await asyncio.gather(*self.tasks)
+
+
+@test({"front": 2, "back": 3}, relays=True, slots=64)
+async def test_orders_through_a_storm(f):
+    """An upload ran on two servers, or was refused with 503 though it had run: what
+    the hosts said of requests on lost connections was taken for more than it was.
+    Connections go silent, are reset, held up and swallowed while hosts stand still,
+    in series that overlap; each order runs once at most, one that is refused never
+    does, and one that is answered has. Seeds: LW_STORM_SEED; seconds: LW_STORM_S."""
+    seed = int(os.environ.get("LW_STORM_SEED", "1"))
+    seconds = float(os.environ.get("LW_STORM_S", "8"))
+    storm = Storm(f, seed)
+    told = {}
+
+    async def by_turns(s, head, rid, stage):
+        if stage == "run":
+            await asyncio.sleep(storm.rng.choice([0.01, 0.05, 0.3, 0.9]))
+    for n in f.nodes["back"]:
+        n.server.behave = by_turns
+
+    async def caller(node, name, end):
+        number = 0
+        while time.monotonic() < end:
+            number += 1
+            rid, c = f"{name}-{number}", node.caller()
+            try:
+                told[rid] = (await c.ask("POST", "/up/1", rid, body=b"x" * 500,
+                                         deadline=4000)).status
+            except (asyncio.IncompleteReadError, ConnectionError):
+                told[rid] = 0
+            c.close()
+            f.callers.remove(c)
+    end = time.monotonic() + seconds
+    await asyncio.gather(storm.blow(seconds), *(
+        caller(node, f"s{i}-{k}", end) for i, node in enumerate(f.nodes["front"])
+        for k in range(16)))
+    await asyncio.sleep(1.5)
+    ran = collections.Counter(rid for n in f.nodes["back"] for _, rid in n.server.ran)
+    moved = sum([await n.metric("lw_requests_moved_total") for n in f.nodes["front"]])
+    never = sum([len(lines_with(n, "fate_heard", "never=")) for n in f.nodes["front"]])
+    print(f"  seed {seed}: {len(told)} orders, {moved:.0f} moved, {never} answers to questions, "
+          f"{collections.Counter(told.values())}")
+    twice = [rid for rid, n in ran.items() if n > 1]
+    refused = [rid for rid, status in told.items() if status == 503 and ran[rid]]
+    unserved = [rid for rid, status in told.items() if status == 200 and not ran[rid]]
+    check(not twice and not refused and not unserved, (twice, refused, unserved))
+    check(moved > 20, f"only {moved} requests moved: the storm shows nothing")
--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -320,6 +320,53 @@
     check(len([a for a in answers if a[1] == 200]) > 30, answers)
 
 
+async def restarted(node, delay):
+    """The platform starts a node again, a moment after its process has ended."""
+    await until(node.proc.poll, lambda rc: rc is not None, 8, 0.02)
+    await asyncio.sleep(delay)
+    node.start()
+
+
+async def both_stop(f, apart):
+    """Reads and orders while the nodes of a service of two stop @apart seconds apart."""
+    node = f.nodes["front"][0]
+    statuses = {}
+
+    async def one(i):
+        method, target = ("GET", "/leaf/1") if i % 2 else ("POST", "/up/1")
+        a = await node.caller().ask(method, target, f"b{i}", body=b"" if i % 2 else b"x",
+                                    deadline=2000)
+        statuses[i] = (a.status, round(time.monotonic() - start, 2))
+    tasks, back = [], []
+    start = time.monotonic()
+    stops = [(0.2, f.nodes["back"][0]), (0.2 + apart, f.nodes["back"][1])]
+    while time.monotonic() - start < 8:
+        while stops and time.monotonic() - start > stops[0][0]:
+            stopping = stops.pop(0)[1]
+            stopping.signal(signal.SIGTERM)
+            back.append(asyncio.ensure_future(restarted(stopping, 0.5)))
+        tasks.append(asyncio.ensure_future(one(len(tasks))))
+        await asyncio.sleep(0.02)
+    await asyncio.gather(*tasks, *back)
+    bad = sorted(v for v in statuses.values() if v[0] != 200)
+    check(not bad, (len(bad), len(statuses), bad[:3], bad[-3:]))
+
+
+@test({"front": 1, "back": 2})
+async def test_both_nodes_of_a_service_stop(f):
+    """A service was without a server for about a second although both its servers
+    lived: the nodes beside them were told to stop within a second of each other, and
+    the second one left before the first had started again. A node did not know
+    that it was the last of its service that took work."""
+    await both_stop(f, 0.6)
+
+
+@test({"front": 1, "back": 2})
+async def test_both_nodes_of_a_service_stop_at_once(f):
+    """As above, in the same moment: each sees the other still take work."""
+    await both_stop(f, 0.0)
+
+
 @test({"front": 1, "back": 2}, slots=64)
 async def test_stop_cuts_off_no_late_work(f):
     """Two lookups ended 502 while their servers were at work. The node beside the
