Tests: an upload that the exit cuts off is told so

Suspected was a reset instead of the answer, as the node closes a connection on which more has arrived. What was seen before is what asyncio makes of a failed write: it hides what was received.

--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -4,6 +4,7 @@
 import os
 import re
 import signal
+import socket
 import sys
 import time
 import traceback
@@ -320,6 +321,51 @@
     check(len([a for a in answers if a[1] == 200]) > 30, answers)
 
 
+def trickle(ip, rid, seconds, length):
+    """An upload that is sent slowly by a caller that looks for an answer only once
+    it cannot send on; what it reads then."""
+    with socket.create_connection((ip, fl.CALLERS), 3) as s:
+        s.sendall(f"POST /up/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {rid}\r\n"
+                  f"X-Deadline-Ms: 20000\r\nContent-Length: {length}\r\n\r\n".encode())
+        end = time.monotonic() + seconds
+        try:
+            while time.monotonic() < end:
+                s.sendall(b"x" * 2000)
+                time.sleep(0.002)
+        except ConnectionError:
+            pass
+        try:
+            return int(s.recv(4096).split(b" ")[1])
+        except (OSError, IndexError) as e:
+            return type(e).__name__
+
+
+def trickles(node, seconds, length):
+    return [asyncio.ensure_future(asyncio.to_thread(trickle, node.ip, f"u{i}", seconds, length))
+            for i in range(8)]
+
+
+@test({"front": 1, "back": 1})
+async def test_upload_at_the_exit_is_told(f):
+    """The suspicion was that a caller in the middle of an upload reads no answer when
+    the node exits, as the connection is closed with bytes unread, which resets it. It
+    does not act: the 502 is written before, and a caller that looks for an answer
+    only once it cannot send on still reads it."""
+    node = f.nodes["front"][0]
+    uploads = trickles(node, 6.5, 32 << 20)
+    await asyncio.sleep(0.2)
+    node.signal(signal.SIGTERM)
+    told = await asyncio.gather(*uploads)
+    check(told == [502] * 8, told)
+
+
+@test({"front": 1, "back": 1})
+async def test_refused_upload_is_told(f):
+    """As above, for one that is refused with 413 while it is sent."""
+    told = await asyncio.gather(*trickles(f.nodes["front"][0], 1, 80 << 20))
+    check(told == [413] * 8, told)
+
+
 async def restarted(node, delay):
     """The platform starts a node again, a moment after its process has ended."""
     await until(node.proc.poll, lambda rc: rc is not None, 8, 0.02)
