Failing tests: a caller, and a server, that read nothing for a few seconds

A caller that pauses for 4 s in a long answer finds it cut; a server that pauses for 4 s in a long upload costs it a 502.

--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -1399,6 +1399,37 @@
     check(max(grown) < 8 * 1024, f"grew by {grown} KB")
 
 
+@test({"front": 1, "back": 1})
+async def test_caller_that_pauses(f):
+    """A caller that read nothing of a long answer for a few seconds, though well
+    within its deadline, found it cut: the kernel gives up a connection whose other
+    end takes nothing for two seconds. That bound is meant for hosts that vanish; a
+    caller on this host that pauses keeps its window shut and is there all the same."""
+    async def answer(s, head, rid, stage):
+        return (None, 200, b"a" * (8 << 20)) if stage == "run" else None
+    f.nodes["back"][0].server.behave = answer
+    c = f.nodes["front"][0].caller()
+    await c.raw(b"GET /leaf/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: pause\r\n"
+                b"X-Deadline-Ms: 20000\r\n\r\n")
+    c.writer.transport.pause_reading()
+    await asyncio.sleep(4)
+    c.writer.transport.resume_reading()
+    a = await c.answer()
+    check(a.whole and len(a.body) == 8 << 20, (a.whole, len(a.body)))
+
+
+@test({"front": 1, "back": 1})
+async def test_server_that_pauses(f):
+    """As above, a server that reads nothing of a long upload for a few seconds."""
+    async def pause(s, head, rid, stage):
+        if stage == "head" and rid == "pause":
+            await asyncio.sleep(4)
+    f.nodes["back"][0].server.behave = pause
+    a = await f.nodes["front"][0].caller().ask("POST", "/up/1", "pause", body=b"u" * (16 << 20),
+                                               deadline=20000)
+    check(a.status == 200 and runs(f, "pause") == 1, a)
+
+
 @test({"front": 1, "back": 1}, slots=4,
       rules=[route("urgent", "/u/", "back", "unsafe", 0, 5, 0.4),
              route("plain", "/p/", "back", "safe", 2, 5, 0.4)])
