A reader that pauses is no longer taken for gone

Callers saw long answers cut, and 502 for uploads, when they, or the server, read nothing for a few seconds. Cause: the kernel's bound for unacknowledged bytes, two seconds, counts a shut window alike, although the other end answers its probes. Connections of callers and those that carry a long body to the server beside the node now have 15 s; both ends are on one host, so that a vanished one is not what the bound is for.

--- a/src/bconn.c
+++ b/src/bconn.c
@@ -211,6 +211,8 @@
 		}
 		c->connecting = false;
 		c->established = true;
+		if (c->long_body)
+			lw_sock_allow_pauses(c->fd, true);
 	}
 	if (revents & EV_READ)
 		on_readable(c);
@@ -250,6 +252,18 @@
 	c->requests++;
 }
 
+/*
+ * lw_bconn_long_body() - the body of the request begun is more than a window: the
+ * server may read it in its own time. Of a server that is gone without a word the
+ * kernel tells then only later, as it does not know one from the other.
+ */
+void lw_bconn_long_body(lw_bconn_t *c)
+{
+	c->long_body = true;
+	if (c->established)
+		lw_sock_allow_pauses(c->fd, true);
+}
+
 /* lw_bconn_queue() - bytes of the request; lw_bconn_flush() sends them. */
 void lw_bconn_queue(lw_bconn_t *c, lw_str_t data)
 {
@@ -289,6 +303,9 @@
 /* lw_bconn_idle() - the connection waits for its next request. */
 void lw_bconn_idle(lw_bconn_t *c)
 {
+	if (c->long_body)
+		lw_sock_allow_pauses(c->fd, false);
+	c->long_body = false;
 	c->user = NULL;
 	c->paused = false;
 	c->idle_since_us = c->hub->now_us;
--- a/src/bconn.h
+++ b/src/bconn.h
@@ -43,6 +43,7 @@
 	bool completed; /* the parser saw the end of the answer */
 	bool keep; /* the server keeps the connection open */
 	bool sent; /* bytes of this request reached the kernel */
+	bool long_body; /* of the request: the server may pause in it */
 	bool is_head; /* the answer to a HEAD request has no body */
 	uint32_t requests; /* carried so far */
 	uint32_t idle_limit_s; /* announced by the server; 0: none */
@@ -57,6 +58,7 @@
 
 lw_bconn_t *lw_bconn_open(lw_hub_t *hub, const char *addr);
 void lw_bconn_start(lw_bconn_t *c, const lw_bconn_ops_t *ops, void *user, bool is_head);
+void lw_bconn_long_body(lw_bconn_t *c);
 void lw_bconn_queue(lw_bconn_t *c, lw_str_t data);
 void lw_bconn_flush(lw_bconn_t *c);
 void lw_bconn_pause(lw_bconn_t *c, bool pause);
--- a/src/caller.c
+++ b/src/caller.c
@@ -126,6 +126,7 @@
 	c->reply.ops = &lw_caller_reply_ops;
 	c->set = cs;
 	c->fd = fd;
+	lw_sock_allow_pauses(fd, true);
 	c->ready_only = l->ready_only;
 	c->since_us = cs->hub->now_us;
 	ev_io_init(&c->io, on_io, fd, 0);
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -292,6 +292,8 @@
 	g->stats.started++;
 	lw_histogram_add(&g->stats.wait, j->started_us - j->came_us);
 	lw_bconn_start(j->conn, &conn_ops, j, is_head);
+	if (j->body_length < 0 || j->body_length > LW_CALL_WINDOW)
+		lw_bconn_long_body(j->conn);
 	send_head(j);
 	lw_bytebuf_free(&j->head);
 	send_body(j, (lw_str_t){ lw_bytebuf_head(&j->body), lw_bytebuf_len(&j->body) }, j->fin);
--- a/src/linux/sock.c
+++ b/src/linux/sock.c
@@ -17,6 +17,13 @@
 /* a connection whose peer stops acknowledging fails after this long */
 #define SOCK_USER_TIMEOUT_MS 2000
 #define SOCK_SEND_TIMEOUT_S  3
+/*
+ * The same for a reader that may pause. The kernel counts a shut window like a
+ * peer that is gone, although its probes are answered: callers that read nothing
+ * for two seconds found their answers cut, and uploads to a server that did
+ * ended 502.
+ */
+#define SOCK_PAUSE_TIMEOUT_MS 15000
 /*
  * Connections waiting to be accepted. A full queue drops the opening packet,
  * which is sent again only after a second: as long as callers wait for one.
@@ -85,6 +92,14 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &cnt, sizeof(cnt));
 }
 
+/* lw_sock_allow_pauses() - whether the reader at the other end of @fd may pause for seconds. */
+void lw_sock_allow_pauses(int fd, bool allow)
+{
+	int ut = allow ? SOCK_PAUSE_TIMEOUT_MS : SOCK_USER_TIMEOUT_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ut, sizeof(ut));
+}
+
 /*
  * lw_sock_accept() - a connection waiting on the listening socket @lfd, non-
  * blocking; -1 with errno set if there is none.
--- a/src/linux/sock.h
+++ b/src/linux/sock.h
@@ -15,6 +15,7 @@
 int lw_sock_connect_error(int fd);
 bool lw_sock_connected(int fd);
 void lw_sock_tune(int fd);
+void lw_sock_allow_pauses(int fd, bool allow);
 void lw_sock_abort(int fd);
 bool lw_sock_stale(int fd);
 
