--- a/tests/mesh/fates.py
+++ b/tests/mesh/fates.py
@@ -462,3 +462,23 @@
     unserved = [rid for rid, status in told.items() if status == 200 and not ran[rid]]
     check(not twice and not refused and not unserved, (twice, refused, unserved))
     check(moved > 20, f"only {moved} requests moved: the storm shows nothing")
+
+
+@test({"front": 1, "back": 1})
+async def test_idle_connection_closed_while_the_host_stands_still(f):
+    """An order ended 502 though its server never had it. While the host beside the
+    server stood still the server closed its idle connections, and the order came.
+    The host read the order first when it woke, and gave it to a connection whose end
+    lay unread in the kernel: what is sent there may have run."""
+    node, host = f.nodes["front"][0], f.nodes["back"][0]
+    for i in range(4):
+        check((await node.caller().ask("POST", "/up/1", f"w{i}", body=b"x")).status == 200, "w")
+    host.signal(signal.SIGSTOP)
+    for w in list(host.server.conns):
+        w.close()
+    await asyncio.sleep(0.1)
+    order = asyncio.ensure_future(node.caller().ask("POST", "/up/1", "idle", body=b"x"))
+    await asyncio.sleep(0.15)
+    host.signal(signal.SIGCONT)
+    a = await order
+    check(a.status == 200 and runs(f, "idle") == 1, (a, runs(f, "idle")))
