An idle server connection is looked at before it is given a request

Callers saw 502 "may have run" for orders that no server had: a host that had stood still acted on an order before it acted on the end of the idle connection that it gave the order to. One idle for more than 10 ms is looked at first.

--- a/src/gateconn.c
+++ b/src/gateconn.c
@@ -1,11 +1,16 @@
 /* Idle connections to the backend server on this host. */
 #include "gate_int.h"
 
+#include "linux/sock.h"
+
 /* an idle connection is not used in the last part of the announced limit, us */
 #define IDLE_MARGIN_US 1500000
 /* an idle connection without an announced limit is used so long, us */
 #define IDLE_DEFAULT_US 4000000
 
+/* one that was used within this time is not looked at again before the next request, us */
+#define USED_JUST_NOW_US 10000
+
 /* an idle connection ended: drop it from the list */
 static void on_idle_end(void *ctx)
 {
@@ -56,17 +61,29 @@
 	on_idle_end(g);
 }
 
+/*
+ * Whether the server's end of an idle connection lies unread in the kernel. The
+ * loop acts on requests and ends that came together in no certain order, as when
+ * this host stood still; a request given to such a connection may have run for
+ * all that can be said, and fails though no server had it.
+ */
+static bool has_ended(const lw_gate_t *g, const lw_bconn_t *c)
+{
+	return g->hub->now_us - c->idle_since_us > USED_JUST_NOW_US && lw_sock_stale(c->fd);
+}
+
 /* lw_gate_take_connection() - an idle connection or a new one; NULL if none can be begun. */
 lw_bconn_t *lw_gate_take_connection(lw_gate_t *g)
 {
 	lw_bconn_t *c;
 
 	lw_gate_close_old_idle(g);
-	c = g->idle;
-	if (c) {
+	while ((c = g->idle) != NULL) {
 		g->idle = c->next;
 		g->nidle--;
-		return c;
+		if (!has_ended(g, c))
+			return c;
+		lw_bconn_close(c);
 	}
 	g->stats.connections++;
 	return lw_bconn_open(g->hub, g->hub->set->backend);
