A cut answer no longer looks whole to an HTTP/1.0 caller

Such a caller took a part of an answer for the whole: where the server had told no length the node ended the connection in order, which is how a whole answer ends there. It is reset now.

--- a/src/caller.c
+++ b/src/caller.c
@@ -49,7 +49,10 @@
 	c->x = NULL;
 	ev_io_stop(c->set->hub->loop, &c->io);
 	ev_clear_pending(c->set->hub->loop, &c->io);
-	close(c->fd);
+	if (c->cut)
+		lw_sock_abort(c->fd);
+	else
+		close(c->fd);
 	if (c->prev)
 		c->prev->next = c->next;
 	else
--- a/src/caller_int.h
+++ b/src/caller_int.h
@@ -39,6 +39,7 @@
 	bool chunked_answer;
 	bool http10;
 	bool answered; /* the answer to the request under way is complete */
+	bool cut; /* reset when it is closed: the answer would look whole */
 	bool closed;
 	bool body_done;
 	bool starting; /* the exchange is being given its first bytes */
--- a/src/callerreply.c
+++ b/src/callerreply.c
@@ -129,12 +129,16 @@
 	lw_caller_answer_done(c);
 }
 
-/* a cut answer must look cut: close without the rest */
+/*
+ * A cut answer must look cut: closed without the rest. Ended in order, one of which
+ * neither length nor chunks tell the end looks whole to a caller of HTTP/1.0: reset.
+ */
 static void reply_cut(lw_reply_t *r)
 {
 	lw_caller_t *c = (lw_caller_t *)r;
 
 	c->x = NULL;
+	c->cut = c->http10;
 	if (!c->closed)
 		lw_caller_close(c);
 }
--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -1399,6 +1399,24 @@
     check(max(grown) < 8 * 1024, f"grew by {grown} KB")
 
 
+@test({"front": 1, "back": 1})
+async def test_cut_answer_looks_cut_to_an_old_caller(f):
+    """A caller of HTTP/1.0 took a part of an answer for the whole: the server broke off
+    an answer whose length it had not told, and the node ended its own connection in
+    order, which is how such an answer ends for that caller."""
+    async def cut(s, head, rid, stage):
+        return ("unframed-reset", 200, b"a" * 200000) if stage == "run" else None
+    f.nodes["back"][0].server.behave = cut
+    c = f.nodes["front"][0].caller()
+    await c.raw(b"POST /up/1 HTTP/1.0\r\nHost: h.example\r\nX-Request-Id: old\r\n"
+                b"X-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n")
+    try:
+        a = await c.answer()
+    except ConnectionResetError:
+        return
+    check(a.status >= 500 or not a.whole, (a.status, a.whole, len(a.body)))
+
+
 @test({"front": 1, "back": 1})
 async def test_caller_that_pauses(f):
     """A caller that read nothing of a long answer for a few seconds, though well
