--- a/tests/mesh/fates.py
+++ b/tests/mesh/fates.py
@@ -464,6 +464,26 @@
     check(moved > 20, f"only {moved} requests moved: the storm shows nothing")
 
 
+@test({"front": 1, "back": 2}, relays=True)
+async def test_host_stands_still_before_it_is_asked(f):
+    """An order ended 502 and was cancelled at its server: its connection was reset,
+    and the host beside the server stood still before the question came. When it woke,
+    the time in which work of a lost connection runs on had passed, and it ended the
+    order before it read anything: "E1411 link_ended outgoing=0 streams=3
+    waited_ms=892", then "E1409 fate_told known=0 maybe_ran=3"."""
+    async def reset_then_frozen(host):
+        host.relay.hold_new = True
+        host.relay.reset_all()
+        await asyncio.sleep(0.1)
+        host.signal(signal.SIGSTOP)
+        host.relay.hold_new = False
+        host.relay.let_go()
+        await asyncio.sleep(0.8)
+        host.signal(signal.SIGCONT)
+    a = await order_and_outcome(f, "frozen", reset_then_frozen)
+    check(a.status == 200 and runs(f, "frozen") == 1, (a, runs(f, "frozen")))
+
+
 @test({"front": 1, "back": 1})
 async def test_idle_connection_closed_while_the_host_stands_still(f):
     """An order ended 502 though its server never had it. While the host beside the
