Time asleep does not count as time in which nobody asked

Callers saw 502 for orders whose server was at work, and the work was cancelled: a host that had stood still ended what had run on a lost connection for over 0.3 s before it read the question that lay in its buffers. Its sleep no longer counts. test_host_stands_still_before_it_is_asked: red 3 of 3 before, green 5 of 5 after.

--- a/src/mesh.c
+++ b/src/mesh.c
@@ -168,6 +168,9 @@
 		l->heard_us = m->hub->now_us;
 		l->asked_us = 0;
 	}
+	/* nobody could ask meanwhile: ended now, work would be lost with the question at hand */
+	for (lw_link_t *l = m->orphans; l; l = l->next)
+		l->orphan_us += m->hub->slept_us;
 }
 
 static void on_wake(struct ev_loop *loop, ev_check *w, int revents)
