--- a/tests/mesh/fates.py
+++ b/tests/mesh/fates.py
@@ -368,12 +368,15 @@
     def __init__(self, f, seed):
         self.f, self.rng = f, random.Random(seed)
         self.tasks = set()
+        self.down = set()
 
     async def freeze(self, node):
-        if node.proc.poll() is None:
-            node.signal(signal.SIGSTOP)
+        process = node.proc
+        if process.poll() is None:
+            process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(self.rng.uniform(0.2, 1.4))
-            node.signal(signal.SIGCONT)
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
 
     async def hold_up(self, node):
         """What the host says is held up, then let through."""
@@ -394,6 +397,16 @@
         node.relay.hold_new = False
         node.relay.let_go()
 
+    async def kill(self, node):
+        """The process is gone with what it runs, and starts again."""
+        if node in self.down:
+            return
+        self.down.add(node)
+        node.kill()
+        await asyncio.sleep(self.rng.uniform(0.05, 0.6))
+        node.start()
+        self.down.discard(node)
+
     async def silence(self, node):
         node.relay.silence_open()
 
@@ -406,7 +419,7 @@
 
     async def blow(self, seconds):
         faults = [self.freeze, self.hold_up, self.swallow, self.hold_new, self.silence,
-                  self.silence, self.reset, self.reset, self.reset_one]
+                  self.silence, self.reset, self.reset, self.reset_one, self.kill]
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             fault, node = self.rng.choice(faults), self.rng.choice(self.f.nodes["back"])
@@ -421,8 +434,8 @@
 async def test_orders_through_a_storm(f):
     """An upload ran on two servers, or was refused with 503 though it had run: what
     the hosts said of requests on lost connections was taken for more than it was.
-    Connections go silent, are reset, held up and swallowed while hosts stand still,
-    in series that overlap; each order runs once at most, one that is refused never
+    Connections go silent, are reset, held up and swallowed while hosts stand still
+    or their processes are killed, in series that overlap; each order runs once at most, one that is refused never
     does, and one that is answered has. Seeds: LW_STORM_SEED; seconds: LW_STORM_S."""
     seed = int(os.environ.get("LW_STORM_SEED", "1"))
     seconds = float(os.environ.get("LW_STORM_S", "8"))
