--- a/src/meshfate.c
+++ b/src/meshfate.c
@@ -150,9 +150,15 @@
 	return s->job && s->request_whole && !s->answering;
 }
 
-/* whether request @id of the connection asked about, @old if it is still open, never came */
+/*
+ * Whether request @id of the connection asked about, @old if it is still open, never
+ * came. A node of an older version names one that moved by its place there: that
+ * one did come, and must not be placed elsewhere.
+ */
 static bool never_came(const lw_mesh_t *m, uint64_t link, const lw_link_t *old, uint32_t id)
 {
+	if (id >= LW_STREAM_MOVED)
+		return false;
 	if (old)
 		return id >= old->last_open;
 	return lw_meshpast_never(&m->past, link, id, m->hub->now_us);
@@ -247,16 +253,17 @@
 /*
  * What was sent over the connection asked about and has not moved by this
  * question: its sender gave it up, or was told that it may have run. What a newer
- * question moved stays.
+ * question moved stays. A node of an older version does not number its questions
+ * and names only what is still on the connection.
  */
-static void end_unnamed(lw_mesh_t *m, const Lw__FateQuery *q)
+static void end_unnamed(lw_mesh_t *m, const Lw__FateQuery *q, const lw_link_t *old)
 {
 	lw_stream_t **ended = xcalloc(HASH_CNT(by_origin, m->taken) + 1, sizeof(void *));
 	size_t n = 0;
 
 	for (lw_stream_t *s = m->taken; s; s = s->by_origin.next)
 		if (s->origin.link == q->link && s->named != m->heard &&
-		    (!q->number || s->question <= q->number))
+		    (q->number ? s->question <= q->number : s->link == old))
 			ended[n++] = s;
 	/* an end may bring others about */
 	for (size_t i = 0; i < n; i++) {
@@ -286,7 +293,7 @@
 	tell(l, q, old);
 	if (old || !lw_meshpast_has(&m->past, q->link))
 		lw_meshpast_note(&m->past, q->link, old ? old->last_open : 0, m->hub->now_us);
-	end_unnamed(m, q);
+	end_unnamed(m, q, old);
 	if (old && !old->orphan_us)
 		lw_link_lost(old);
 }
--- /dev/null
+++ b/tests/mesh/stores.py
@@ -0,0 +1,364 @@
+"""Failure tests of what nodes learn from the store: configuration, servers, leases."""
+import asyncio
+import signal
+import time
+
+import fleet as fl
+from fleet import config, route, until
+from harness import check, runs, test
+
+
+@test({"front": 1, "back": 2})
+async def test_restarted_servers_old_entries(f):
+    """Symptom: after a power failure calls of running requests end 503
+    "misdirected", and their requests with them. Sequence: servers start anew
+    with other ids at their addresses; the old entries stand a little longer
+    than it takes the new ones to come; each call is given to two old ids,
+    turned away, and refused. Cause: nobody remembered that the ids are gone,
+    so no call waited for the new entries."""
+    node = f.nodes["front"][0]
+    for i, n in enumerate(f.nodes["back"]):
+        n.server.id = f"i-back-{i}-anew"
+    for i in range(4):
+        await node.caller().ask("GET", "/leaf/1", f"first{i}")
+    calls = [asyncio.ensure_future(node.caller().ask("GET", "/leaf/1", f"run.call{i}"))
+             for i in range(30)]
+    await asyncio.sleep(0.1)
+    for n in f.nodes["back"]:
+        f.register(n.server)
+    statuses = [(await c).status for c in calls]
+    check(statuses.count(200) >= 28, statuses)
+
+
+@test({"front": 1, "back": 2})
+async def test_drain(f):
+    """Symptom: a leaving server still gets requests. Sequence: its entry says
+    draining, or is removed, while requests go on. Cause: lists read too
+    seldom, or work queued beside it."""
+    node = f.nodes["front"][0]
+    stop = []
+
+    async def traffic():
+        i = 0
+        while not stop:
+            i += 1
+            a = await node.caller().ask("GET", "/leaf/1", f"d{i}")
+            check(a.status == 200, a)
+            await asyncio.sleep(0.01)
+    task = asyncio.ensure_future(traffic())
+    await asyncio.sleep(0.5)
+    server = f.nodes["back"][0].server
+    server.draining = True
+    f.register(server)
+    since = time.monotonic()
+    await asyncio.sleep(3.5)
+    late = [t - since for t, _ in server.ran if t > since + 2]
+    check(not late, late[:3])
+    f.store.remove("servers/" + server.id)
+    await asyncio.sleep(0.5)
+    stop.append(1)
+    await task
+    check(len(f.nodes["back"][1].server.ran) > 100, "the other one serves")
+
+
+@test({"front": 1, "back": 1, "other": 1})
+async def test_address_reused(f):
+    """Symptom: a request runs at a server of another service. Sequence: a
+    server ends, its address goes to another service, the entry is still there.
+    Cause: a server was known by its address. Its id tells."""
+    node = f.nodes["back"][0]
+    node.server.stop()
+    new = fl.standin.Server("i-new", "other", node.ip, fl.BACKEND)
+    await new.start()
+    f.nodes["back"][0].server = new
+    for i in range(4):
+        a = await f.nodes["front"][0].caller().ask("POST", "/up/1", f"a{i}", body=b"x")
+        check(a.status == 503, a)
+    check(not new.ran, new.ran)
+
+
+@test({"front": 2, "back": 1})
+async def test_config(f):
+    """A configuration is in force on every node within two seconds; a removed
+    route is refused, an added one served; an older version changes nothing."""
+    rules = [route("get", "/get/", "back"), route("new", "/new/", "front")]
+    f.store.put("op/config", config(5, rules))
+    await asyncio.sleep(1.9)
+    for i, n in enumerate(f.all()):
+        c = n.caller()
+        a = await c.ask("GET", "/get/1", f"c{i}")
+        check(a.status == 200 and a.body.startswith(b"i-back"), a)
+        check((await c.ask("GET", "/new/1", f"n{i}")).status == 200, "added")
+        check((await c.ask("GET", "/leaf/1", f"l{i}")).status == 404, "removed")
+    f.store.put("op/config", config(3))
+    await asyncio.sleep(1.5)
+    for i, n in enumerate(f.all()):
+        check((await n.caller().ask("GET", "/leaf/1", f"m{i}")).status == 404, "went back")
+
+
+async def reading(f):
+    return [n for n in f.all() if await n.metric("lw_store_reader") == 1]
+
+
+@test({"front": 2, "back": 3}, relays=True)
+async def test_store_refuses_some(f):
+    """Symptom: a node that the store turns away serves by an old
+    configuration and an old list. Sequence: 503 for two nodes, then changes.
+    Cause: each node knew only what it read itself. Which nodes read follows
+    from their addresses, so one that does is always among those turned away."""
+    readers = await until(lambda: reading(f), lambda r: len(r) == 2)
+    asked = f.nodes["front"][0]
+    other = f.nodes["back"][2] if asked in readers else readers[0]
+    f.store.refused = {n.store_relay.addr[0] for n in (asked, other)}
+    await asyncio.sleep(1)
+    f.store.put("op/config", config(5, [route("get", "/get/", "back")]))
+    f.nodes["back"][0].server.draining = True
+    f.register(f.nodes["back"][0].server)
+    await asyncio.sleep(2)
+    since = time.monotonic()
+    for i in range(30):
+        a = await f.nodes["front"][0].caller().ask("GET", "/get/1", f"s{i}")
+        check(a.status == 200 and a.body.startswith(b"i-back"), a)
+    late = [r for t, r in f.nodes["back"][0].server.ran if t > since]
+    check(not late, late)
+    check(f.store.turned_away, "the store turned nobody away")
+
+
+async def ask_for(f, seconds, prefix):
+    """A read every 20 ms; (time, status) of those that were not answered well."""
+    bad, i, end = [], 0, time.monotonic() + seconds
+    node = f.nodes["front"][0]
+    while time.monotonic() < end:
+        i += 1
+        a = await node.caller().ask("GET", "/leaf/1", f"{prefix}{i}")
+        if a.status != 200:
+            bad.append((round(time.monotonic() - end + seconds, 2), a.status))
+        await asyncio.sleep(0.02)
+    return bad
+
+
+@test({"front": 2, "back": 3}, relays=True)
+async def test_lapsed_leases_used_on(f):
+    """Symptom: a service is without servers for seconds though all of them live
+    and can be reached. Sequence: their hosts are cut off from the store, their
+    entries lapse; the cut heals, the entries are back. Cause: an entry that is
+    missing was taken for a server that left."""
+    backs = f.nodes["back"]
+    f.store.refused = {n.store_relay.addr[0] for n in backs}
+    await asyncio.sleep(1.5)
+    for n in backs:
+        f.store.remove("servers/" + n.server.id)
+    bad = await ask_for(f, 4, "cut")
+    check(not bad, bad)
+    check(all(n.server.checks for n in backs), "nobody asked the servers")
+    f.store.refused = set()
+    await asyncio.sleep(0.3)
+    for n in backs:
+        f.register(n.server)
+    checks = sum(n.server.checks for n in backs)
+    bad = await ask_for(f, 3, "back")
+    check(not bad, bad)
+    check(sum(n.server.checks for n in backs) < checks + 12, "health checks went on and on")
+
+
+@test({"front": 2, "back": 3}, relays=True)
+async def test_silent_leaver(f):
+    """Symptom: a server that left without reporting a drain gets work after its
+    drain time. Sequence: its entry is removed; its node is up and reads the
+    store; the server is healthy still. Cause: contact with the node was taken
+    as a sign that the server stays."""
+    leaver = f.nodes["back"][0].server
+    f.store.remove("servers/" + leaver.id)
+    since = time.monotonic()
+    bad = await ask_for(f, 4, "s")
+    check(not bad, bad)
+    late = [round(t - since, 2) for t, r in leaver.ran if t > since + 2]
+    check(not late, late)
+
+
+async def used_behind_cut(f):
+    """A node whose host is cut off from the store and whose server's entry has
+    lapsed; the server is used on."""
+    node = f.nodes["back"][0]
+    f.store.refused = {node.store_relay.addr[0]}
+    await asyncio.sleep(1.5)
+    f.store.remove("servers/" + node.server.id)
+    check(not await ask_for(f, 2.5, "a"), "requests failed")
+    check([t for t, r in node.server.ran if r.startswith("a")][-1:], "it was not used on")
+    return node
+
+
+@test({"front": 2, "back": 3}, relays=True)
+async def test_leaver_behind_cut(f):
+    """Symptom: work goes to a server that is leaving behind a cut. Sequence: its
+    host is cut off, its entry lapses, its node vouches for it; then it leaves,
+    which only its health check says. Cause: nothing ended the node's word."""
+    node = await used_behind_cut(f)
+    node.server.leaving = True
+    since = time.monotonic()
+    check(not await ask_for(f, 3, "b"), "requests failed")
+    late = [round(t - since, 2) for t, r in node.server.ran if t > since + 2]
+    check(not late, late)
+
+
+@test({"front": 2, "back": 3}, relays=True)
+async def test_mute_server_behind_cut(f):
+    """Symptom: work goes on and on to a server that nobody has heard of for
+    seconds. Sequence: its host is cut off, its entry lapses, its node vouches
+    for it; then its health checks get no answer. Cause: the word once given
+    stood in every status, though nothing renewed it."""
+    node = await used_behind_cut(f)
+    node.server.mute = True
+    since = time.monotonic()
+    check(not await ask_for(f, 5, "b"), "requests failed")
+    late = [round(t - since, 2) for t, r in node.server.ran if t > since + 3.5]
+    check(not late, late)
+
+
+@test({"front": 1, "back": 2})
+async def test_same_id_started_anew(f):
+    """Symptom: a server that drained and started again under its id never gets
+    work. Sequence: drain, exit, a new process with the same id and a later
+    start. Cause: a drain was never taken back, whoever reported it."""
+    server = f.nodes["back"][0].server
+    server.born, server.draining = 1000, True
+    f.register(server)
+    await asyncio.sleep(2)
+    server.born, server.draining = 2000, False
+    f.register(server)
+    await asyncio.sleep(1.5)
+    since = time.monotonic()
+    bad = await ask_for(f, 1.5, "n")
+    check(not bad, bad)
+    check([t for t, _ in server.ran if t > since], "the new process got nothing")
+
+
+@test({"front": 1, "back": 2})
+async def test_entries_of_other_writers(f):
+    """Symptom: a living server gets no work, or requests go nowhere. Sequence:
+    entries appear that another writer made: bytes that are no JSON, fields of
+    another type, an unknown state, a living server's address with a service
+    that no configuration names. Cause: defaults in place of what was spoiled."""
+    good = f.nodes["back"][0].server.entry()
+    forged = {"x-text": b"\xff\xfe", "x-list": b"[]",
+              "x-state": {**good, "status": {**good["status"], "state": "asleep"}},
+              "x-slots": {**good, "info": {**good["info"], "slots": "many"}},
+              "x-addr": {**good, "address": 7}}
+    async def work(s, head, rid, stage):
+        if stage == "run":
+            await asyncio.sleep(0.03)
+    for n in f.nodes["back"]:
+        n.server.behave = work
+    for key, value in forged.items():
+        f.store.put("servers/" + key, value)
+    await asyncio.sleep(1.5)
+    bad = [b for many in await asyncio.gather(*(ask_for(f, 1.5, f"e{k}-") for k in range(12)))
+           for b in many]
+    check(not bad, bad)
+    check(all(n.server.ran for n in f.nodes["back"]), "a server got nothing")
+    check(len(f.nodes["front"][0].logged("E1209") + f.nodes["back"][0].logged("E1209")
+              + f.nodes["back"][1].logged("E1209")) >= len(forged), "refused entries left no line")
+
+
+@test({"back": 5}, relays=True)
+async def test_returning_reader(f):
+    """Symptom: a server that left gets requests from every node for over two
+    seconds. Sequence: the store turns the two readers away and serves the
+    others; the entry of a server beside a reader is removed; the readers are
+    let in again. Cause: the readers took it for an outage of the store and let
+    the missing entry count, also the node beside that server."""
+    readers = await until(lambda: reading(f), lambda r: len(r) == 2)
+    f.store.refused = {n.store_relay.addr[0] for n in readers}
+    await asyncio.sleep(3)
+    leaving = readers[0]
+    f.store.remove("servers/" + leaving.server.id)
+    since = time.monotonic()
+    # a change the readers have not seen either makes them publish a list
+    extra = fl.standin.Server("i-extra", "other", f"127.{f.net}.0.99", fl.BACKEND)
+    f.register(extra)
+    await asyncio.sleep(0.3)
+    f.store.refused = set()
+    i = 0
+    while time.monotonic() < since + 3.5:
+        i += 1
+        a = await f.nodes["back"][i % 5].caller().ask("GET", "/leaf/1", f"r{i}")
+        check(a.status == 200, a)
+        await asyncio.sleep(0.01)
+    check(f.store.turned_away, "the store turned nobody away")
+    late = [t - since for t, _ in leaving.server.ran if t > since + 2]
+    check(not late, f"{len(late)} requests late, the last after {late[-1:]} s")
+
+
+@test({"front": 2, "back": 2})
+async def test_store_away(f):
+    """Symptom: an outage of the store stops the traffic, or its return does.
+    Sequence: the store is silent for three seconds, entries lapse meanwhile,
+    it returns, servers write again a second later. Cause: missing was gone."""
+    f.store.mode = "silent"
+    f.beats.cancel()
+    for n in f.all():
+        f.store.remove("servers/" + n.server.id)
+    end = time.monotonic() + 3
+    i = 0
+    while time.monotonic() < end + 3:
+        if time.monotonic() > end and f.store.mode == "silent":
+            f.store.mode = "ok"
+        if time.monotonic() > end + 1:
+            f.beats = f.beats if not f.beats.cancelled() else asyncio.ensure_future(f.heartbeats())
+            for n in f.all():
+                if "servers/" + n.server.id not in f.store.items:
+                    f.register(n.server)
+        i += 1
+        a = await f.nodes["front"][i % 2].caller().ask("GET", "/leaf/1", f"o{i}")
+        check(a.status == 200, (a, time.monotonic() - end))
+        await asyncio.sleep(0.05)
+
+
+@test({"front": 1, "back": 1})
+async def test_store_compacted(f):
+    """The store drops its history: the node reads everything anew."""
+    f.store.mode = "503"
+    await asyncio.sleep(0.3)
+    f.store.put("op/config", config(7, [route("new", "/new/", "front")]))
+    f.store.compact()
+    f.store.mode = "ok"
+    await until(lambda: f.all()[0].caller().ask("GET", "/new/1", f"x{time.monotonic()}"),
+                lambda a: a.status == 200, 4, 0.2)
+    await until(lambda: [n for n in f.all() if n.logged("store_history_lost")], bool, 2)
+
+
+@test({"front": 2, "back": 2}, start=False)
+async def test_store_down_at_start(f):
+    """A node that starts while the store is away is not ready and answers 503,
+    not 404; it serves when the store is back."""
+    f.store.mode = "503"
+    await f.start(wait=False)
+    node = f.nodes["front"][0]
+    await asyncio.sleep(1)
+    check(await node.ready() == 503, "ready without a configuration")
+    a = await node.caller().ask("GET", "/get/1", "early")
+    check(a.status == 503 and a.head.get("retry-after"), a)
+    f.store.mode = "ok"
+    await f.until_ready(timeout=5)
+    check((await node.caller().ask("GET", "/get/1", "later")).status == 200, "later")
+
+
+@test({"front": 3, "back": 3})
+async def test_few_read_the_store(f):
+    """Two nodes read the store for all; when both are stopped the others read
+    in time for a change to be in force within two seconds."""
+    await asyncio.sleep(4)
+    before, start = f.store.calls, time.monotonic()
+    await asyncio.sleep(3)
+    rate = (f.store.calls - before) / (time.monotonic() - start)
+    check(rate < 4.5, f"{rate} calls a second")
+    readers = [n for n in f.all() if await n.metric("lw_store_reader") == 1]
+    check(len(readers) == 2, readers)
+    for n in readers:
+        n.signal(signal.SIGSTOP)
+    f.store.put("op/config", config(9, [route("new", "/new/", "front")]))
+    await asyncio.sleep(2)
+    for i, n in enumerate(f.all()):
+        if n not in readers:
+            a = await n.caller().ask("GET", "/new/1", f"q{i}")
+            check(a.status != 404, (a, n.ip))
