--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -116,6 +116,7 @@
 void lw_mesh_ask_again(lw_mesh_t *m);
 void lw_mesh_on_query(lw_link_t *l, const Lw__FateQuery *q);
 void lw_mesh_on_fates(lw_link_t *l, const Lw__Fates *w);
+uint32_t lw_mesh_count_fates(const Lw__Fates *w, Lw__FateKind kind);
 void lw_mesh_forget_questions(const lw_link_t *l);
 void lw_mesh_check_orphans(lw_mesh_t *m);
 void lw_mesh_peer_gone(lw_mesh_t *m, const char *node);
--- a/src/meshask.c
+++ b/src/meshask.c
@@ -173,15 +173,6 @@
 	return true;
 }
 
-static uint32_t count_kind(const Lw__Fates *w, Lw__FateKind kind)
-{
-	uint32_t n = 0;
-
-	for (size_t i = 0; i < w->n_fates; i++)
-		n += w->fates[i]->kind == kind;
-	return n;
-}
-
 /* silent connections to @node on which nothing is left */
 static void close_emptied(lw_mesh_t *m, const char *node)
 {
@@ -208,8 +199,9 @@
 	lw_log(LW_LOG_fate_heard,
 	       "node=%s link=%016llx over=%016llx waited_for=%u moved=%u never=%u maybe_ran=%u incarnation=%016llx before=%016llx",
 	       node, (unsigned long long)w->link, (unsigned long long)l->name, waited_for,
-	       count_kind(w, LW__FATE_KIND__FATE_MOVED), count_kind(w, LW__FATE_KIND__FATE_NEVER),
-	       count_kind(w, LW__FATE_KIND__FATE_GONE), (unsigned long long)w->incarnation,
+	       lw_mesh_count_fates(w, LW__FATE_KIND__FATE_MOVED),
+	       lw_mesh_count_fates(w, LW__FATE_KIND__FATE_NEVER),
+	       lw_mesh_count_fates(w, LW__FATE_KIND__FATE_GONE), (unsigned long long)w->incarnation,
 	       (unsigned long long)l->peer_incarnation);
 	if (l->silent)
 		lw_mesh_ask_fate(l);
--- a/src/meshfate.c
+++ b/src/meshfate.c
@@ -195,7 +195,8 @@
 	fate->moved_to = s->id;
 }
 
-static uint32_t count_kind(const Lw__Fates *w, Lw__FateKind kind)
+/* lw_mesh_count_fates() - how many requests @w tells @kind of. */
+uint32_t lw_mesh_count_fates(const Lw__Fates *w, Lw__FateKind kind)
 {
 	uint32_t n = 0;
 
@@ -210,8 +211,10 @@
 	       "link=%016llx over=%016llx known=%d lost=%d opened=%u streams=%zu moved=%u never=%u maybe_ran=%u incarnation=%016llx",
 	       (unsigned long long)w->link, (unsigned long long)l->name, old != NULL,
 	       old && old->orphan_us, old ? old->last_open : 0, w->n_fates,
-	       count_kind(w, LW__FATE_KIND__FATE_MOVED), count_kind(w, LW__FATE_KIND__FATE_NEVER),
-	       count_kind(w, LW__FATE_KIND__FATE_GONE), (unsigned long long)w->incarnation);
+	       lw_mesh_count_fates(w, LW__FATE_KIND__FATE_MOVED),
+	       lw_mesh_count_fates(w, LW__FATE_KIND__FATE_NEVER),
+	       lw_mesh_count_fates(w, LW__FATE_KIND__FATE_GONE),
+	       (unsigned long long)w->incarnation);
 }
 
 /* the outcomes of those that are over: their answers may have been lost with the connection */
