--- a/tests/mesh/fates.py
+++ b/tests/mesh/fates.py
@@ -515,3 +515,35 @@
     host.signal(signal.SIGCONT)
     a = await order
     check(a.status == 200 and runs(f, "idle") == 1, (a, runs(f, "idle")))
+
+
+@test({"front": 1, "back": 2}, slots=64)
+async def test_given_up_read_does_not_run_late(f):
+    """A server worked for a caller that had been answered half a second before. The
+    host beside it stood still when the read came; its sender gave the read up for
+    another server, which answered it. The host woke with the read and the word that
+    it was given up in one buffer, and ran it before it read on. Found by the soak:
+    "ran on: s13-184 sent at 21.28 s, 200 after 0.16 s, ran i-front-0 21.43-21.44,
+    i-front-2 21.95-21.96", with "E1310 request_retried id=s13-184 after=broken
+    given=1" 0.16 s after it was sent."""
+    async def short(s, head, rid, stage):
+        if stage == "run":
+            await asyncio.sleep(0.01)
+    for n in f.nodes["back"]:
+        n.server.behave = short
+    node, host = f.nodes["front"][0], f.nodes["back"][0]
+    for i in range(60):
+        check((await node.caller().ask("GET", "/leaf/1", f"w{i}")).status == 200, "warm-up")
+    late = []
+    for k in range(5):
+        host.signal(signal.SIGSTOP)
+        reads = {f"late{k}-{i}": asyncio.ensure_future(
+            node.caller().ask("GET", "/leaf/1", f"late{k}-{i}")) for i in range(12)}
+        await asyncio.sleep(0.4)
+        over = {rid for rid, read in reads.items() if read.done()}
+        before = len(host.server.ran)
+        await asyncio.sleep(0.6)
+        host.signal(signal.SIGCONT)
+        await asyncio.gather(*reads.values())
+        late += [rid for _, rid in host.server.ran[before:] if rid in over]
+    check(not late, late)
