--- a/src/place.c
+++ b/src/place.c
@@ -297,33 +297,6 @@
 	return h && lw_place_usable(h, now_us) && !h->draining && !h->load.leaving;
 }
 
-/* whether work goes on at @h once @self is gone: several that leave go in the order of their ids */
-static bool stands_in(const lw_place_host_t *h, const lw_place_host_t *self, uint64_t now_us)
-{
-	if (!h->load_us || h->load.down || refuses(h, now_us) || now_us < h->suspect_until_us)
-		return false;
-	return !h->load.leaving || strcmp(self->id, h->id) < 0;
-}
-
-/*
- * lw_place_last() - whether the backend server @self is the last of its service
- * that takes work, and others may again soon. If it is the only one there is,
- * waiting for another is of no use.
- */
-bool lw_place_last(const lw_place_host_t *self, uint64_t now_us)
-{
-	bool others = false;
-
-	for (const lw_place_host_t *h = self->service->hosts; h; h = h->next) {
-		if (h == self || h->draining || !lw_place_usable(h, now_us))
-			continue;
-		if (stands_in(h, self, now_us))
-			return false;
-		others = true;
-	}
-	return others;
-}
-
 /* lw_place_sent() - a request goes to @h; lw_place_ended() must follow. */
 void lw_place_sent(lw_place_host_t *h)
 {
--- a/src/place.h
+++ b/src/place.h
@@ -92,7 +92,6 @@
 lw_place_host_t *lw_place_pick_room(const lw_place_service_t *s, const lw_place_tried_t *tried,
 				    const lw_place_ask_t *ask, bool sure);
 bool lw_place_takes(const lw_place_host_t *h, uint64_t now_us);
-bool lw_place_last(const lw_place_host_t *self, uint64_t now_us);
 void lw_place_sent(lw_place_host_t *h);
 void lw_place_ended(lw_place_host_t *h, bool ok, uint64_t now_us);
 void lw_place_replaced(lw_place_host_t *h, uint64_t now_us);
--- a/src/proxystop.c
+++ b/src/proxystop.c
@@ -18,35 +18,6 @@
 	return ours > theirs ? ours : theirs;
 }
 
-/*
- * Whether no other node takes work of the service; not if the backend server here
- * takes none either.
- */
-static bool alone(const lw_proxy_t *p)
-{
-	bool known;
-	const lw_place_host_t *self = lw_place_self(&p->engine.place, &known);
-
-	return known && !self->draining && !p->engine.gate.leaving &&
-	       lw_place_last(self, p->hub.now_us);
-}
-
-/*
- * Hear of the other nodes of the service in time. A node that no request of this
- * one led to is not known to take work, and this one would go on for nothing.
- */
-static void contact_service(lw_proxy_t *p)
-{
-	bool known;
-	const lw_place_host_t *self = lw_place_self(&p->engine.place, &known);
-
-	if (!known)
-		return;
-	for (const lw_place_host_t *h = self->service->hosts; h; h = h->next)
-		if (h != self && lw_place_usable(h, p->hub.now_us))
-			lw_mesh_contact(p->engine.mesh, h->node);
-}
-
 /* what the node still has, for the lines about a stop */
 static void log_step(const lw_proxy_t *p, const char *step, const lw_stopstate_t *state)
 {
@@ -79,7 +50,6 @@
 		.oldest_us = oldest_request_us(p),
 		.refusing_us = p->refusing_us ? p->hub.now_us - p->refusing_us : 0,
 		.at_work = p->engine.gate.ncalls || !p->engine.gate.refusing,
-		.alone = alone(p),
 	};
 	lw_stopplan_t plan = lw_stopplan(&state);
 
@@ -121,7 +91,6 @@
 	p->leaving_us = p->hub.now_us;
 	p->stop_grace_us = (uint64_t)(p->set->grace_s * 1e6);
 	p->hub.exit_us = p->leaving_us + lw_stopplan_exit_us(p->stop_grace_us);
-	contact_service(p);
 	ev_timer_init(&p->stopping, go_on_stopping, LW_STOPPLAN_STEP_S, LW_STOPPLAN_STEP_S);
 	p->stopping.data = p;
 	ev_timer_start(loop, &p->stopping);
--- a/src/stopplan.c
+++ b/src/stopplan.c
@@ -82,17 +82,12 @@
 	return left_us >= (last_us < deadline_us ? last_us : deadline_us);
 }
 
-/*
- * Nothing new is taken once what is under way will end soon, or must. The last
- * node of a service goes on while it can: where two stop within a second, the
- * second one would leave before the first has started again, and everything that
- * needs the service is refused although its servers live.
- */
+/* nothing new is taken once what is under way will end soon, or must */
 static bool time_to_refuse(const lw_stopstate_t *s)
 {
 	if (s->since_us + RUN_LEAST_US > lw_stopplan_exit_us(s->grace_us))
 		return true;
-	return s->since_us >= CALLERS_KNOW_US && s->oldest_us < STRAGGLER_US && !s->alone;
+	return s->since_us >= CALLERS_KNOW_US && s->oldest_us < STRAGGLER_US;
 }
 
 /* nothing is under way, and everybody has heard that nothing is taken */
--- a/src/stopplan.h
+++ b/src/stopplan.h
@@ -29,7 +29,6 @@
 	uint64_t oldest_us; /* age of the oldest request under way; 0: none is */
 	uint64_t refusing_us; /* since others were told that nothing is taken; 0: they were not */
 	bool at_work; /* the backend server runs requests, or may still be given some */
-	bool alone; /* no other node of the service takes work */
 } lw_stopstate_t;
 
 lw_stopplan_t lw_stopplan(const lw_stopstate_t *s);
