A host that stood still does not run reads that were given up meanwhile

Cause: the host acts on each frame of its buffer in order. A request goes to an idle server at once, its cancellation lies further on in the same buffer; and a connection that its sender closed meanwhile is read to the end first. Change: after a time in which the host stood still all that lies in a connection is read, a lost connection brings nothing, and requests whose cancellation is in the buffer are not begun. Ruled out: writing to servers at the end of the turn for all requests (delays every request by the rest of the turn).

--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -63,6 +63,7 @@
 	lw_stream_t *streams;
 	lw_bytebuf_t in;
 	lw_bytebuf_t out;
+	lw_bytebuf_t given_up; /* ids of streams, while a host that stood still catches up */
 	uint64_t queued_total; /* bytes ever queued */
 	uint64_t written_total; /* bytes ever given to the kernel */
 	uint64_t hello_bytes; /* outgoing: what may be written before the peer has spoken */
@@ -105,6 +106,7 @@
 };
 
 bool lw_link_greeted(const lw_link_t *l);
+bool lw_link_gave_up(const lw_link_t *l, uint32_t id);
 void lw_link_drop_unsent(lw_link_t *l);
 void lw_link_cut_held(lw_link_t *l);
 bool lw_stream_unsent(const lw_stream_t *s);
--- a/src/meshcall.c
+++ b/src/meshcall.c
@@ -287,11 +287,13 @@
 		lw_link_lost(l);
 		return;
 	}
+	if (o->stream >= l->last_open)
+		l->last_open = o->stream + 1;
+	if (lw_link_gave_up(l, o->stream))
+		return;
 	s = xcalloc(1, sizeof(*s));
 	s->as_sink.ops = &sink_ops;
 	s->request_whole = o->fin;
-	if (o->stream >= l->last_open)
-		l->last_open = o->stream + 1;
 	lw_stream_add(s, l, o->stream);
 	s->job = lw_gate_submit(l->mesh->gate, &s->as_sink, &ask, lw_meshframe_str(o->body), o->fin,
 				&why, &retry_after_ms);
--- a/src/meshlink.c
+++ b/src/meshlink.c
@@ -209,6 +209,7 @@
 	lw_sock_abort(l->fd);
 	lw_bytebuf_free(&l->in);
 	lw_bytebuf_free(&l->out);
+	lw_bytebuf_free(&l->given_up);
 }
 
 /* lw_link_free() - release a closed connection without streams. */
@@ -240,10 +241,49 @@
 	}
 }
 
+/* requests that are given up further on in the buffer */
+static void find_given_up(lw_link_t *l)
+{
+	size_t at = 0;
+	ssize_t used;
+	Lw__MeshFrame *f;
+
+	while ((used = lw_meshframe_next(lw_bytebuf_head(&l->in) + at, lw_bytebuf_len(&l->in) - at,
+					 &f)) > 0) {
+		if (f->body_case == LW__MESH_FRAME__BODY_CANCEL)
+			lw_bytebuf_append(&l->given_up, &f->cancel->stream, sizeof(uint32_t));
+		lw_meshframe_done(f);
+		at += (size_t)used;
+	}
+}
+
+/* lw_link_gave_up() - whether the buffer that is acted on now holds a cancellation of stream @id. */
+bool lw_link_gave_up(const lw_link_t *l, uint32_t id)
+{
+	const char *head = lw_bytebuf_head(&l->given_up);
+	size_t len = lw_bytebuf_len(&l->given_up);
+
+	for (size_t at = 0; at < len; at += sizeof(id))
+		if (memcmp(head + at, &id, sizeof(id)) == 0)
+			return true;
+	return false;
+}
+
 /*
- * All that has arrived is read before any of it is acted on: a cancellation
- * that came with its request stops it before it starts.
+ * What lay in the buffers of a host that stood still: a request in it may be
+ * given up further on, or its connection be lost by now, and its caller was
+ * answered by another server. So all of it is read before any is acted on.
  */
+static void act_on_late(lw_link_t *l)
+{
+	find_given_up(l);
+	read_frames(l);
+	if (l->closed)
+		return;
+	lw_bytebuf_free(&l->given_up);
+	l->late_us = 0;
+}
+
 static void on_readable(lw_link_t *l)
 {
 	for (;;) {
@@ -254,6 +294,8 @@
 			lw_bytebuf_commit(&l->in, (size_t)n);
 			l->heard_us = l->mesh->hub->now_us;
 			l->asked_us = 0;
+			if (l->late_us)
+				continue;
 			if (n < READ_BYTES)
 				break;
 			read_frames(l);
@@ -266,11 +308,12 @@
 		lw_link_lost(l);
 		return;
 	}
-	read_frames(l);
-	if (!l->closed) {
-		l->late_us = 0;
+	if (l->late_us)
+		act_on_late(l);
+	else
+		read_frames(l);
+	if (!l->closed)
 		lw_bytebuf_consume(&l->in, 0);
-	}
 }
 
 static void on_io(struct ev_loop *loop, ev_io *w, int revents)
