A read that was moved waits for its new server

Cause: it was given up at a slow server for one with room by the news of 135 ms before; that one was full by then, and the read waited as long as a new request may, 35% of its objective, and expired there. A request that may have run cannot be refused, so the short wait only fails it. Change: it waits as long as its answer is of use, as calls of running requests do.

--- a/src/exchattempt.c
+++ b/src/exchattempt.c
@@ -61,19 +61,18 @@
 static void fill_ask(const lw_exchange_t *x, lw_ask_t *ask)
 {
 	uint32_t left_ms = lw_exchange_left_ms(x, x->give_up_us);
+	/*
+	 * A call of a running request that is refused loses all that was done for
+	 * it, and a request that may have run can be told no more than 502.
+	 */
+	bool may_wait = x->nested || x->attempts.maybe_ran;
 
 	ask->head = (lw_str_t){ lw_bytebuf_head(&x->head), lw_bytebuf_len(&x->head) };
 	ask->request_id = lw_str_c(x->request_id);
 	ask->target = lw_str_c(x->host->id);
 	ask->body_length = x->body_length;
 	ask->deadline_ms = left_ms;
-	/*
-	 * A call of a running request that is refused loses all that was done for
-	 * it: it may wait as long as its answer is of any use. Of a day with a
-	 * burst on a fleet partly cut off, 163 requests then failed of 42,753,
-	 * with a bound of 60% of the call's own objective 250.
-	 */
-	ask->queue_ms = x->nested ? left_ms : x->target_ms * QUEUE_NEW_PERCENT / 100;
+	ask->queue_ms = may_wait ? left_ms : x->target_ms * QUEUE_NEW_PERCENT / 100;
 	ask->target_left_ms = lw_exchange_left_ms(x, x->target_us);
 	ask->rank = x->rank;
 	ask->repeat = x->repeat || x->attempts.given;
--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -11,6 +11,8 @@
 sys.path.insert(0, os.path.dirname(__file__))
 import fleet as fl  # noqa: E402
 import fates  # noqa: E402,F401
+import moves  # noqa: E402,F401
+import news  # noqa: E402,F401
 import stops  # noqa: E402,F401
 import stores  # noqa: E402,F401
 from fleet import Fleet, route, until  # noqa: E402
