Soak: whether a process could handle the signal is read from the system

What the process blocks and catches is read from /proc just before the signal is sent; only one that does neither is excused, whatever its age. lwproxy blocks signals before it parses its command line.

--- a/src/lwproxy.c
+++ b/src/lwproxy.c
@@ -28,11 +28,12 @@
 	struct arg_file *config = arg_file0("c", "config", "FILE", "settings file (TOML)");
 	struct arg_lit *check = arg_lit0(NULL, "check", "check the settings and exit");
 	void *table[] = { cli.help, cli.version, config, check, cli.end };
-	int rc = lw_cli_parse(&cli, argc, argv, table);
 	const char *path;
 	lw_proxyset_t set;
+	int rc;
 
 	lw_proxy_mask_signals(SIG_BLOCK);
+	rc = lw_cli_parse(&cli, argc, argv, table);
 	lw_log_init("lwproxy", LOG_INFO);
 	if (rc != LW_CLI_RUN)
 		return rc;
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -84,6 +84,17 @@
     def signal(self, sig):
         self.proc.send_signal(sig)
 
+    def handles(self, sig):
+        """Whether the process blocks or catches the signal: main() has begun."""
+        bit = 1 << (sig - 1)
+        try:
+            with open(f"/proc/{self.proc.pid}/status", encoding="utf-8") as f:
+                masks = [int(line.split()[1], 16) for line in f
+                         if line.startswith(("SigBlk", "SigCgt"))]
+        except OSError:
+            return True
+        return any(mask & bit for mask in masks)
+
     def kill(self):
         if self.proc and self.proc.poll() is None:
             self.proc.kill()
--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -11,9 +11,6 @@
 
 DRAIN_S = 2.0
 GRACE_S = 6.0
-# a signal is not sent to a process younger than this: before main() has begun
-# nobody can handle one
-YOUNG_S = 0.1
 # a process has read its settings by then
 START_S = 0.5
 # a node says so soon after SIGHUP, also while it is stopping
@@ -91,15 +88,18 @@
         began = time.monotonic()
         self.note(f"term {node.ip}", node.ip)
         self.terms.append((began, node.ip))
+        # before main() has begun nobody can handle a signal
+        handled = node.handles(signal.SIGTERM)
         node.signal(signal.SIGTERM)
         while node.proc.poll() is None and time.monotonic() < began + GRACE_S:
             await asyncio.sleep(0.05)
         if node.proc.poll() is None:
             self.fail(f"{node.ip}: still runs {GRACE_S:.0f} s after SIGTERM")
             node.kill()
-        elif node.proc.returncode != 0 and not (
-                node.proc.returncode == -signal.SIGTERM and began - node.started < YOUNG_S):
-            self.fail(f"{node.ip}: ended with {node.proc.returncode} after SIGTERM")
+        elif node.proc.returncode != 0 and (
+                handled or node.proc.returncode != -signal.SIGTERM):
+            self.fail(f"{node.ip}: ended with {node.proc.returncode} after SIGTERM, "
+                      f"{began - node.started:.2f} s old, handled {handled}")
         self.note(f"exit {node.ip}", node.ip)
 
     async def roll(self, node, rng):
@@ -132,7 +132,7 @@
         """SIGHUP; the file is new or broken, and the node must say which."""
         how, good, bad, lines = (rng.random(), rng.choice(GOOD_SETTINGS),
                                  rng.choice(BAD_SETTINGS), rng.choice(LINES_PER_S))
-        if node.proc.poll() is not None or time.monotonic() - node.started < YOUNG_S:
+        if node.proc.poll() is not None or not node.handles(signal.SIGHUP):
             return
         text = node.settings()
         if time.monotonic() - node.started < START_S:
