A request that nobody received tries every host once more

Symptom: 503 with both servers alive and no word of it given to either. Cause: the connections to all hosts of a service fall silent together while new ones work; each was found silent in turn, and with every host tried the request was refused. It can go to any of them over its next connection.

--- a/src/exchange_int.h
+++ b/src/exchange_int.h
@@ -42,6 +42,7 @@
 	ev_timer stall; /* until the lw_exchange_attempt counts as stalled */
 	ev_timer hold; /* until the next look for a host */
 	lw_fail_t held_for;
+	bool went_round; /* every host was tried anew once, as none had received it */
 	bool resending; /* the attempt under way goes to a server that had it already */
 	bool nested;
 	bool repeat; /* made by a run that was a repeat */
--- a/src/exchattempt.c
+++ b/src/exchattempt.c
@@ -107,8 +107,8 @@
 		lw_gate_note_call(&e->gate, x->parent_id, &shut);
 }
 
-/* no host is left: wait for one if there is time and none has had the request */
-static void no_host(lw_exchange_t *x, lw_fail_t last)
+/* wait for a host if there is time and none has had the request */
+static void hold_or_answer(lw_exchange_t *x, lw_fail_t last)
 {
 	uint32_t percent = x->nested ? HOLD_NESTED_PERCENT : HOLD_NEW_PERCENT;
 	uint64_t hold_us = (uint64_t)x->target_ms * percent * 10;
@@ -128,6 +128,27 @@
 	lw_exchange_answer_verdict(x, lw_retry_final(&x->attempts, last), last);
 }
 
+/*
+ * Connections to all hosts may fall silent together while new ones work: none
+ * of them had the request, and each may have it over its next connection.
+ */
+static bool may_go_round(const lw_exchange_t *x, lw_fail_t last)
+{
+	return last == LW_FAIL_UNSENT && !x->attempts.given && !x->went_round;
+}
+
+/* no host is left that has not been tried */
+static void no_host(lw_exchange_t *x, lw_fail_t last)
+{
+	if (may_go_round(x, last)) {
+		x->went_round = true;
+		x->tried.n = 0;
+		lw_exchange_attempt(x, last);
+		return;
+	}
+	hold_or_answer(x, last);
+}
+
 /* lw_exchange_give() - hand the request to the host that was chosen */
 void lw_exchange_give(lw_exchange_t *x)
 {
