An outage of the store begins when it last answered anyone

Symptom: 0.4 s after the store's return every request ended 503 no_server. Cause: a node that began to read near the end of the outage saw only its last 0.15 s, took it for a failed call and dropped the entries that had lapsed; its list had the newest revision. The time counts from the last answer to any node that is known of, and two seconds without one are an outage.

--- a/src/serverset.c
+++ b/src/serverset.c
@@ -16,9 +16,10 @@
 /*
  * A failed call is no outage: entries lapse after several heartbeats only. A
  * server that left while one call failed would count for two seconds more on
- * every node, longer than a leaving server may get work. Unit us.
+ * every node, longer than a leaving server may get work. So long must the store
+ * have answered nobody. Unit us.
  */
-#define OUTAGE_MIN_US 1000000
+#define OUTAGE_MIN_US 2000000
 
 typedef struct lw_member {
 	lw_server_entry_t entry;
@@ -178,11 +179,15 @@
 	s->back_revision = 0;
 }
 
-/* lw_serverset_store_away() - a call to the store failed. */
-void lw_serverset_store_away(lw_serverset_t *s, uint64_t now_us)
+/*
+ * lw_serverset_store_away() - a call to the store failed; it last answered
+ * anybody at @last_us, as far as known. A node that begins to read in an
+ * outage sees only its end.
+ */
+void lw_serverset_store_away(lw_serverset_t *s, uint64_t last_us)
 {
 	if (!s->away_us)
-		s->away_us = now_us;
+		s->away_us = last_us;
 }
 
 /* lw_serverset_store_back() - the store answers, at @revision; it may have been away. */
--- a/src/serverset.h
+++ b/src/serverset.h
@@ -21,7 +21,7 @@
 void lw_serverset_begin(lw_serverset_t *s);
 void lw_serverset_end(lw_serverset_t *s);
 void lw_serverset_resume(lw_serverset_t *s);
-void lw_serverset_store_away(lw_serverset_t *s, uint64_t now_us);
+void lw_serverset_store_away(lw_serverset_t *s, uint64_t last_us);
 void lw_serverset_store_back(lw_serverset_t *s, uint64_t now_us, uint64_t revision);
 lw_serverlist_t *lw_serverset_changed(lw_serverset_t *s, uint64_t now_us);
 
