--- /dev/null
+++ b/src/docfetch.c
@@ -0,0 +1,121 @@
+/* Fetching documents in pieces; see docfetch.h. */
+#include "docfetch.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "xalloc.h"
+
+static void forget_pieces(lw_docfetch_t *f)
+{
+	free(f->got.bytes);
+	memset(&f->got, 0, sizeof(f->got));
+	f->expected = 0;
+}
+
+static void end(lw_docfetch_t *f)
+{
+	forget_pieces(f);
+	f->source = NULL;
+}
+
+/* lw_docfetch_may_begin() - no fetch is under way, or its source does not answer. */
+bool lw_docfetch_may_begin(const lw_docfetch_t *f, uint64_t now_us)
+{
+	return !f->source || now_us - f->asked_us > LW_DOCFETCH_WAIT_US;
+}
+
+/*
+ * lw_docfetch_begin() - fetch what @source has newer than @d; send it @ask. A
+ * fetch under way is given up.
+ */
+void lw_docfetch_begin(lw_docfetch_t *f, const void *source, const lw_revdoc_t *d, uint64_t now_us,
+		       lw_docfetch_ask_t *ask)
+{
+	if (f->source)
+		f->failed = f->source;
+	forget_pieces(f);
+	f->source = source;
+	f->asked_us = now_us;
+	*ask = (lw_docfetch_ask_t){ .base = f->whole ? 0 : lw_revdoc_hash(d) };
+}
+
+/* whether the piece goes on where the last one ended; a first one always does */
+static bool fits(const lw_docfetch_t *f, const lw_docfetch_piece_t *p)
+{
+	if (!p->bytes.len || p->of.len > LW_REVDOC_MAX_BYTES ||
+	    p->bytes.len > p->of.len - p->offset)
+		return false;
+	if (!p->offset)
+		return true;
+	return p->of.version == f->got.version && p->of.base == f->got.base &&
+	       p->of.len == f->expected && p->offset == f->got.len;
+}
+
+static void append(lw_docfetch_t *f, const lw_docfetch_piece_t *p)
+{
+	if (!p->offset) {
+		forget_pieces(f);
+		f->got = p->of;
+		f->got.len = 0;
+		f->got.bytes = NULL;
+		f->expected = p->of.len;
+	}
+	f->got.bytes = xrealloc(f->got.bytes, p->offset + p->bytes.len);
+	memcpy(f->got.bytes + p->offset, p->bytes.ptr, p->bytes.len);
+	f->got.len = p->offset + p->bytes.len;
+}
+
+/*
+ * lw_docfetch_take() - a piece came from @source. With LW_DOCFETCH_MORE send
+ * @ask; with LW_DOCFETCH_DONE @out is the document, to be freed, and
+ * piece->of tells its version and length.
+ */
+lw_docfetch_step_t lw_docfetch_take(lw_docfetch_t *f, const void *source, const lw_revdoc_t *d,
+				    const lw_docfetch_piece_t *piece, uint64_t now_us,
+				    lw_docfetch_ask_t *ask, char **out)
+{
+	lw_status_t st;
+
+	if (source != f->source || piece->offset > piece->of.len || !fits(f, piece))
+		return LW_DOCFETCH_IGNORED;
+	append(f, piece);
+	f->asked_us = now_us;
+	if (f->got.len < f->expected) {
+		*ask = (lw_docfetch_ask_t){ f->got.version, f->got.base, f->got.len };
+		return LW_DOCFETCH_MORE;
+	}
+	st = lw_revdoc_decode(d, &f->got, out);
+	f->whole = st != LW_OK;
+	end(f);
+	return st ? LW_DOCFETCH_SPOILED : LW_DOCFETCH_DONE;
+}
+
+/* lw_docfetch_source_lost() - nothing more comes from @source. */
+void lw_docfetch_source_lost(lw_docfetch_t *f, const void *source)
+{
+	if (f->failed == source)
+		f->failed = NULL;
+	if (f->source == source)
+		end(f);
+}
+
+/*
+ * lw_docfetch_piece() - the piece of @d that another node asks for; it points
+ * into @d. A version that is not the newest any more begins anew with the
+ * newest. False if there is none.
+ */
+bool lw_docfetch_piece(lw_revdoc_t *d, const lw_docfetch_ask_t *ask, lw_docfetch_piece_t *out)
+{
+	const lw_revdoc_encoded_t *e = lw_revdoc_encode(d, ask->base);
+	size_t left;
+
+	if (!e || !e->len)
+		return false;
+	out->of = *e;
+	out->offset = ask->version == e->version && ask->offset < e->len ? ask->offset : 0;
+	left = e->len - out->offset;
+	out->bytes.ptr = e->bytes + out->offset;
+	out->bytes.len = left < LW_DOCFETCH_PIECE ? left : LW_DOCFETCH_PIECE;
+	return true;
+}
--- a/src/feed.c
+++ b/src/feed.c
@@ -8,6 +8,8 @@
 
 /* news of others' reads that is older says nothing; they come every 0.7 s, us */
 #define OTHERS_LATELY_US 2000000
+/* after an outage entries that lapsed in it are back within this time, us */
+#define OUTAGE_OVER_US 2100000
 
 /* lw_feed_init() - the store is wanted at first. */
 void lw_feed_init(lw_feed_t *f, const lw_proxyset_t *set)
@@ -24,8 +26,17 @@
 	pthread_cond_init(&f->wake, &steady);
 }
 
-/* lw_feed_want() - from the loop: read the store from now on, or stop. */
-void lw_feed_want(lw_feed_t *f, bool wanted)
+/* lw_feed_why_name() - as in metrics. */
+const char *lw_feed_why_name(lw_feed_why_t why)
+{
+	static const char *const names[LW_FEED_WHY_COUNT] = {
+		"start", "reader", "news_old", "lease", "server_replaced",
+	};
+
+	return names[why];
+}
+
+static void set_wanted(lw_feed_t *f, bool wanted)
 {
 	if (__atomic_load_n(&f->wanted, __ATOMIC_RELAXED) == (uint32_t)wanted)
 		return;
@@ -35,6 +46,19 @@
 	pthread_mutex_unlock(&f->lock);
 }
 
+/* lw_feed_want() - from the loop: read the store from now on. */
+void lw_feed_want(lw_feed_t *f, lw_feed_why_t why)
+{
+	__atomic_store_n(&f->why, why, __ATOMIC_RELAXED);
+	set_wanted(f, true);
+}
+
+/* lw_feed_rest() - from the loop: others read it. */
+void lw_feed_rest(lw_feed_t *f)
+{
+	set_wanted(f, false);
+}
+
 /*
  * lw_feed_wait_wanted() - from the reader: wait until the store is to be read.
  * True if it was not for a while, so that what the reader knows is old.
@@ -84,6 +108,7 @@
 {
 	uint64_t due = lw_now_boot_us() + (uint64_t)wait_ms * 1000;
 
+	f->stats.calls[__atomic_load_n(&f->why, __ATOMIC_RELAXED)]++;
 	__atomic_store_n(&f->due_us, due, __ATOMIC_RELEASE);
 }
 
@@ -105,18 +130,28 @@
 /* lw_feed_others_read() - from the loop: another node read the store at @at_us. */
 void lw_feed_others_read(lw_feed_t *f, uint64_t at_us)
 {
-	if (at_us > __atomic_load_n(&f->others_us, __ATOMIC_RELAXED))
-		__atomic_store_n(&f->others_us, at_us, __ATOMIC_RELAXED);
+	uint64_t before = __atomic_load_n(&f->others_us, __ATOMIC_RELAXED);
+
+	if (at_us <= before)
+		return;
+	if (at_us - before > OTHERS_LATELY_US)
+		__atomic_store_n(&f->others_back_us, at_us, __ATOMIC_RELAXED);
+	__atomic_store_n(&f->others_us, at_us, __ATOMIC_RELAXED);
 }
 
 /*
  * lw_feed_others_read_lately() - from the reader: others reach the store, so
- * that calls of this node that fail are its own trouble and no outage.
+ * that calls of this node that fail are its own trouble and no outage. Where
+ * they have only just reached it again there was one: taken for this node's own
+ * trouble, entries that lapsed in it would be dropped before their servers can
+ * write them again.
  */
 bool lw_feed_others_read_lately(const lw_feed_t *f)
 {
-	return lw_now_boot_us() - __atomic_load_n(&f->others_us, __ATOMIC_RELAXED) <
-	       OTHERS_LATELY_US;
+	uint64_t now = lw_now_boot_us();
+
+	return now - __atomic_load_n(&f->others_us, __ATOMIC_RELAXED) < OTHERS_LATELY_US &&
+	       now - __atomic_load_n(&f->others_back_us, __ATOMIC_RELAXED) > OUTAGE_OVER_US;
 }
 
 /* lw_feed_last_read_us() - boot time of the last answer; 0 if there was none. */
@@ -125,6 +160,15 @@
 	return __atomic_load_n(&f->read_us, __ATOMIC_ACQUIRE);
 }
 
+/* lw_feed_last_known_us() - boot time at which the store last answered any node, as far as known. */
+uint64_t lw_feed_last_known_us(const lw_feed_t *f)
+{
+	uint64_t own = lw_feed_last_read_us(f);
+	uint64_t others = __atomic_load_n(&f->others_us, __ATOMIC_RELAXED);
+
+	return own > others ? own : others;
+}
+
 /* lw_feed_last_failure_us() - boot time at which a call last failed; 0: none did. */
 uint64_t lw_feed_last_failure_us(const lw_feed_t *f)
 {
--- a/src/feed.h
+++ b/src/feed.h
@@ -14,8 +14,18 @@
 #include "proxyset.h"
 #include "wirenames.h"
 
+/* Why this node reads the store itself. */
+typedef enum lw_feed_why {
+	LW_FEED_START, /* it has read nothing yet */
+	LW_FEED_READER, /* it reads for all */
+	LW_FEED_NEWS_OLD, /* nothing was heard of those that read for all */
+	LW_FEED_LEASE, /* the entry of its own backend server is missing */
+	LW_FEED_SERVER_REPLACED, /* a server was replaced, and the list does not say so */
+	LW_FEED_WHY_COUNT
+} lw_feed_why_t;
+
 typedef struct lw_feed_stats {
-	uint64_t calls; /* to the store */
+	uint64_t calls[LW_FEED_WHY_COUNT]; /* to the store */
 	uint64_t failures;
 	uint64_t events;
 	uint64_t resyncs; /* read everything anew */
@@ -26,11 +36,13 @@
 	lw_mailbox_t conf; /* lw_fleetconf_t */
 	lw_mailbox_t servers; /* lw_serverlist_t */
 	uint32_t wanted; /* the loop wants the store to be read; by lw_feed_want() */
+	uint32_t why; /* lw_feed_why_t, of the newest wish; atomic */
 	uint64_t read_us; /* boot time of the last successful read; atomic */
 	uint64_t
 		due_us; /* boot time from which the call under way is waited for; 0: none is; atomic */
 	uint64_t failed_us; /* boot time of the last failed call; atomic */
 	uint64_t others_us; /* boot time of another node's last read, as told; atomic */
+	uint64_t others_back_us; /* of their first read after a pause; atomic */
 	bool hurry; /* what was read last is known to be old; under the lock */
 	pthread_mutex_t lock;
 	pthread_cond_t wake;
@@ -49,7 +61,9 @@
 } lw_platform_t;
 
 void lw_feed_init(lw_feed_t *f, const lw_proxyset_t *set);
-void lw_feed_want(lw_feed_t *f, bool wanted);
+const char *lw_feed_why_name(lw_feed_why_t why);
+void lw_feed_want(lw_feed_t *f, lw_feed_why_t why);
+void lw_feed_rest(lw_feed_t *f);
 bool lw_feed_wait_wanted(lw_feed_t *f);
 void lw_feed_hurry(lw_feed_t *f);
 void lw_feed_pause(lw_feed_t *f, uint32_t ms);
@@ -59,6 +73,7 @@
 void lw_feed_others_read(lw_feed_t *f, uint64_t at_us);
 bool lw_feed_others_read_lately(const lw_feed_t *f);
 uint64_t lw_feed_last_read_us(const lw_feed_t *f);
+uint64_t lw_feed_last_known_us(const lw_feed_t *f);
 uint64_t lw_feed_last_failure_us(const lw_feed_t *f);
 bool lw_feed_overdue(const lw_feed_t *f, uint64_t us);
 
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -59,6 +59,12 @@
 		l->peer_revision = f->servers->revision;
 		m->ops->servers_received(m->ctx, lw_meshframe_read_servers(f->servers));
 		break;
+	case LW__MESH_FRAME__BODY_FETCH:
+		lw_mesh_on_fetch(l, f->fetch);
+		break;
+	case LW__MESH_FRAME__BODY_PIECE:
+		lw_mesh_on_piece(l, f->piece);
+		break;
 	default:
 		break; /* a newer node's frame */
 	}
@@ -70,6 +76,33 @@
 	lw_link_to(m, node);
 }
 
+/* lw_mesh_control_name() - the kind of frame in metrics; NULL if it carries a request or answer. */
+const char *lw_mesh_control_name(size_t kind)
+{
+	static const char *const names[LW_MESH_FRAME_KINDS] = {
+		[LW__MESH_FRAME__BODY_STATUS] = "status",
+		[LW__MESH_FRAME__BODY_CONFIG] = "config",
+		[LW__MESH_FRAME__BODY_SERVERS] = "servers",
+		[LW__MESH_FRAME__BODY_QUERY] = "query",
+		[LW__MESH_FRAME__BODY_FATES] = "fates",
+		[LW__MESH_FRAME__BODY_FETCH] = "fetch",
+		[LW__MESH_FRAME__BODY_PIECE] = "piece",
+	};
+
+	return kind < LW_MESH_FRAME_KINDS ? names[kind] : NULL;
+}
+
+/* lw_mesh_control_bytes() - bytes queued for other nodes that are no requests or answers. */
+uint64_t lw_mesh_control_bytes(const lw_mesh_stats_t *s)
+{
+	uint64_t sum = 0;
+
+	for (size_t i = 0; i < LW_MESH_FRAME_KINDS; i++)
+		if (lw_mesh_control_name(i))
+			sum += s->bytes_of[i];
+	return sum;
+}
+
 /* lw_mesh_stats() - counts since the start. */
 const lw_mesh_stats_t *lw_mesh_stats(const lw_mesh_t *m)
 {
@@ -158,6 +191,7 @@
 		lw_mesh_push_config(l, version, now);
 		check_link(l, now);
 	}
+	lw_mesh_fetch_any(m);
 }
 
 /* the host was suspended: what lies in the buffers is old by that time */
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -12,6 +12,10 @@
 #include "fleetconf.h"
 #include "gate.h"
 #include "hub.h"
+#include "revdoc.h"
+
+/* Kinds of frames, and one that is none. */
+#define LW_MESH_FRAME_KINDS 14
 
 typedef struct lw_mesh lw_mesh_t;
 
@@ -25,16 +29,18 @@
 	uint32_t (*levels)(void *ctx, lw_heard_t *out, uint32_t most);
 	void (*heard)(void *ctx, const lw_heard_t *heard);
 	uint64_t (*config_version)(void *ctx);
-	/* the document in force; empty if there is none */
-	lw_str_t (*config_text)(void *ctx);
+	/* the document of a kind, 0: configuration, 1: backend servers, in the newest version here */
+	lw_revdoc_t *(*document)(void *ctx, int kind);
 	void (*config_received)(void *ctx, lw_str_t text);
 	/* the list of backend servers in use; NULL if there is none */
 	const lw_serverlist_t *(*servers)(void *ctx);
 	void (*servers_received)(void *ctx, lw_serverlist_t *sl);
+	/* the list in use is also that of a newer revision */
+	void (*servers_confirmed)(void *ctx, uint64_t revision);
 	/* how old this node's news from the store is */
 	uint32_t (*news_age_ms)(void *ctx);
-	/* a node that has nothing newer than this one heard of the store so long ago */
-	void (*news)(void *ctx, uint32_t age_ms);
+	/* a node that has nothing newer than this one knows of a read of the store at @at_us */
+	void (*news)(void *ctx, uint64_t at_us);
 } lw_mesh_ops_t;
 
 typedef struct lw_mesh_stats {
@@ -47,6 +53,7 @@
 	uint64_t frames_in;
 	uint64_t frames_out;
 	uint64_t bytes_out;
+	uint64_t bytes_of[LW_MESH_FRAME_KINDS]; /* queued, by kind of frame */
 } lw_mesh_stats_t;
 
 lw_mesh_t *lw_mesh_new(lw_hub_t *hub, lw_gate_t *gate, const lw_mesh_ops_t *ops, void *ctx);
@@ -57,8 +64,11 @@
 void lw_mesh_end(lw_mesh_t *m);
 void lw_mesh_announce(lw_mesh_t *m);
 void lw_mesh_vouch(lw_mesh_t *m, const char *server, uint64_t born_ms);
-void lw_mesh_spread(lw_mesh_t *m);
+void lw_mesh_tell(lw_mesh_t *m, const char *node);
+void lw_mesh_ask_news(lw_mesh_t *m, uint32_t nodes);
 void lw_mesh_contact(lw_mesh_t *m, const char *node);
 const lw_mesh_stats_t *lw_mesh_stats(const lw_mesh_t *m);
+const char *lw_mesh_control_name(size_t kind);
+uint64_t lw_mesh_control_bytes(const lw_mesh_stats_t *s);
 
 #endif
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -457,6 +457,96 @@
   assert(message->base.descriptor == &lw__status__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lw__fetch__init
+                     (Lw__Fetch         *message)
+{
+  static const Lw__Fetch init_value = LW__FETCH__INIT;
+  *message = init_value;
+}
+size_t lw__fetch__get_packed_size
+                     (const Lw__Fetch *message)
+{
+  assert(message->base.descriptor == &lw__fetch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lw__fetch__pack
+                     (const Lw__Fetch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lw__fetch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lw__fetch__pack_to_buffer
+                     (const Lw__Fetch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lw__fetch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lw__Fetch *
+       lw__fetch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lw__Fetch *)
+     protobuf_c_message_unpack (&lw__fetch__descriptor,
+                                allocator, len, data);
+}
+void   lw__fetch__free_unpacked
+                     (Lw__Fetch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lw__fetch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lw__piece__init
+                     (Lw__Piece         *message)
+{
+  static const Lw__Piece init_value = LW__PIECE__INIT;
+  *message = init_value;
+}
+size_t lw__piece__get_packed_size
+                     (const Lw__Piece *message)
+{
+  assert(message->base.descriptor == &lw__piece__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lw__piece__pack
+                     (const Lw__Piece *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lw__piece__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lw__piece__pack_to_buffer
+                     (const Lw__Piece *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lw__piece__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lw__Piece *
+       lw__piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lw__Piece *)
+     protobuf_c_message_unpack (&lw__piece__descriptor,
+                                allocator, len, data);
+}
+void   lw__piece__free_unpacked
+                     (Lw__Piece *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lw__piece__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lw__fate_query__init
                      (Lw__FateQuery         *message)
 {
@@ -1651,7 +1741,7 @@
   (ProtobufCMessageInit) lw__failed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__status__field_descriptors[8] =
+static const ProtobufCFieldDescriptor lw__status__field_descriptors[10] =
 {
   {
     "is_reply",
@@ -1749,8 +1839,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "servers_hash",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Status, servers_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fetches",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Status, fetches),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__status__field_indices_by_name[] = {
+  9,   /* field[9] = fetches */
   4,   /* field[4] = incarnation */
   0,   /* field[0] = is_reply */
   7,   /* field[7] = lapsed_born_ms */
@@ -1758,13 +1873,14 @@
   5,   /* field[5] = link */
   1,   /* field[1] = load */
   2,   /* field[2] = news_age_ms */
+  8,   /* field[8] = servers_hash */
   3,   /* field[3] = servers_revision */
 };
 static const ProtobufCIntRange lw__status__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 3, 1 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor lw__status__descriptor =
 {
@@ -1774,13 +1890,219 @@
   "Lw__Status",
   "lw",
   sizeof(Lw__Status),
-  8,
+  10,
   lw__status__field_descriptors,
   lw__status__field_indices_by_name,
   2,  lw__status__number_ranges,
   (ProtobufCMessageInit) lw__status__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lw__fetch__field_descriptors[4] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Fetch, kind),
+    &lw__document_kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Fetch, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "against",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Fetch, against),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Fetch, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lw__fetch__field_indices_by_name[] = {
+  2,   /* field[2] = against */
+  0,   /* field[0] = kind */
+  3,   /* field[3] = offset */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange lw__fetch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor lw__fetch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lw.Fetch",
+  "Fetch",
+  "Lw__Fetch",
+  "lw",
+  sizeof(Lw__Fetch),
+  4,
+  lw__fetch__field_descriptors,
+  lw__fetch__field_indices_by_name,
+  1,  lw__fetch__number_ranges,
+  (ProtobufCMessageInit) lw__fetch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lw__piece__field_descriptors[8] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Piece, kind),
+    &lw__document_kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Piece, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "against",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Piece, against),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hash",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Piece, hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "length",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Piece, length),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "encoded_length",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Piece, encoded_length),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Piece, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Piece, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lw__piece__field_indices_by_name[] = {
+  2,   /* field[2] = against */
+  7,   /* field[7] = data */
+  5,   /* field[5] = encoded_length */
+  3,   /* field[3] = hash */
+  0,   /* field[0] = kind */
+  4,   /* field[4] = length */
+  6,   /* field[6] = offset */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange lw__piece__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor lw__piece__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lw.Piece",
+  "Piece",
+  "Lw__Piece",
+  "lw",
+  sizeof(Lw__Piece),
+  8,
+  lw__piece__field_descriptors,
+  lw__piece__field_indices_by_name,
+  1,  lw__piece__number_ranges,
+  (ProtobufCMessageInit) lw__piece__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor lw__fate_query__field_descriptors[3] =
 {
   {
@@ -2192,7 +2514,7 @@
   (ProtobufCMessageInit) lw__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__mesh_frame__field_descriptors[11] =
+static const ProtobufCFieldDescriptor lw__mesh_frame__field_descriptors[13] =
 {
   {
     "open",
@@ -2326,6 +2648,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fetch",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lw__MeshFrame, body_case),
+    offsetof(Lw__MeshFrame, fetch),
+    &lw__fetch__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "piece",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lw__MeshFrame, body_case),
+    offsetof(Lw__MeshFrame, piece),
+    &lw__piece__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__mesh_frame__field_indices_by_name[] = {
   1,   /* field[1] = answer */
@@ -2335,7 +2681,9 @@
   2,   /* field[2] = data */
   5,   /* field[5] = failed */
   10,   /* field[10] = fates */
+  11,   /* field[11] = fetch */
   0,   /* field[0] = open */
+  12,   /* field[12] = piece */
   9,   /* field[9] = query */
   8,   /* field[8] = servers */
   6,   /* field[6] = status */
@@ -2343,7 +2691,7 @@
 static const ProtobufCIntRange lw__mesh_frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor lw__mesh_frame__descriptor =
 {
@@ -2353,13 +2701,41 @@
   "Lw__MeshFrame",
   "lw",
   sizeof(Lw__MeshFrame),
-  11,
+  13,
   lw__mesh_frame__field_descriptors,
   lw__mesh_frame__field_indices_by_name,
   1,  lw__mesh_frame__number_ranges,
   (ProtobufCMessageInit) lw__mesh_frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCEnumValue lw__document_kind__enum_values_by_number[2] =
+{
+  { "DOCUMENT_CONFIG", "LW__DOCUMENT_KIND__DOCUMENT_CONFIG", 0 },
+  { "DOCUMENT_SERVERS", "LW__DOCUMENT_KIND__DOCUMENT_SERVERS", 1 },
+};
+static const ProtobufCIntRange lw__document_kind__value_ranges[] = {
+{0, 0},{0, 2}
+};
+static const ProtobufCEnumValueIndex lw__document_kind__enum_values_by_name[2] =
+{
+  { "DOCUMENT_CONFIG", 0 },
+  { "DOCUMENT_SERVERS", 1 },
+};
+const ProtobufCEnumDescriptor lw__document_kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "lw.DocumentKind",
+  "DocumentKind",
+  "Lw__DocumentKind",
+  "lw",
+  2,
+  lw__document_kind__enum_values_by_number,
+  2,
+  lw__document_kind__enum_values_by_name,
+  1,
+  lw__document_kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCEnumValue lw__fate_kind__enum_values_by_number[3] =
 {
   { "FATE_GONE", "LW__FATE_KIND__FATE_GONE", 0 },
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -25,6 +25,8 @@
 typedef struct Lw__Cancel Lw__Cancel;
 typedef struct Lw__Failed Lw__Failed;
 typedef struct Lw__Status Lw__Status;
+typedef struct Lw__Fetch Lw__Fetch;
+typedef struct Lw__Piece Lw__Piece;
 typedef struct Lw__FateQuery Lw__FateQuery;
 typedef struct Lw__Fate Lw__Fate;
 typedef struct Lw__Fates Lw__Fates;
@@ -36,6 +38,17 @@
 
 /* --- enums --- */
 
+typedef enum _Lw__DocumentKind {
+  /*
+   * as the store has it
+   */
+  LW__DOCUMENT_KIND__DOCUMENT_CONFIG = 0,
+  /*
+   * Servers, without its revision
+   */
+  LW__DOCUMENT_KIND__DOCUMENT_SERVERS = 1
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LW__DOCUMENT_KIND)
+} Lw__DocumentKind;
 typedef enum _Lw__FateKind {
   /*
    * it may have run
@@ -321,10 +334,73 @@
    * drawn by the side that opened the connection; names it
    */
   uint64_t link;
+  /*
+   * of the list of backend servers it has; 0: it has none
+   */
+  uint64_t servers_hash;
+  /*
+   * it asks for documents by Fetch; an older node is sent whole ones
+   */
+  protobuf_c_boolean fetches;
 };
 #define LW__STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__status__descriptor) \
-    , 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * Asks for a piece of a document that the peer has in a newer version.
+ */
+struct  Lw__Fetch
+{
+  ProtobufCMessage base;
+  Lw__DocumentKind kind;
+  /*
+   * that the sender has begun to fetch; 0: whatever is newest
+   */
+  uint64_t version;
+  /*
+   * hash of the version the sender has; 0: none
+   */
+  uint64_t against;
+  /*
+   * in the encoded form
+   */
+  uint32_t offset;
+};
+#define LW__FETCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lw__fetch__descriptor) \
+    , LW__DOCUMENT_KIND__DOCUMENT_CONFIG, 0, 0, 0 }
+
+
+/*
+ * A part of a document in its encoded form: compressed by zstd with the version
+ * that the asker has, if the sender has it too, as prefix.
+ */
+struct  Lw__Piece
+{
+  ProtobufCMessage base;
+  Lw__DocumentKind kind;
+  uint64_t version;
+  /*
+   * hash of that prefix; 0: without one
+   */
+  uint64_t against;
+  /*
+   * of the document
+   */
+  uint64_t hash;
+  /*
+   * of the document
+   */
+  uint32_t length;
+  uint32_t encoded_length;
+  uint32_t offset;
+  ProtobufCBinaryData data;
+};
+#define LW__PIECE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lw__piece__descriptor) \
+    , LW__DOCUMENT_KIND__DOCUMENT_CONFIG, 0, 0, 0, 0, 0, 0, {0,NULL} }
 
 
 /*
@@ -449,7 +525,9 @@
   LW__MESH_FRAME__BODY_CONFIG = 8,
   LW__MESH_FRAME__BODY_SERVERS = 9,
   LW__MESH_FRAME__BODY_QUERY = 10,
-  LW__MESH_FRAME__BODY_FATES = 11
+  LW__MESH_FRAME__BODY_FATES = 11,
+  LW__MESH_FRAME__BODY_FETCH = 12,
+  LW__MESH_FRAME__BODY_PIECE = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LW__MESH_FRAME__BODY__CASE)
 } Lw__MeshFrame__BodyCase;
 
@@ -469,6 +547,8 @@
     Lw__Servers *servers;
     Lw__FateQuery *query;
     Lw__Fates *fates;
+    Lw__Fetch *fetch;
+    Lw__Piece *piece;
   };
 };
 #define LW__MESH_FRAME__INIT \
@@ -666,6 +746,44 @@
 void   lw__status__free_unpacked
                      (Lw__Status *message,
                       ProtobufCAllocator *allocator);
+/* Lw__Fetch methods */
+void   lw__fetch__init
+                     (Lw__Fetch         *message);
+size_t lw__fetch__get_packed_size
+                     (const Lw__Fetch   *message);
+size_t lw__fetch__pack
+                     (const Lw__Fetch   *message,
+                      uint8_t             *out);
+size_t lw__fetch__pack_to_buffer
+                     (const Lw__Fetch   *message,
+                      ProtobufCBuffer     *buffer);
+Lw__Fetch *
+       lw__fetch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lw__fetch__free_unpacked
+                     (Lw__Fetch *message,
+                      ProtobufCAllocator *allocator);
+/* Lw__Piece methods */
+void   lw__piece__init
+                     (Lw__Piece         *message);
+size_t lw__piece__get_packed_size
+                     (const Lw__Piece   *message);
+size_t lw__piece__pack
+                     (const Lw__Piece   *message,
+                      uint8_t             *out);
+size_t lw__piece__pack_to_buffer
+                     (const Lw__Piece   *message,
+                      ProtobufCBuffer     *buffer);
+Lw__Piece *
+       lw__piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lw__piece__free_unpacked
+                     (Lw__Piece *message,
+                      ProtobufCAllocator *allocator);
 /* Lw__FateQuery methods */
 void   lw__fate_query__init
                      (Lw__FateQuery         *message);
@@ -831,6 +949,12 @@
 typedef void (*Lw__Status_Closure)
                  (const Lw__Status *message,
                   void *closure_data);
+typedef void (*Lw__Fetch_Closure)
+                 (const Lw__Fetch *message,
+                  void *closure_data);
+typedef void (*Lw__Piece_Closure)
+                 (const Lw__Piece *message,
+                  void *closure_data);
 typedef void (*Lw__FateQuery_Closure)
                  (const Lw__FateQuery *message,
                   void *closure_data);
@@ -858,6 +982,7 @@
 
 /* --- descriptors --- */
 
+extern const ProtobufCEnumDescriptor    lw__document_kind__descriptor;
 extern const ProtobufCEnumDescriptor    lw__fate_kind__descriptor;
 extern const ProtobufCMessageDescriptor lw__hot__descriptor;
 extern const ProtobufCMessageDescriptor lw__heard__descriptor;
@@ -869,6 +994,8 @@
 extern const ProtobufCMessageDescriptor lw__cancel__descriptor;
 extern const ProtobufCMessageDescriptor lw__failed__descriptor;
 extern const ProtobufCMessageDescriptor lw__status__descriptor;
+extern const ProtobufCMessageDescriptor lw__fetch__descriptor;
+extern const ProtobufCMessageDescriptor lw__piece__descriptor;
 extern const ProtobufCMessageDescriptor lw__fate_query__descriptor;
 extern const ProtobufCMessageDescriptor lw__fate__descriptor;
 extern const ProtobufCMessageDescriptor lw__fates__descriptor;
--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -5,11 +5,14 @@
 #include <ev.h>
 #include <uthash.h>
 
+#include "docfetch.h"
 #include "meshframe.h"
 #include "meshkept.h"
 #include "meshpast.h"
 #include "mesh.h"
 
+/* kinds of documents that are fetched: the configuration, the list of backend servers */
+#define LW_MESH_DOCUMENTS 2
 /* ids of streams that were moved to another connection begin here */
 #define LW_STREAM_MOVED 0x80000000u
 
@@ -75,6 +78,8 @@
 	uint64_t pushed_version;
 	uint64_t peer_revision; /* of its list of backend servers, as far as told */
 	uint64_t pushed_revision;
+	uint64_t peer_news_us; /* when the store was last read, as far as the peer knows */
+	bool peer_fetches; /* it asks for documents; it is not sent whole ones */
 	uint64_t levels_us; /* when levels were last passed on over it */
 	lw_link_t *next;
 	lw_link_t *next_dirty;
@@ -99,6 +104,7 @@
 	char lapsed_id[LW_NAME_MAX]; /* of the backend server here, while its entry lapsed */
 	uint64_t lapsed_born_ms;
 	ev_timer watch; /* runs while requests are under way */
+	lw_docfetch_t fetch[LW_MESH_DOCUMENTS];
 	lw_link_t *dirty;
 	uint64_t config_us; /* when the configuration in force was first announced */
 	uint64_t config_seen;
@@ -122,7 +128,7 @@
 void lw_mesh_check_orphans(lw_mesh_t *m);
 void lw_mesh_peer_gone(lw_mesh_t *m, const char *node);
 void lw_link_free(lw_link_t *l);
-void lw_link_frame_queued(lw_link_t *l, size_t before);
+void lw_link_frame_queued(lw_link_t *l, size_t before, Lw__MeshFrame__BodyCase kind);
 void lw_link_send(lw_link_t *l, const Lw__MeshFrame *f);
 void lw_mesh_flush_all(void *ctx);
 void lw_mesh_fill_load(lw_link_t *l, lw_meshframe_load_t *out, const lw_load_t *load);
@@ -146,5 +152,11 @@
 lw_link_t *lw_link_new(lw_mesh_t *m, int fd, bool outgoing);
 lw_link_t *lw_link_to(lw_mesh_t *m, const char *node);
 void lw_mesh_push_config(lw_link_t *l, uint64_t version, uint64_t now);
+void lw_mesh_settle_news(lw_link_t *l);
+void lw_mesh_fetch_from(lw_link_t *l);
+void lw_mesh_fetch_any(lw_mesh_t *m);
+void lw_mesh_source_lost(lw_link_t *l);
+void lw_mesh_on_fetch(lw_link_t *l, const Lw__Fetch *w);
+void lw_mesh_on_piece(lw_link_t *l, const Lw__Piece *w);
 
 #endif
--- /dev/null
+++ b/src/meshdocs.c
@@ -0,0 +1,143 @@
+/*
+ * Documents from node to node. A node that hears of a newer version asks for it,
+ * piece by piece, at one node at a time; so each node receives a document once, and
+ * sends no more of it than others ask for.
+ */
+#include "mesh_int.h"
+
+#include <stdlib.h>
+
+#include "log.h"
+
+/* the version of a document that the peer has, as far as told */
+static uint64_t peer_has(const lw_link_t *l, Lw__DocumentKind kind)
+{
+	return kind == LW__DOCUMENT_KIND__DOCUMENT_CONFIG ? l->peer_version : l->peer_revision;
+}
+
+static uint64_t own_has(const lw_mesh_t *m, Lw__DocumentKind kind)
+{
+	return lw_revdoc_version(m->ops->document(m->ctx, kind));
+}
+
+static void send_fetch(lw_link_t *l, Lw__DocumentKind kind, const lw_docfetch_ask_t *ask)
+{
+	size_t before = lw_bytebuf_len(&l->out);
+
+	lw_meshframe_append_fetch(&l->out, kind, ask);
+	lw_link_frame_queued(l, before, LW__MESH_FRAME__BODY_FETCH);
+}
+
+static void begin_fetch(lw_link_t *l, Lw__DocumentKind kind)
+{
+	lw_mesh_t *m = l->mesh;
+	lw_docfetch_ask_t ask;
+
+	lw_docfetch_begin(&m->fetch[kind], l, m->ops->document(m->ctx, kind), m->hub->now_us, &ask);
+	send_fetch(l, kind, &ask);
+}
+
+static bool has_newer(const lw_link_t *l, Lw__DocumentKind kind)
+{
+	return !l->closed && !l->silent && l->peer_fetches && lw_link_greeted(l) &&
+	       peer_has(l, kind) > own_has(l->mesh, kind);
+}
+
+/* lw_mesh_fetch_from() - fetch what the peer has in a newer version, unless a fetch is under way. */
+void lw_mesh_fetch_from(lw_link_t *l)
+{
+	lw_mesh_t *m = l->mesh;
+
+	for (int kind = 0; kind < LW_MESH_DOCUMENTS; kind++)
+		if (has_newer(l, kind) && lw_docfetch_may_begin(&m->fetch[kind], m->hub->now_us))
+			begin_fetch(l, kind);
+}
+
+/*
+ * lw_mesh_fetch_any() - the same from any node, another one than last if there
+ * is: no news came from those that pass it on to this node, or their word was lost.
+ */
+void lw_mesh_fetch_any(lw_mesh_t *m)
+{
+	for (int kind = 0; kind < LW_MESH_DOCUMENTS; kind++) {
+		lw_link_t *best = NULL;
+
+		if (!lw_docfetch_may_begin(&m->fetch[kind], m->hub->now_us))
+			continue;
+		for (lw_link_t *l = m->links; l; l = l->next)
+			if (has_newer(l, kind) && (!best || best == m->fetch[kind].source ||
+						   best == m->fetch[kind].failed))
+				best = l;
+		if (best)
+			begin_fetch(best, kind);
+	}
+}
+
+/* lw_mesh_source_lost() - the connection is over, and with it the fetches from it. */
+void lw_mesh_source_lost(lw_link_t *l)
+{
+	for (int kind = 0; kind < LW_MESH_DOCUMENTS; kind++)
+		lw_docfetch_source_lost(&l->mesh->fetch[kind], l);
+}
+
+static bool known_kind(Lw__DocumentKind kind)
+{
+	return (int)kind >= 0 && (int)kind < LW_MESH_DOCUMENTS;
+}
+
+/* lw_mesh_on_fetch() - a peer asks for a piece of a document. */
+void lw_mesh_on_fetch(lw_link_t *l, const Lw__Fetch *w)
+{
+	lw_mesh_t *m = l->mesh;
+	lw_docfetch_ask_t ask = lw_meshframe_read_fetch(w);
+	size_t before = lw_bytebuf_len(&l->out);
+	lw_docfetch_piece_t piece;
+
+	if (!known_kind(w->kind) ||
+	    !lw_docfetch_piece(m->ops->document(m->ctx, w->kind), &ask, &piece))
+		return;
+	lw_meshframe_append_piece(&l->out, w->kind, &piece);
+	lw_link_frame_queued(l, before, LW__MESH_FRAME__BODY_PIECE);
+}
+
+/* a document is complete */
+static void received(lw_mesh_t *m, Lw__DocumentKind kind, uint64_t version, lw_str_t bytes)
+{
+	lw_serverlist_t *sl;
+
+	if (kind == LW__DOCUMENT_KIND__DOCUMENT_CONFIG)
+		m->ops->config_received(m->ctx, bytes);
+	else if (lw_meshframe_unpack_servers(bytes, version, &sl))
+		lw_log(LW_LOG_document_spoiled, "why=\"%s\"", lw_error_last());
+	else
+		m->ops->servers_received(m->ctx, sl);
+}
+
+/* lw_mesh_on_piece() - a piece of a document came. */
+void lw_mesh_on_piece(lw_link_t *l, const Lw__Piece *w)
+{
+	lw_mesh_t *m = l->mesh;
+	lw_docfetch_piece_t piece = lw_meshframe_read_piece(w);
+	lw_docfetch_ask_t ask;
+	char *bytes;
+
+	if (!known_kind(w->kind))
+		return;
+	switch (lw_docfetch_take(&m->fetch[w->kind], l, m->ops->document(m->ctx, w->kind), &piece,
+				 m->hub->now_us, &ask, &bytes)) {
+	case LW_DOCFETCH_MORE:
+		send_fetch(l, w->kind, &ask);
+		break;
+	case LW_DOCFETCH_DONE:
+		received(m, w->kind, piece.of.version, (lw_str_t){ bytes, piece.of.length });
+		free(bytes);
+		lw_mesh_settle_news(l);
+		break;
+	case LW_DOCFETCH_SPOILED:
+		lw_log(LW_LOG_document_spoiled, "node=%s why=\"%s\"", l->node, lw_error_last());
+		lw_mesh_fetch_from(l);
+		break;
+	case LW_DOCFETCH_IGNORED:
+		break;
+	}
+}
--- a/src/meshframe.c
+++ b/src/meshframe.c
@@ -180,35 +180,138 @@
 	return (char *)(uintptr_t)s;
 }
 
-/* lw_meshframe_append_servers() - encode a list of backend servers as a frame. */
-void lw_meshframe_append_servers(lw_bytebuf_t *out, const lw_serverlist_t *sl)
-{
-	Lw__ServerEntry *entry = xcalloc(sl->nservers + 1, sizeof(*entry));
-	Lw__ServerEntry **list = xcalloc(sl->nservers + 1, sizeof(void *));
-	Lw__Servers servers = LW__SERVERS__INIT;
-	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
+/* the storage of a list of backend servers while it is encoded */
+typedef struct lw_servers_wire {
+	Lw__Servers servers;
+	Lw__ServerEntry *entry;
+	Lw__ServerEntry **list;
+} lw_servers_wire_t;
 
+static void fill_servers(lw_servers_wire_t *w, const lw_serverlist_t *sl)
+{
+	lw__servers__init(&w->servers);
+	w->entry = xcalloc(sl->nservers + 1, sizeof(*w->entry));
+	w->list = xcalloc(sl->nservers + 1, sizeof(void *));
 	for (size_t i = 0; i < sl->nservers; i++) {
 		const lw_server_entry_t *e = &sl->servers[i];
 
-		lw__server_entry__init(&entry[i]);
-		entry[i].id = text(e->id);
-		entry[i].service = text(e->service);
-		entry[i].address = text(e->addr);
-		entry[i].zone = text(e->zone);
-		entry[i].slots = e->slots;
-		entry[i].draining = e->draining;
-		entry[i].born_ms = e->born_ms;
-		list[i] = &entry[i];
+		lw__server_entry__init(&w->entry[i]);
+		w->entry[i].id = text(e->id);
+		w->entry[i].service = text(e->service);
+		w->entry[i].address = text(e->addr);
+		w->entry[i].zone = text(e->zone);
+		w->entry[i].slots = e->slots;
+		w->entry[i].draining = e->draining;
+		w->entry[i].born_ms = e->born_ms;
+		w->list[i] = &w->entry[i];
 	}
-	servers.revision = sl->revision;
-	servers.n_servers = sl->nservers;
-	servers.servers = list;
+	w->servers.n_servers = sl->nservers;
+	w->servers.servers = w->list;
+}
+
+static void free_servers(lw_servers_wire_t *w)
+{
+	free(w->list);
+	free(w->entry);
+}
+
+/* lw_meshframe_append_servers() - encode a list of backend servers as a frame. */
+void lw_meshframe_append_servers(lw_bytebuf_t *out, const lw_serverlist_t *sl)
+{
+	lw_servers_wire_t w;
+	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
+
+	fill_servers(&w, sl);
+	w.servers.revision = sl->revision;
 	f.body_case = LW__MESH_FRAME__BODY_SERVERS;
-	f.servers = &servers;
+	f.servers = &w.servers;
 	lw_meshframe_append(out, &f);
-	free(list);
-	free(entry);
+	free_servers(&w);
+}
+
+/*
+ * lw_meshframe_pack_servers() - encode a list as a document. Its revision is left
+ * out: lists with the same servers are the same document.
+ */
+void lw_meshframe_pack_servers(lw_bytebuf_t *out, const lw_serverlist_t *sl)
+{
+	lw_servers_wire_t w;
+	size_t len;
+
+	fill_servers(&w, sl);
+	len = lw__servers__get_packed_size(&w.servers);
+	lw__servers__pack(&w.servers, (uint8_t *)lw_bytebuf_reserve(out, len + 1));
+	lw_bytebuf_commit(out, len);
+	free_servers(&w);
+}
+
+/* lw_meshframe_unpack_servers() - the list in a document; LW_ERR_PROTO if it is none. */
+lw_status_t lw_meshframe_unpack_servers(lw_str_t bytes, uint64_t revision, lw_serverlist_t **out)
+{
+	Lw__Servers *w = lw__servers__unpack(NULL, bytes.len, (const uint8_t *)bytes.ptr);
+
+	if (!w)
+		return lw_error(LW_ERR_PROTO, "the document is no list of servers; it is left out");
+	*out = lw_meshframe_read_servers(w);
+	(*out)->revision = revision;
+	lw__servers__free_unpacked(w, NULL);
+	return LW_OK;
+}
+
+/* lw_meshframe_append_fetch() - encode a question for a piece of a document. */
+void lw_meshframe_append_fetch(lw_bytebuf_t *out, Lw__DocumentKind kind,
+			       const lw_docfetch_ask_t *ask)
+{
+	Lw__Fetch w = LW__FETCH__INIT;
+	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
+
+	w.kind = kind;
+	w.version = ask->version;
+	w.against = ask->base;
+	w.offset = (uint32_t)ask->offset;
+	f.body_case = LW__MESH_FRAME__BODY_FETCH;
+	f.fetch = &w;
+	lw_meshframe_append(out, &f);
+}
+
+/* lw_meshframe_append_piece() - encode a piece of a document. */
+void lw_meshframe_append_piece(lw_bytebuf_t *out, Lw__DocumentKind kind,
+			       const lw_docfetch_piece_t *piece)
+{
+	Lw__Piece w = LW__PIECE__INIT;
+	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
+
+	w.kind = kind;
+	w.version = piece->of.version;
+	w.against = piece->of.base;
+	w.hash = piece->of.hash;
+	w.length = (uint32_t)piece->of.length;
+	w.encoded_length = (uint32_t)piece->of.len;
+	w.offset = (uint32_t)piece->offset;
+	w.data = lw_meshframe_bytes(piece->bytes);
+	f.body_case = LW__MESH_FRAME__BODY_PIECE;
+	f.piece = &w;
+	lw_meshframe_append(out, &f);
+}
+
+/* lw_meshframe_read_fetch() - what a peer asks for. */
+lw_docfetch_ask_t lw_meshframe_read_fetch(const Lw__Fetch *in)
+{
+	return (lw_docfetch_ask_t){ in->version, in->against, in->offset };
+}
+
+/* lw_meshframe_read_piece() - a piece that came; it points into the frame. */
+lw_docfetch_piece_t lw_meshframe_read_piece(const Lw__Piece *in)
+{
+	return (lw_docfetch_piece_t){
+		.of = { .version = in->version,
+			.base = in->against,
+			.hash = in->hash,
+			.length = in->length,
+			.len = in->encoded_length },
+		.offset = in->offset,
+		.bytes = lw_meshframe_str(in->data),
+	};
 }
 
 /* lw_meshframe_read_servers() - the list in a frame; the caller owns it. */
--- a/src/meshframe.h
+++ b/src/meshframe.h
@@ -11,6 +11,7 @@
 
 #include "bytebuf.h"
 #include "call.h"
+#include "docfetch.h"
 #include "fleetconf.h"
 #include "mesh.pb-c.h"
 
@@ -33,6 +34,14 @@
 ProtobufCBinaryData lw_meshframe_bytes(lw_str_t s);
 lw_str_t lw_meshframe_str(ProtobufCBinaryData b);
 void lw_meshframe_append_servers(lw_bytebuf_t *out, const lw_serverlist_t *sl);
+void lw_meshframe_pack_servers(lw_bytebuf_t *out, const lw_serverlist_t *sl);
+lw_status_t lw_meshframe_unpack_servers(lw_str_t bytes, uint64_t revision, lw_serverlist_t **out);
+void lw_meshframe_append_fetch(lw_bytebuf_t *out, Lw__DocumentKind kind,
+			       const lw_docfetch_ask_t *ask);
+void lw_meshframe_append_piece(lw_bytebuf_t *out, Lw__DocumentKind kind,
+			       const lw_docfetch_piece_t *piece);
+lw_docfetch_ask_t lw_meshframe_read_fetch(const Lw__Fetch *in);
+lw_docfetch_piece_t lw_meshframe_read_piece(const Lw__Piece *in);
 lw_serverlist_t *lw_meshframe_read_servers(const Lw__Servers *in);
 void lw_meshframe_load(lw_meshframe_load_t *out, const lw_load_t *load);
 void lw_meshframe_heard(lw_meshframe_load_t *out, uint32_t n);
--- a/src/meshlink.c
+++ b/src/meshlink.c
@@ -53,9 +53,13 @@
 }
 
 /* lw_link_frame_queued() - a frame was queued; it is written before the loop waits */
-void lw_link_frame_queued(lw_link_t *l, size_t before)
+void lw_link_frame_queued(lw_link_t *l, size_t before, Lw__MeshFrame__BodyCase kind)
 {
-	l->queued_total += lw_bytebuf_len(&l->out) - before;
+	size_t len = lw_bytebuf_len(&l->out) - before;
+
+	l->queued_total += len;
+	if ((size_t)kind < LW_MESH_FRAME_KINDS)
+		l->mesh->stats.bytes_of[kind] += len;
 	l->mesh->stats.frames_out++;
 	if (l->dirty)
 		return;
@@ -72,7 +76,7 @@
 	if (l->closed)
 		return;
 	lw_meshframe_append(&l->out, f);
-	lw_link_frame_queued(l, before);
+	lw_link_frame_queued(l, before, f->body_case);
 }
 
 /* lw_link_cut_held() - what was held for the peer's first words is never written. */
@@ -179,6 +183,7 @@
 	l->mesh->stats.links_lost++;
 	log_lost(l);
 	link_close(l);
+	lw_mesh_source_lost(l);
 	lw_mesh_forget_questions(l);
 	if (l->outgoing && !l->silent)
 		l->mesh->ops->lost(l->mesh->ctx, l->node);
--- a/src/meshnews.c
+++ b/src/meshnews.c
@@ -33,11 +33,14 @@
 	}
 }
 
-static uint64_t own_revision(const lw_mesh_t *m)
+static lw_revdoc_t *servers_document(const lw_mesh_t *m)
 {
-	const lw_serverlist_t *sl = m->ops->servers(m->ctx);
+	return m->ops->document(m->ctx, LW__DOCUMENT_KIND__DOCUMENT_SERVERS);
+}
 
-	return sl ? sl->revision : 0;
+static uint64_t own_revision(const lw_mesh_t *m)
+{
+	return lw_revdoc_version(servers_document(m));
 }
 
 /* lw_mesh_send_status() - tell the peer this node's state; @is_reply: it need not answer. */
@@ -54,6 +57,8 @@
 	status.load = &load.load;
 	status.news_age_ms = l->mesh->ops->news_age_ms(l->mesh->ctx);
 	status.servers_revision = own_revision(l->mesh);
+	status.servers_hash = lw_revdoc_hash(servers_document(l->mesh));
+	status.fetches = true;
 	status.incarnation = l->mesh->incarnation;
 	status.lapsed_id = l->mesh->lapsed_id;
 	status.lapsed_born_ms = l->mesh->lapsed_born_ms;
@@ -63,7 +68,7 @@
 	lw_link_send(l, &f);
 }
 
-/* the configuration, to a node that is not known to have it */
+/* the configuration, to a node of an older version that is not known to have it */
 static void send_config(lw_link_t *l, uint64_t version)
 {
 	lw_mesh_t *m = l->mesh;
@@ -71,9 +76,10 @@
 	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
 	lw_str_t text;
 
-	if (l->connecting || l->peer_version >= version || l->pushed_version >= version)
+	if (l->peer_fetches || !l->peer_incarnation || l->peer_version >= version ||
+	    l->pushed_version >= version)
 		return;
-	text = m->ops->config_text(m->ctx);
+	text = lw_revdoc_text(m->ops->document(m->ctx, LW__DOCUMENT_KIND__DOCUMENT_CONFIG));
 	if (!text.len)
 		return;
 	l->pushed_version = version;
@@ -84,39 +90,52 @@
 	lw_link_send(l, &f);
 }
 
-/* a list of backend servers the peer does not have yet */
+/* a list of backend servers that a peer of an older version does not have yet */
 static void push_servers(lw_link_t *l)
 {
 	const lw_serverlist_t *sl = l->mesh->ops->servers(l->mesh->ctx);
 	size_t before = lw_bytebuf_len(&l->out);
 
-	if (!sl || l->closed || l->connecting || l->peer_revision >= sl->revision ||
-	    l->pushed_revision >= sl->revision)
+	if (!sl || l->closed || l->peer_fetches || !l->peer_incarnation ||
+	    l->peer_revision >= sl->revision || l->pushed_revision >= sl->revision)
 		return;
 	l->pushed_revision = sl->revision;
 	lw_meshframe_append_servers(&l->out, sl);
-	lw_link_frame_queued(l, before);
+	lw_link_frame_queued(l, before, LW__MESH_FRAME__BODY_SERVERS);
 }
 
 /*
- * News counts only from a node that has nothing newer than this one: else
- * this node would think itself up to date while it waits for the list.
+ * lw_mesh_settle_news() - news counts only from a node that has nothing newer than
+ * this one: else this node would think itself up to date while it fetches.
  */
+void lw_mesh_settle_news(lw_link_t *l)
+{
+	lw_mesh_t *m = l->mesh;
+
+	if (l->peer_revision <= own_revision(m) &&
+	    l->peer_version <= m->ops->config_version(m->ctx))
+		m->ops->news(m->ctx, l->peer_news_us);
+}
+
+/* what a peer's status says of the store and of the documents it has */
 static void take_news(lw_link_t *l, const Lw__Status *w)
 {
 	lw_mesh_t *m = l->mesh;
+	uint64_t age_us = (uint64_t)w->news_age_ms * 1000;
 	uint64_t own = own_revision(m);
 
-	if (w->servers_revision < own) {
-		push_servers(l);
-	} else if (w->servers_revision > own) {
-		/* the answer makes the peer push its list */
-		if (w->is_reply)
-			lw_mesh_send_status(l, true);
-		return;
+	l->peer_news_us = m->hub->now_us > age_us ? m->hub->now_us - age_us : 0;
+	if (w->servers_revision > own && w->servers_hash == lw_revdoc_hash(servers_document(m))) {
+		m->ops->servers_confirmed(m->ctx, w->servers_revision);
+		own = w->servers_revision;
 	}
-	if (l->peer_version <= m->ops->config_version(m->ctx))
-		m->ops->news(m->ctx, w->news_age_ms);
+	lw_mesh_fetch_from(l);
+	push_servers(l);
+	/* the answer makes a peer that is behind fetch, and one of an older version send */
+	if (w->is_reply &&
+	    (w->servers_revision < own || (!w->fetches && w->servers_revision > own)))
+		lw_mesh_send_status(l, true);
+	lw_mesh_settle_news(l);
 }
 
 /* lw_mesh_on_status() - a peer told its state. */
@@ -134,6 +153,7 @@
 	if (l->outgoing && w->load)
 		l->mesh->ops->load(l->mesh->ctx, l->node, &load);
 	l->peer_revision = w->servers_revision;
+	l->peer_fetches = w->fetches;
 	greeted = lw_link_greeted(l);
 	l->peer_incarnation = w->incarnation;
 	if (!greeted && !load.limit)
@@ -165,20 +185,39 @@
 }
 
 /*
- * lw_mesh_spread() - a node that reads the store tells the others: the
- * configuration and the list of backend servers if they changed, and in any
- * case that it is in touch with the store.
+ * lw_mesh_tell() - tell @node this node's state: it asks for what it does not have
+ * yet. One that is only being connected to is told with the first words.
  */
-void lw_mesh_spread(lw_mesh_t *m)
+void lw_mesh_tell(lw_mesh_t *m, const char *node)
 {
-	uint64_t version = m->ops->config_version(m->ctx);
+	lw_link_t *l = lw_link_to(m, node);
 
-	for (lw_link_t *l = m->links; l; l = l->next) {
-		if (!l->outgoing || l->silent || l->connecting)
+	if (!l || !l->peer_incarnation)
+		return;
+	send_config(l, m->ops->config_version(m->ctx));
+	push_servers(l);
+	lw_mesh_send_status(l, true);
+}
+
+static bool may_be_asked(const lw_link_t *l)
+{
+	return l->peer_incarnation && !l->silent && !l->closed;
+}
+
+/* lw_mesh_ask_news() - ask @nodes connected nodes, drawn at random, what they know. */
+void lw_mesh_ask_news(lw_mesh_t *m, uint32_t nodes)
+{
+	uint32_t left = 0;
+
+	for (const lw_link_t *l = m->links; l; l = l->next)
+		left += may_be_asked(l);
+	for (lw_link_t *l = m->links; l && nodes; l = l->next) {
+		if (!may_be_asked(l))
 			continue;
-		send_config(l, version);
-		push_servers(l);
-		lw_mesh_send_status(l, true);
+		if (lw_hub_random(m->hub, left--) < nodes) {
+			lw_mesh_send_status(l, false);
+			nodes--;
+		}
 	}
 }
 
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -52,7 +52,7 @@
 		.servers_revision = p->servers ? p->servers->revision : 0,
 		.news_age_ms = lw_proxy_news_age_ms(p),
 		.log_dropped = lw_log_dropped(),
-		.reader = p->reader,
+		.reader = lw_spread_reads(&p->spread),
 		.ready = p->engine.conf && p->engine.place.nhosts && !p->hub.leaving,
 		.leaving = p->hub.leaving,
 	};
@@ -68,7 +68,7 @@
 		.servers_revision = p->servers ? p->servers->revision : 0,
 		.news_age_ms = lw_proxy_news_age_ms(p),
 		.ready = p->engine.conf && p->engine.place.nhosts && !p->hub.leaving,
-		.reader = p->reader,
+		.reader = lw_spread_reads(&p->spread),
 	};
 	size_t len = 0;
 	char *text = NULL;
@@ -84,7 +84,6 @@
 	lw_proxy_t *p = ctx;
 
 	lw_proxy_contact_lost(p);
-	lw_proxy_decide_reading(p);
 	publish_stats(p);
 	if (lw_proxystats_status_wanted())
 		write_status(p);
--- a/src/proxy_int.h
+++ b/src/proxy_int.h
@@ -9,6 +9,8 @@
 #include "lease.h"
 #include "probe.h"
 #include "proxy.h"
+#include "revdoc.h"
+#include "spread.h"
 
 typedef struct lw_proxy {
 	lw_proxyset_t *set;
@@ -30,8 +32,12 @@
 	lw_serverlist_t *servers; /* in use; NULL before the first */
 	uint64_t news_us; /* when the store was last known to have been read */
 	uint64_t hurried_us; /* when the store was last asked out of turn */
-	uint64_t reading_us; /* when this node last had to read the store itself */
-	bool reader; /* this node reads the store for others */
+	uint64_t others_us; /* when another node last read it, as far as told */
+	uint64_t passed_us; /* the news that was passed on last */
+	uint64_t read_until_us; /* this node reads the store itself until then */
+	ev_timer news_due;
+	lw_spread_t spread; /* this node's part in spreading news */
+	lw_revdoc_t documents[2]; /* the configuration, the list of backend servers */
 	char mesh_addr[LW_NAME_MAX]; /* of this node, as others know it */
 	lw_lease_t lease; /* of the backend server on this host */
 	lw_probe_t probe; /* while its entry is missing */
@@ -46,7 +52,7 @@
 void lw_proxy_lease_init(lw_proxy_t *p);
 void lw_proxy_lease_missing(lw_proxy_t *p);
 void lw_proxy_lease_found(lw_proxy_t *p, uint64_t born_ms);
-void lw_proxy_decide_reading(lw_proxy_t *p);
+void lw_proxy_read_for(lw_proxy_t *p, uint64_t us, lw_feed_why_t why);
 void lw_proxy_contact_lost(lw_proxy_t *p);
 uint32_t lw_proxy_news_age_ms(const lw_proxy_t *p);
 void lw_proxy_on_term(struct ev_loop *loop, ev_signal *w, int revents);
--- a/src/proxylease.c
+++ b/src/proxylease.c
@@ -9,6 +9,8 @@
 #define STEP_S 0.1
 /* the server is asked, and other nodes are told, so often, us */
 #define ROUND_US 500000
+/* and the store is read on for so long after the last step, us */
+#define LEASE_READ_US 2500000
 
 static lw_lease_evidence_t evidence(const lw_proxy_t *p)
 {
@@ -46,8 +48,7 @@
 /* the store is read by this node itself as long as the entry is missing */
 static void read_store(lw_proxy_t *p)
 {
-	p->reading_us = p->hub.now_us;
-	lw_feed_want(&p->feed, true);
+	lw_proxy_read_for(p, LEASE_READ_US, LW_FEED_LEASE);
 }
 
 /* the other nodes, and this one's own placement, are told that the server lives */
--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -5,16 +5,52 @@
 #include "linux/clock.h"
 #include "log.h"
 #include "proxy_int.h"
-#include "readers.h"
+#include "meshframe.h"
 
 /* the store is asked out of turn at most so often: its calls are few, us */
 #define HURRY_AGAIN_US 200000
+/* and read for so long then, us */
+#define HURRY_READ_US 300000
+/* a node that steps in for the readers goes on for so long, us */
+#define SUBSTITUTE_READ_US 2500000
+/* news is passed on when it is so much newer than what was passed on last, us */
+#define PASS_ON_US 300000
+/* old news is asked for so often, us */
+#define ASK_AGAIN_US 100000
+/* the documents, as the mesh numbers them */
+#define DOCUMENT_CONFIG	 LW__DOCUMENT_KIND__DOCUMENT_CONFIG
+#define DOCUMENT_SERVERS LW__DOCUMENT_KIND__DOCUMENT_SERVERS
 /*
  * A server that left gets its last new work this much before its drain time
  * ends, in seconds: what waits in front of it must still reach it in time.
  */
 #define LAPSED_MARGIN_S 0.45
 
+/* tell the nodes that hear of news by this one */
+static void pass_on(lw_proxy_t *p)
+{
+	char node[LW_NAME_MAX];
+
+	p->passed_us = p->news_us;
+	for (size_t i = 0; i < p->spread.nchildren; i++) {
+		lw_place_node_addr(node, sizeof(node), p->spread.child[i], p->set->mesh_port);
+		lw_mesh_tell(p->engine.mesh, node);
+	}
+}
+
+/* keep the list as a document; false if it has the same servers as the one in use */
+static bool put_servers(lw_proxy_t *p, const lw_serverlist_t *sl)
+{
+	lw_bytebuf_t bytes = { 0 };
+	bool changed;
+
+	lw_meshframe_pack_servers(&bytes, sl);
+	changed = lw_revdoc_put(&p->documents[DOCUMENT_SERVERS], sl->revision,
+				(lw_str_t){ lw_bytebuf_head(&bytes), lw_bytebuf_len(&bytes) });
+	lw_bytebuf_free(&bytes);
+	return changed;
+}
+
 static void apply_config(lw_proxy_t *p, lw_fleetconf_t *fc, const char *from)
 {
 	lw_fleetconf_t *old = p->engine.conf;
@@ -24,9 +60,12 @@
 		return;
 	}
 	p->engine.conf = fc;
+	lw_revdoc_put(&p->documents[DOCUMENT_CONFIG], fc->version,
+		      (lw_str_t){ fc->text, fc->textlen });
 	lw_log(LW_LOG_config_accepted, "version=%llu routes=%zu from=%s",
 	       (unsigned long long)fc->version, fc->nroutes, from);
 	lw_fleetconf_free(old);
+	pass_on(p);
 }
 
 /*
@@ -41,7 +80,7 @@
 	return use_s > 0 ? p->news_us + (uint64_t)(use_s * 1e6) : 0;
 }
 
-static void apply_servers(lw_proxy_t *p, lw_serverlist_t *sl)
+static void apply_servers(lw_proxy_t *p, lw_serverlist_t *sl, const char *from)
 {
 	const lw_place_host_t *self;
 	bool known;
@@ -50,10 +89,16 @@
 		lw_serverlist_free(sl);
 		return;
 	}
+	if (!put_servers(p, sl)) {
+		p->servers->revision = sl->revision;
+		lw_serverlist_free(sl);
+		return;
+	}
 	lw_place_update(&p->engine.place, sl, p->hub.now_us, lapsed_until_us(p));
 	self = lw_place_self(&p->engine.place, &known);
-	lw_log(LW_LOG_servers_changed, "servers=%zu self=%s draining=%d", sl->nservers,
-	       known ? self->id : "", known && self->draining);
+	lw_log(LW_LOG_servers_changed, "servers=%zu revision=%llu from=%s self=%s draining=%d",
+	       sl->nservers, (unsigned long long)sl->revision, from, known ? self->id : "",
+	       known && self->draining);
 	if (known) {
 		lw_gate_set_server(&p->engine.gate, self);
 		lw_proxy_lease_found(p, self->born_ms);
@@ -65,7 +110,8 @@
 	p->had_self |= known;
 	lw_serverlist_free(p->servers);
 	p->servers = sl;
-	p->reader = lw_readers_include(sl, p->set->backend);
+	lw_spread_plan(sl, p->set->backend, p->set->zone, &p->spread);
+	pass_on(p);
 }
 
 static void update_ready(lw_proxy_t *p)
@@ -73,6 +119,33 @@
 	lw_callers_set_ready(p->callers, p->engine.conf && p->engine.place.nhosts);
 }
 
+/* lw_proxy_read_for() - this node reads the store itself for @us at least. */
+void lw_proxy_read_for(lw_proxy_t *p, uint64_t us, lw_feed_why_t why)
+{
+	if (p->read_until_us < p->hub.now_us + us)
+		p->read_until_us = p->hub.now_us + us;
+	lw_feed_want(&p->feed, why);
+}
+
+/*
+ * A reader reads always, any other node while it hears of no read of others.
+ * What it read itself does not count: it would stop, wait for others in vain,
+ * and begin again.
+ */
+static void decide_reading(lw_proxy_t *p)
+{
+	uint64_t now = p->hub.now_us;
+	bool old = now > p->others_us + (uint64_t)lw_spread_patience_ms(&p->spread) * 1000;
+
+	if (lw_spread_reads(&p->spread))
+		lw_feed_want(&p->feed, LW_FEED_READER);
+	else if (old)
+		lw_proxy_read_for(p, lw_spread_steps_in(&p->spread) ? SUBSTITUTE_READ_US : 0,
+				  LW_FEED_NEWS_OLD);
+	else if (p->servers && now >= p->read_until_us)
+		lw_feed_rest(&p->feed);
+}
+
 static void on_fed(struct ev_loop *loop, ev_async *w, int revents)
 {
 	lw_proxy_t *p = w->data;
@@ -84,13 +157,13 @@
 	if (fc)
 		apply_config(p, fc, "store");
 	if (sl)
-		apply_servers(p, sl);
+		apply_servers(p, sl, "store");
 	update_ready(p);
 	if (lw_feed_last_read_us(&p->feed) > p->news_us) {
 		p->news_us = lw_feed_last_read_us(&p->feed);
-		if (p->reader)
-			lw_mesh_spread(p->engine.mesh);
+		pass_on(p);
 	}
+	decide_reading(p);
 }
 
 /* what the mesh asks and tells */
@@ -139,13 +212,11 @@
 	return p->engine.conf ? p->engine.conf->version : 0;
 }
 
-static lw_str_t mesh_config_text(void *ctx)
+static lw_revdoc_t *mesh_document(void *ctx, int kind)
 {
-	const lw_proxy_t *p = ctx;
+	lw_proxy_t *p = ctx;
 
-	if (!p->engine.conf)
-		return (lw_str_t){ NULL, 0 };
-	return (lw_str_t){ p->engine.conf->text, p->engine.conf->textlen };
+	return &p->documents[kind];
 }
 
 static void mesh_config_received(void *ctx, lw_str_t text)
@@ -172,10 +243,19 @@
 {
 	lw_proxy_t *p = ctx;
 
-	apply_servers(p, sl);
+	apply_servers(p, sl, "peer");
 	update_ready(p);
 }
 
+static void mesh_servers_confirmed(void *ctx, uint64_t revision)
+{
+	lw_proxy_t *p = ctx;
+
+	lw_revdoc_put(&p->documents[DOCUMENT_SERVERS], revision,
+		      lw_revdoc_text(&p->documents[DOCUMENT_SERVERS]));
+	p->servers->revision = revision;
+}
+
 /* lw_proxy_news_age_ms() - since the store was last read, here or by another node. */
 uint32_t lw_proxy_news_age_ms(const lw_proxy_t *p)
 {
@@ -189,15 +269,18 @@
 	return lw_proxy_news_age_ms(ctx);
 }
 
-static void mesh_news(void *ctx, uint32_t age_ms)
+static void mesh_news(void *ctx, uint64_t at_us)
 {
 	lw_proxy_t *p = ctx;
-	uint64_t age_us = (uint64_t)age_ms * 1000;
-	uint64_t at = p->hub.now_us > age_us ? p->hub.now_us - age_us : 0;
 
-	if (at > p->news_us)
-		p->news_us = at;
-	lw_feed_others_read(&p->feed, at);
+	if (at_us > p->others_us)
+		p->others_us = at_us;
+	lw_feed_others_read(&p->feed, at_us);
+	if (at_us <= p->news_us)
+		return;
+	p->news_us = at_us;
+	if (at_us - p->passed_us > PASS_ON_US)
+		pass_on(p);
 }
 
 const lw_mesh_ops_t lw_proxy_mesh_ops = {
@@ -207,10 +290,11 @@
 	.levels = mesh_levels,
 	.heard = mesh_heard,
 	.config_version = mesh_config_version,
-	.config_text = mesh_config_text,
+	.document = mesh_document,
 	.config_received = mesh_config_received,
 	.servers = mesh_servers,
 	.servers_received = mesh_servers_received,
+	.servers_confirmed = mesh_servers_confirmed,
 	.news_age_ms = mesh_news_age_ms,
 	.news = mesh_news,
 };
@@ -227,8 +311,7 @@
 	if (p->hub.now_us - p->hurried_us < HURRY_AGAIN_US)
 		return;
 	p->hurried_us = p->hub.now_us;
-	p->reading_us = p->hub.now_us;
-	lw_feed_want(&p->feed, true);
+	lw_proxy_read_for(p, HURRY_READ_US, LW_FEED_SERVER_REPLACED);
 	lw_feed_hurry(&p->feed);
 }
 
@@ -247,21 +330,23 @@
 }
 
 /*
- * lw_proxy_decide_reading() - A reader reads always. Any other node reads while the readers' news is old,
- * and a while longer, so that it does not change its mind with each message.
+ * Looks when the news is old enough to be asked for, which it never gets while
+ * the readers are heard.
  */
-void lw_proxy_decide_reading(lw_proxy_t *p)
+static void on_news_due(struct ev_loop *loop, ev_timer *w, int revents)
 {
-	uint64_t now = p->hub.now_us;
-	bool old = now > p->news_us + LW_NEWS_OLD_MS * 1000;
-	bool lately;
-
-	if (old || !p->servers || !p->engine.conf)
-		p->reading_us = now;
-	lately = now - p->reading_us < LW_READ_LEAST_MS * 1000;
-	lw_feed_want(&p->feed, p->reader || lately);
-	if (p->reader)
-		lw_place_each(&p->engine.place, contact, p, now);
+	lw_proxy_t *p = w->data;
+	uint64_t due = p->others_us + LW_NEWS_ASK_MS * 1000;
+	uint64_t left = due > p->hub.now_us ? due - p->hub.now_us : 0;
+
+	(void)revents;
+	if (!left) {
+		lw_mesh_ask_news(p->engine.mesh, LW_NEWS_ASK_NODES);
+		left = ASK_AGAIN_US;
+	}
+	decide_reading(p);
+	ev_timer_set(w, (double)left / 1e6, 0);
+	ev_timer_start(loop, w);
 }
 
 static void free_conf(void *fc)
@@ -281,6 +366,11 @@
 	p->fed.data = p;
 	ev_async_start(p->hub.loop, &p->fed);
 	lw_feed_init(&p->feed, p->set);
+	p->others_us = p->hub.now_us;
+	p->spread.rank = UINT32_MAX;
+	ev_timer_init(&p->news_due, on_news_due, LW_NEWS_ASK_MS / 1000.0, 0);
+	p->news_due.data = p;
+	ev_timer_start(p->hub.loop, &p->news_due);
 	p->feed.conf = (lw_mailbox_t){ .release = free_conf, .loop = p->hub.loop, .wake = &p->fed };
 	p->feed.servers =
 		(lw_mailbox_t){ .release = free_servers, .loop = p->hub.loop, .wake = &p->fed };
--- a/src/proxystats.c
+++ b/src/proxystats.c
@@ -154,7 +154,19 @@
 	counter(f, "lw_frames_in_total", "frames received", s->mesh.frames_in);
 	counter(f, "lw_frames_out_total", "frames sent", s->mesh.frames_out);
 	counter(f, "lw_mesh_bytes_out_total", "bytes sent to other nodes", s->mesh.bytes_out);
-	counter(f, "lw_store_calls_total", "calls to the configuration store", s->feed.calls);
+	counter(f, "lw_control_bytes_total", "of these, beside requests and answers",
+		lw_mesh_control_bytes(&s->mesh));
+	fprintf(f, "# HELP lw_control_frame_bytes_total queued for other nodes, by kind of frame\n"
+		   "# TYPE lw_control_frame_bytes_total counter\n");
+	for (size_t i = 0; i < LW_MESH_FRAME_KINDS; i++)
+		if (lw_mesh_control_name(i))
+			fprintf(f, "lw_control_frame_bytes_total{kind=\"%s\"} %llu\n",
+				lw_mesh_control_name(i), (unsigned long long)s->mesh.bytes_of[i]);
+	fprintf(f, "# HELP lw_store_calls_total calls to the configuration store\n"
+		   "# TYPE lw_store_calls_total counter\n");
+	for (int i = 0; i < LW_FEED_WHY_COUNT; i++)
+		fprintf(f, "lw_store_calls_total{why=\"%s\"} %llu\n",
+			lw_feed_why_name((lw_feed_why_t)i), (unsigned long long)s->feed.calls[i]);
 	counter(f, "lw_store_failures_total", "of these, failed", s->feed.failures);
 	counter(f, "lw_store_resyncs_total", "times everything was read anew", s->feed.resyncs);
 	gauge(f, "lw_store_reader", "1: this node reads the store for others", s->reader);
--- /dev/null
+++ b/src/spread.c
@@ -0,0 +1,174 @@
+/* The way of news through the fleet; see spread.h. */
+#include "spread.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "xalloc.h"
+
+typedef struct lw_member {
+	const char *backend;
+	const char *zone;
+	uint64_t hash;
+	uint32_t place; /* in its zone */
+	bool draining;
+} lw_member_t;
+
+static int by_zone(const void *a, const void *b)
+{
+	const lw_member_t *x = a, *y = b;
+	int zones = strcmp(x->zone, y->zone);
+
+	if (zones)
+		return zones;
+	if (x->hash != y->hash)
+		return x->hash > y->hash ? -1 : 1;
+	return strcmp(x->backend, y->backend);
+}
+
+/* those that stay before those that leave, then one of each zone after the other */
+static int by_rank(const void *a, const void *b)
+{
+	const lw_member_t *x = a, *y = b;
+
+	if (x->draining != y->draining)
+		return x->draining ? 1 : -1;
+	if (x->place != y->place)
+		return x->place < y->place ? -1 : 1;
+	if (x->hash != y->hash)
+		return x->hash > y->hash ? -1 : 1;
+	return strcmp(x->backend, y->backend);
+}
+
+static lw_member_t member(const char *backend, const char *zone, bool draining)
+{
+	return (lw_member_t){ .backend = backend,
+			      .zone = zone,
+			      .hash = XXH3_64bits(backend, strlen(backend)),
+			      .draining = draining };
+}
+
+/* all nodes by zone; the own one also if its backend server is not listed */
+static size_t collect(const lw_serverlist_t *sl, const char *backend, const char *zone,
+		      lw_member_t *m)
+{
+	bool listed = false;
+	size_t n = 0;
+
+	for (size_t i = 0; i < sl->nservers; i++) {
+		const lw_server_entry_t *e = &sl->servers[i];
+
+		listed |= strcmp(e->addr, backend) == 0;
+		m[n++] = member(e->addr, e->zone, e->draining);
+	}
+	if (!listed)
+		m[n++] = member(backend, zone, false);
+	qsort(m, n, sizeof(*m), by_zone);
+	for (size_t i = 0; i < n; i++)
+		m[i].place = i && strcmp(m[i - 1].zone, m[i].zone) == 0 ? m[i - 1].place + 1 : 0;
+	return n;
+}
+
+static void add_child(lw_spread_t *s, const char *backend)
+{
+	for (size_t i = 0; i < s->nchildren; i++)
+		if (strcmp(s->child[i], backend) == 0)
+			return;
+	if (s->nchildren < LW_SPREAD_CHILDREN_MAX)
+		lw_str_copy(s->child[s->nchildren++], LW_NAME_MAX, lw_str_c(backend));
+}
+
+/* the children of node @at among the @n of a zone, in both trees */
+static void add_zone(lw_spread_t *s, const lw_member_t *zone, size_t n, size_t at)
+{
+	size_t back = n - 1 - at;
+
+	for (size_t i = 1; i <= LW_SPREAD_FANOUT; i++) {
+		if (at * LW_SPREAD_FANOUT + i < n)
+			add_child(s, zone[at * LW_SPREAD_FANOUT + i].backend);
+		if (back * LW_SPREAD_FANOUT + i < n)
+			add_child(s, zone[n - 1 - (back * LW_SPREAD_FANOUT + i)].backend);
+	}
+}
+
+/* the children of node @self among the heads of the zones; the readers are above the first ones */
+static void add_heads(lw_spread_t *s, const lw_member_t **heads, size_t n, const lw_member_t *self,
+		      bool reads)
+{
+	for (size_t i = 0; reads && i < n && i < LW_SPREAD_FANOUT; i++)
+		if (heads[i] != self)
+			add_child(s, heads[i]->backend);
+	for (size_t at = 0; at < n; at++) {
+		size_t first = (at + 1) * LW_SPREAD_FANOUT;
+
+		if (heads[at] != self)
+			continue;
+		for (size_t i = first; i < n && i < first + LW_SPREAD_FANOUT; i++)
+			add_child(s, heads[i]->backend);
+	}
+}
+
+static uint32_t rank_of(const lw_member_t *m, size_t n, const char *backend)
+{
+	lw_member_t *ranked = xcalloc(n, sizeof(*ranked));
+	uint32_t rank = 0;
+
+	memcpy(ranked, m, n * sizeof(*ranked));
+	qsort(ranked, n, sizeof(*ranked), by_rank);
+	while (strcmp(ranked[rank].backend, backend) != 0)
+		rank++;
+	free(ranked);
+	return rank;
+}
+
+/*
+ * lw_spread_plan() - the part of the node beside the backend server at
+ * @backend in @zone, whether it is in the list or not.
+ */
+void lw_spread_plan(const lw_serverlist_t *sl, const char *backend, const char *zone,
+		    lw_spread_t *out)
+{
+	lw_member_t *m = xcalloc(sl->nservers + 1, sizeof(*m));
+	const lw_member_t **first = xcalloc(sl->nservers + 1, sizeof(void *));
+	const lw_member_t **last = xcalloc(sl->nservers + 1, sizeof(void *));
+	size_t n = collect(sl, backend, zone, m);
+	size_t nzones = 0, self = 0, begin = 0;
+
+	memset(out, 0, sizeof(*out));
+	out->rank = rank_of(m, n, backend);
+	while (strcmp(m[self].backend, backend) != 0)
+		self++;
+	for (size_t at = 1; at <= n; at++) {
+		if (at < n && m[at].place)
+			continue;
+		first[nzones] = &m[begin];
+		last[nzones++] = &m[at - 1];
+		if (begin <= self && self < at)
+			add_zone(out, &m[begin], at - begin, self - begin);
+		begin = at;
+	}
+	add_heads(out, first, nzones, &m[self], lw_spread_reads(out));
+	add_heads(out, last, nzones, &m[self], lw_spread_reads(out));
+	free(last);
+	free(first);
+	free(m);
+}
+
+/* lw_spread_reads() - whether the node reads the store for others. */
+bool lw_spread_reads(const lw_spread_t *s)
+{
+	return s->rank < LW_SPREAD_READERS;
+}
+
+/* lw_spread_steps_in() - whether the node takes the place of a reader of which nothing is heard. */
+bool lw_spread_steps_in(const lw_spread_t *s)
+{
+	return s->rank < LW_SPREAD_READERS + LW_SPREAD_SUBSTITUTES;
+}
+
+/* lw_spread_patience_ms() - how old news may be before the node reads the store itself. */
+uint32_t lw_spread_patience_ms(const lw_spread_t *s)
+{
+	return LW_NEWS_OLD_MS + (lw_spread_steps_in(s) ? 0 : LW_NEWS_SUBSTITUTES_MS);
+}
--- /dev/null
+++ b/src/spread.h
@@ -0,0 +1,51 @@
+/*
+ * How news from the store reaches every node: who reads it, and to whom each node
+ * passes it on. Load pattern: with hundreds of nodes the readers' links and the
+ * store's rate are too small for all of them. Every node works out the same plan
+ * from the list of backend servers. No I/O.
+ *
+ * In each availability zone the nodes, in the order of a hash of their addresses,
+ * are two trees: one from the first node on, one from the last node on, so that
+ * hardly a node passes news on in both. The first nodes of the zones are a tree
+ * likewise, below the readers, and so are the last ones.
+ */
+#ifndef LW_SPREAD_H
+#define LW_SPREAD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "fleetconf.h"
+
+/* Nodes that read the store for all, in different zones if there are. */
+#define LW_SPREAD_READERS 2
+/* Nodes that take the readers' place when nothing is heard of them. */
+#define LW_SPREAD_SUBSTITUTES 2
+/* Nodes to which a node passes news on in one tree. */
+#define LW_SPREAD_FANOUT 6
+/* A node is a reader, and inner node of two trees in its zone and two between zones. */
+#define LW_SPREAD_CHILDREN_MAX (6 * LW_SPREAD_FANOUT)
+
+/* One node's part. */
+typedef struct lw_spread {
+	uint32_t rank; /* among those that read: the first ones do, the next ones step in */
+	char child[LW_SPREAD_CHILDREN_MAX][LW_NAME_MAX]; /* addresses of backend servers */
+	size_t nchildren;
+} lw_spread_t;
+
+/* readers tell every 0.7 s; one message may be late by half of that, ms */
+#define LW_NEWS_OLD_MS 1050
+/* news that is older is asked for at a few other nodes, ms */
+#define LW_NEWS_ASK_MS 850
+/* so many of them */
+#define LW_NEWS_ASK_NODES 3
+/* the others leave the substitutes this much time, ms */
+#define LW_NEWS_SUBSTITUTES_MS 200
+
+void lw_spread_plan(const lw_serverlist_t *sl, const char *backend, const char *zone,
+		    lw_spread_t *out);
+bool lw_spread_reads(const lw_spread_t *s);
+bool lw_spread_steps_in(const lw_spread_t *s);
+uint32_t lw_spread_patience_ms(const lw_spread_t *s);
+
+#endif
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -120,10 +120,9 @@
         await c.raw(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
         text = (await c.answer(2)).body.decode()
         c.close()
-        for line in text.splitlines():
-            if line.startswith(name + " "):
-                return float(line.split()[1])
-        return None
+        values = [float(line.split()[1]) for line in text.splitlines()
+                  if line.startswith((name + " ", name + "{"))]
+        return sum(values) if values else None
 
     def rss_kb(self):
         with open(f"/proc/{self.proc.pid}/status", encoding="utf-8") as f:
