--- a/fuzz/fuzz_meshframe.c
+++ b/fuzz/fuzz_meshframe.c
@@ -1,10 +1,45 @@
 /* libFuzzer target: frames between lwproxy processes, and what is read out of them. */
 #include <stdint.h>
+#include <stdlib.h>
 
 #include "meshframe.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t len);
 
+/* a piece of a document, as the first one and as the last one */
+static void take_piece(const Lw__Piece *in)
+{
+	static lw_revdoc_t doc;
+	lw_docfetch_t f = { 0 };
+	lw_docfetch_piece_t piece = lw_meshframe_read_piece(in);
+	lw_docfetch_ask_t ask;
+	lw_serverlist_t *sl;
+	char *text;
+
+	if (!lw_revdoc_version(&doc))
+		lw_revdoc_put(&doc, 1, LW_STR("a document that differences are against"));
+	lw_docfetch_begin(&f, &f, &doc, 0, &ask);
+	if (lw_docfetch_take(&f, &f, &doc, &piece, 0, &ask, &text) == LW_DOCFETCH_DONE)
+		free(text);
+	lw_docfetch_source_lost(&f, &f);
+	if (!lw_meshframe_unpack_servers(piece.bytes, 1, &sl))
+		lw_serverlist_free(sl);
+}
+
+/* a piece that another node asks for */
+static void give_piece(const Lw__Fetch *in)
+{
+	static lw_revdoc_t doc;
+	lw_docfetch_ask_t ask = lw_meshframe_read_fetch(in);
+	lw_docfetch_piece_t piece;
+	lw_bytebuf_t out = { 0 };
+
+	lw_revdoc_put(&doc, 1, LW_STR("a document"));
+	if (lw_docfetch_piece(&doc, &ask, &piece))
+		lw_meshframe_append_piece(&out, in->kind, &piece);
+	lw_bytebuf_free(&out);
+}
+
 static void read_parts(const Lw__MeshFrame *f)
 {
 	lw_load_t load;
@@ -17,6 +52,10 @@
 		lw_meshframe_read_load(f->status->load, &load);
 	else if (f->body_case == LW__MESH_FRAME__BODY_SERVERS)
 		lw_serverlist_free(lw_meshframe_read_servers(f->servers));
+	else if (f->body_case == LW__MESH_FRAME__BODY_FETCH)
+		give_piece(f->fetch);
+	else if (f->body_case == LW__MESH_FRAME__BODY_PIECE)
+		take_piece(f->piece);
 }
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t len)
--- a/tests/lwtest.h
+++ b/tests/lwtest.h
@@ -12,6 +12,7 @@
 void suite_meshframe(void);
 void suite_meshpast(void);
 void suite_meshkept(void);
+void suite_docfetch(void);
 void suite_documents(void);
 void suite_lease(void);
 void suite_scripts(const char *dir);
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -17,6 +17,7 @@
 	suite_meshframe();
 	suite_meshpast();
 	suite_meshkept();
+	suite_docfetch();
 	suite_documents();
 	suite_lease();
 	suite_decisions(argc > 2 ? argv[2] : "tests/decisions");
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -9,7 +9,7 @@
 SAN="-g -O1 -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=undefined"
 INC="-D_GNU_SOURCE -Isrc"
 mkdir -p $OUT
-SRC="xalloc lwstr status log platconf settings tomlkeys frame lw.pb-c request linux/clock httpd linux/sock bytebuf httphead hotpath level call fleetconf mesh.pb-c meshframe"
+SRC="xalloc lwstr status log platconf settings tomlkeys frame lw.pb-c request linux/clock httpd linux/sock bytebuf httphead hotpath level call fleetconf mesh.pb-c revdoc docfetch meshframe"
 OBJS=""
 for f in $SRC; do
 	o=$OUT/$(echo "$f" | tr / _).o
@@ -29,7 +29,7 @@
 	clang -std=gnu11 $SAN $INC -c fuzz/fuzz_$t.c -o $OUT/fuzz_$t.o
 	# shellcheck disable=SC2086
 	clang++ -fsanitize=fuzzer,address,undefined $OUT/fuzz_$t.o $OBJS $OUT/tomlshim.o -o $OUT/fuzz_$t \
-		-lprotobuf-c -lxxhash -lmicrohttpd -lhttp_parser -ljansson -lurcu-bp -lurcu-common -lpthread -lm
+		-lprotobuf-c -lxxhash -lmicrohttpd -lhttp_parser -ljansson -lzstd -lurcu-bp -lurcu-common -lpthread -lm
 	mkdir -p $OUT/corpus-$t
 done
 cp tests/scripts/*.toml demo/*.toml $OUT/corpus-platconf/
