An operator sees whom a node has its news from and what control costs

lwctl status tells the age of the news, the node that told it, whether and why this node reads the store, its rank among those that do, how many nodes it tells, its calls and its bytes of control; each begin and end of reading is a line (E1213). Metrics: longest turn of the request loop. An incoming connection is named by its IP address in lines that were left empty before.

--- a/src/hub.c
+++ b/src/hub.c
@@ -37,6 +37,14 @@
 	h->mono_us = mono;
 }
 
+static void note_turn(lw_hub_t *h)
+{
+	uint64_t took_us = lw_now_us() - h->mono_us;
+
+	if (took_us > h->longest_turn_us)
+		h->longest_turn_us = took_us;
+}
+
 static void on_prepare(struct ev_loop *loop, ev_prepare *w, int revents)
 {
 	lw_hub_t *h = w->data;
@@ -48,6 +56,7 @@
 	for (size_t i = 0; i < h->ngarbage; i++)
 		free(h->garbage[i]);
 	h->ngarbage = 0;
+	note_turn(h);
 }
 
 static void on_tick(struct ev_loop *loop, ev_timer *w, int revents)
--- a/src/hub.h
+++ b/src/hub.h
@@ -37,6 +37,7 @@
 	ev_check check;
 	ev_timer tick;
 	uint64_t mono_us; /* monotonic time at the start of this turn */
+	uint64_t longest_turn_us; /* since the start of the process */
 	lw_hub_hook_t tick_hooks[LW_HUB_HOOKS_MAX];
 	size_t ntick;
 	lw_hub_hook_t flush_hooks[LW_HUB_HOOKS_MAX];
--- a/src/linux/sock.c
+++ b/src/linux/sock.c
@@ -100,6 +100,18 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ut, sizeof(ut));
 }
 
+/* lw_sock_peer() - the IP address at the other end of @fd; empty if it is not known. */
+void lw_sock_peer(int fd, char *dst, size_t len)
+{
+	struct sockaddr_in sa;
+	socklen_t salen = sizeof(sa);
+
+	dst[0] = '\0';
+	if (getpeername(fd, (struct sockaddr *)&sa, &salen) || sa.sin_family != AF_INET)
+		return;
+	inet_ntop(AF_INET, &sa.sin_addr, dst, (socklen_t)len);
+}
+
 /*
  * lw_sock_accept() - a connection waiting on the listening socket @lfd, non-
  * blocking; -1 with errno set if there is none.
--- a/src/linux/sock.h
+++ b/src/linux/sock.h
@@ -3,12 +3,14 @@
 #define LW_LINUX_SOCK_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "../status.h"
 
 lw_status_t lw_sock_listen(const char *addr, int *fd);
 lw_status_t lw_sock_connect(const char *addr, int timeout_ms, int *fd);
+void lw_sock_peer(int fd, char *dst, size_t len);
 int lw_sock_accept(int lfd);
 lw_status_t lw_sock_start_connect(const char *addr, int *fd);
 void lw_sock_nonblock(int fd);
--- a/src/log.h
+++ b/src/log.h
@@ -44,6 +44,8 @@
 	  "what this node knows of its backend server's entry changed, and why")                   \
 	X(1212, document_spoiled, LOG_WARNING,                                                     \
 	  "a document from another node was not what it should be; it is asked for anew")          \
+	X(1213, store_reading, LOG_INFO,                                                           \
+	  "this node begins or ends to read the configuration service itself, and why")            \
 	X(1211, server_vouched, LOG_NOTICE,                                                        \
 	  "a node says that its backend server lives although its entry lapsed")                   \
 	X(1300, request_shed, LOG_INFO, "a request was refused at admission (not run)")            \
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -224,8 +224,12 @@
 
 	(void)loop;
 	(void)revents;
-	while ((fd = lw_sock_accept(m->listen_fd)) >= 0)
-		lw_mesh_send_status(lw_link_new(m, fd, false), false);
+	while ((fd = lw_sock_accept(m->listen_fd)) >= 0) {
+		lw_link_t *l = lw_link_new(m, fd, false);
+
+		lw_sock_peer(fd, l->node, sizeof(l->node));
+		lw_mesh_send_status(l, false);
+	}
 }
 
 /* lw_mesh_listen() - accept connections of other nodes at "ip:port". */
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -39,8 +39,8 @@
 	void (*servers_confirmed)(void *ctx, uint64_t revision);
 	/* how old this node's news from the store is */
 	uint32_t (*news_age_ms)(void *ctx);
-	/* a node that has nothing newer than this one knows of a read of the store at @at_us */
-	void (*news)(void *ctx, uint64_t at_us);
+	/* @node, which has nothing newer than this one, knows of a read of the store at @at_us */
+	void (*news)(void *ctx, const char *node, uint64_t at_us);
 } lw_mesh_ops_t;
 
 typedef struct lw_mesh_stats {
--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -47,7 +47,7 @@
 	lw_mesh_t *mesh;
 	int fd;
 	ev_io io;
-	char node[LW_NAME_MAX]; /* outgoing: its mesh address */
+	char node[LW_NAME_MAX]; /* outgoing: its mesh address; incoming: its IP address */
 	bool outgoing;
 	bool connecting;
 	bool closed;
--- a/src/meshnews.c
+++ b/src/meshnews.c
@@ -114,7 +114,7 @@
 
 	if (l->peer_revision <= own_revision(m) &&
 	    l->peer_version <= m->ops->config_version(m->ctx))
-		m->ops->news(m->ctx, l->peer_news_us);
+		m->ops->news(m->ctx, l->node, l->peer_news_us);
 }
 
 /* what a peer's status says of the store and of the documents it has */
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -52,6 +52,7 @@
 		.servers_revision = p->servers ? p->servers->revision : 0,
 		.news_age_ms = lw_proxy_news_age_ms(p),
 		.log_dropped = lw_log_dropped(),
+		.longest_turn_us = p->hub.longest_turn_us,
 		.reader = lw_spread_reads(&p->spread),
 		.ready = p->engine.conf && p->engine.place.nhosts && !p->hub.leaving,
 		.leaving = p->hub.leaving,
@@ -69,6 +70,12 @@
 		.news_age_ms = lw_proxy_news_age_ms(p),
 		.ready = p->engine.conf && p->engine.place.nhosts && !p->hub.leaving,
 		.reader = lw_spread_reads(&p->spread),
+		.reads = p->reads,
+		.reads_why = p->reads_why,
+		.news_from = p->news_from,
+		.spread = &p->spread,
+		.mesh = lw_mesh_stats(p->engine.mesh),
+		.feed = &p->feed.stats,
 	};
 	size_t len = 0;
 	char *text = NULL;
--- a/src/proxy_int.h
+++ b/src/proxy_int.h
@@ -33,8 +33,11 @@
 	uint64_t news_us; /* when the store was last known to have been read */
 	uint64_t hurried_us; /* when the store was last asked out of turn */
 	uint64_t others_us; /* when another node last read it, as far as told */
+	char news_from[LW_NAME_MAX]; /* the node that told so */
 	uint64_t passed_us; /* the news that was passed on last */
 	uint64_t read_until_us; /* this node reads the store itself until then */
+	bool reads; /* this node reads the store itself */
+	lw_feed_why_t reads_why;
 	ev_timer news_due;
 	lw_spread_t spread; /* this node's part in spreading news */
 	lw_revdoc_t documents[2]; /* the configuration, the list of backend servers */
--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -26,6 +26,14 @@
  */
 #define LAPSED_MARGIN_S 0.45
 
+/* lw_proxy_news_age_ms() - since the store was last read, here or by another node. */
+uint32_t lw_proxy_news_age_ms(const lw_proxy_t *p)
+{
+	uint64_t age_us = lw_now_boot_us() - p->news_us;
+
+	return age_us / 1000 < UINT32_MAX ? (uint32_t)(age_us / 1000) : UINT32_MAX;
+}
+
 /* tell the nodes that hear of news by this one */
 static void pass_on(lw_proxy_t *p)
 {
@@ -119,12 +127,34 @@
 	lw_callers_set_ready(p->callers, p->engine.conf && p->engine.place.nhosts);
 }
 
+/* this node reads the store itself from now on */
+static void begin_reading(lw_proxy_t *p, lw_feed_why_t why)
+{
+	lw_feed_want(&p->feed, why);
+	if (p->reads && p->reads_why == why)
+		return;
+	p->reads = true;
+	p->reads_why = why;
+	lw_log(LW_LOG_store_reading, "why=%s news_age_ms=%u others_age_ms=%llu rank=%u",
+	       lw_feed_why_name(why), lw_proxy_news_age_ms(p),
+	       (unsigned long long)((p->hub.now_us - p->others_us) / 1000), p->spread.rank);
+}
+
+static void end_reading(lw_proxy_t *p)
+{
+	lw_feed_rest(&p->feed);
+	if (p->reads)
+		lw_log(LW_LOG_store_reading, "why=none others_age_ms=%llu rank=%u",
+		       (unsigned long long)((p->hub.now_us - p->others_us) / 1000), p->spread.rank);
+	p->reads = false;
+}
+
 /* lw_proxy_read_for() - this node reads the store itself for @us at least. */
 void lw_proxy_read_for(lw_proxy_t *p, uint64_t us, lw_feed_why_t why)
 {
 	if (p->read_until_us < p->hub.now_us + us)
 		p->read_until_us = p->hub.now_us + us;
-	lw_feed_want(&p->feed, why);
+	begin_reading(p, why);
 }
 
 /*
@@ -138,12 +168,12 @@
 	bool old = now > p->others_us + (uint64_t)lw_spread_patience_ms(&p->spread) * 1000;
 
 	if (lw_spread_reads(&p->spread))
-		lw_feed_want(&p->feed, LW_FEED_READER);
+		begin_reading(p, LW_FEED_READER);
 	else if (old)
 		lw_proxy_read_for(p, lw_spread_steps_in(&p->spread) ? SUBSTITUTE_READ_US : 0,
 				  LW_FEED_NEWS_OLD);
 	else if (p->servers && now >= p->read_until_us)
-		lw_feed_rest(&p->feed);
+		end_reading(p);
 }
 
 static void on_fed(struct ev_loop *loop, ev_async *w, int revents)
@@ -256,25 +286,19 @@
 	p->servers->revision = revision;
 }
 
-/* lw_proxy_news_age_ms() - since the store was last read, here or by another node. */
-uint32_t lw_proxy_news_age_ms(const lw_proxy_t *p)
-{
-	uint64_t age_us = lw_now_boot_us() - p->news_us;
-
-	return age_us / 1000 < UINT32_MAX ? (uint32_t)(age_us / 1000) : UINT32_MAX;
-}
-
 static uint32_t mesh_news_age_ms(void *ctx)
 {
 	return lw_proxy_news_age_ms(ctx);
 }
 
-static void mesh_news(void *ctx, uint64_t at_us)
+static void mesh_news(void *ctx, const char *node, uint64_t at_us)
 {
 	lw_proxy_t *p = ctx;
 
-	if (at_us > p->others_us)
+	if (at_us > p->others_us) {
 		p->others_us = at_us;
+		lw_str_copy(p->news_from, sizeof(p->news_from), lw_str_c(node));
+	}
 	lw_feed_others_read(&p->feed, at_us);
 	if (at_us <= p->news_us)
 		return;
@@ -368,6 +392,8 @@
 	lw_feed_init(&p->feed, p->set);
 	p->others_us = p->hub.now_us;
 	p->spread.rank = UINT32_MAX;
+	p->reads = true;
+	p->reads_why = LW_FEED_START;
 	ev_timer_init(&p->news_due, on_news_due, LW_NEWS_ASK_MS / 1000.0, 0);
 	p->news_due.data = p;
 	ev_timer_start(p->hub.loop, &p->news_due);
--- a/src/proxystats.c
+++ b/src/proxystats.c
@@ -174,6 +174,8 @@
 	gauge(f, "lw_config_version", "configuration in force", s->config_version);
 	gauge(f, "lw_servers", "backend servers in the list", s->servers);
 	gauge(f, "lw_servers_revision", "revision of that list", s->servers_revision);
+	gauge(f, "lw_loop_longest_turn_us", "longest turn of the request loop since the start",
+	      s->longest_turn_us);
 	gauge(f, "lw_ready", "1: callers may come", s->ready);
 	gauge(f, "lw_leaving", "1: stopping", s->leaving);
 	counter(f, "lw_log_dropped_total", "log lines dropped for volume", s->log_dropped);
--- a/src/proxystatus.c
+++ b/src/proxystatus.c
@@ -52,6 +52,21 @@
 	}
 }
 
+/* where this node has its news from, to whom it passes it on, and what that costs */
+static void print_news(FILE *f, const lw_proxystatus_t *s)
+{
+	uint64_t calls = 0;
+
+	for (int i = 0; i < LW_FEED_WHY_COUNT; i++)
+		calls += s->feed->calls[i];
+	fprintf(f,
+		"news: age_ms=%u from=%s reads_store=%s rank=%u told_nodes=%zu store_calls=%" PRIu64
+		" control_bytes=%" PRIu64 "\n",
+		s->news_age_ms, s->news_from[0] ? s->news_from : "none",
+		s->reads ? lw_feed_why_name(s->reads_why) : "no", s->spread->rank,
+		s->spread->nchildren, calls, lw_mesh_control_bytes(s->mesh));
+}
+
 static void print_route(FILE *f, const lw_engine_t *e, const lw_fleet_route_t *r)
 {
 	const char *host = r->key;
@@ -83,6 +98,7 @@
 		"failing_permille=%u\n",
 		e->gate.server_id, e->gate.leaving, own.running, own.queued, own.limit,
 		own.service_us / 1000, own.level, own.failing);
+	print_news(f, s);
 	print_services(f, e);
 	for (size_t i = 0; e->conf && i < e->conf->nroutes; i++)
 		print_route(f, e, &e->conf->routes[i]);
--- a/src/proxystatus.h
+++ b/src/proxystatus.h
@@ -11,6 +11,8 @@
 #include <stdio.h>
 
 #include "exchange.h"
+#include "feed.h"
+#include "spread.h"
 
 /* What the status tells beside the engine's own state. */
 typedef struct lw_proxystatus {
@@ -19,6 +21,12 @@
 	uint32_t news_age_ms;
 	bool ready;
 	bool reader;
+	bool reads; /* the store, now */
+	lw_feed_why_t reads_why;
+	const char *news_from; /* the node that told the newest news of others; empty: none did */
+	const lw_spread_t *spread;
+	const lw_mesh_stats_t *mesh;
+	const lw_feed_stats_t *feed;
 } lw_proxystatus_t;
 
 void lw_proxystatus_print(FILE *f, const lw_proxystatus_t *s);
