A node whose server is not listed yet reads the store for nobody

Change: only a listed node ranks among the readers; the others begin to read one after the other within 0.3 s, so that most hear from the first ones.

--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -165,7 +165,7 @@
 static void decide_reading(lw_proxy_t *p)
 {
 	uint64_t now = p->hub.now_us;
-	bool old = now > p->others_us + (uint64_t)lw_spread_patience_ms(&p->spread) * 1000;
+	bool old = now > p->others_us + (uint64_t)p->spread.patience_ms * 1000;
 
 	if (lw_spread_reads(&p->spread))
 		begin_reading(p, LW_FEED_READER);
@@ -391,7 +391,7 @@
 	ev_async_start(p->hub.loop, &p->fed);
 	lw_feed_init(&p->feed, p->set);
 	p->others_us = p->hub.now_us;
-	p->spread.rank = UINT32_MAX;
+	lw_spread_plan(&(lw_serverlist_t){ 0 }, p->set->backend, p->set->zone, &p->spread);
 	p->reads = true;
 	p->reads_why = LW_FEED_START;
 	ev_timer_init(&p->news_due, on_news_due, LW_NEWS_ASK_MS / 1000.0, 0);
--- a/src/spread.c
+++ b/src/spread.c
@@ -49,20 +49,20 @@
 			      .draining = draining };
 }
 
-/* all nodes by zone; the own one also if its backend server is not listed */
+/* all nodes by zone; the own one also if its backend server is not @listed */
 static size_t collect(const lw_serverlist_t *sl, const char *backend, const char *zone,
-		      lw_member_t *m)
+		      lw_member_t *m, bool *listed)
 {
-	bool listed = false;
 	size_t n = 0;
 
+	*listed = false;
 	for (size_t i = 0; i < sl->nservers; i++) {
 		const lw_server_entry_t *e = &sl->servers[i];
 
-		listed |= strcmp(e->addr, backend) == 0;
+		*listed |= strcmp(e->addr, backend) == 0;
 		m[n++] = member(e->addr, e->zone, e->draining);
 	}
-	if (!listed)
+	if (!*listed)
 		m[n++] = member(backend, zone, false);
 	qsort(m, n, sizeof(*m), by_zone);
 	for (size_t i = 0; i < n; i++)
@@ -122,9 +122,17 @@
 	return rank;
 }
 
+/* what the first ones read is told to the others before they all read it */
+static uint32_t stagger_ms(const char *backend)
+{
+	return (uint32_t)(XXH3_64bits(backend, strlen(backend)) % LW_NEWS_STAGGER_MS);
+}
+
 /*
  * lw_spread_plan() - the part of the node beside the backend server at
- * @backend in @zone, whether it is in the list or not.
+ * @backend in @zone. While that is not in the list, others do not count on it, and it
+ * does not read for them: when a whole fleet starts, each would take itself for
+ * a reader.
  */
 void lw_spread_plan(const lw_serverlist_t *sl, const char *backend, const char *zone,
 		    lw_spread_t *out)
@@ -132,11 +140,15 @@
 	lw_member_t *m = xcalloc(sl->nservers + 1, sizeof(*m));
 	const lw_member_t **first = xcalloc(sl->nservers + 1, sizeof(void *));
 	const lw_member_t **last = xcalloc(sl->nservers + 1, sizeof(void *));
-	size_t n = collect(sl, backend, zone, m);
+	bool listed;
+	size_t n = collect(sl, backend, zone, m, &listed);
 	size_t nzones = 0, self = 0, begin = 0;
 
 	memset(out, 0, sizeof(*out));
-	out->rank = rank_of(m, n, backend);
+	out->rank = listed ? rank_of(m, n, backend) : LW_SPREAD_NO_RANK;
+	out->patience_ms = LW_NEWS_OLD_MS;
+	if (!lw_spread_steps_in(out))
+		out->patience_ms += LW_NEWS_SUBSTITUTES_MS + stagger_ms(backend);
 	while (strcmp(m[self].backend, backend) != 0)
 		self++;
 	for (size_t at = 1; at <= n; at++) {
@@ -166,9 +178,3 @@
 {
 	return s->rank < LW_SPREAD_READERS + LW_SPREAD_SUBSTITUTES;
 }
-
-/* lw_spread_patience_ms() - how old news may be before the node reads the store itself. */
-uint32_t lw_spread_patience_ms(const lw_spread_t *s)
-{
-	return LW_NEWS_OLD_MS + (lw_spread_steps_in(s) ? 0 : LW_NEWS_SUBSTITUTES_MS);
-}
--- a/src/spread.h
+++ b/src/spread.h
@@ -29,6 +29,7 @@
 /* One node's part. */
 typedef struct lw_spread {
 	uint32_t rank; /* among those that read: the first ones do, the next ones step in */
+	uint32_t patience_ms; /* how old news may be before the node reads the store itself */
 	char child[LW_SPREAD_CHILDREN_MAX][LW_NAME_MAX]; /* addresses of backend servers */
 	size_t nchildren;
 } lw_spread_t;
@@ -41,11 +42,14 @@
 #define LW_NEWS_ASK_NODES 3
 /* the others leave the substitutes this much time, ms */
 #define LW_NEWS_SUBSTITUTES_MS 200
+/* and begin one after the other within this time, ms */
+#define LW_NEWS_STAGGER_MS 300
+/* of a node that does not read for others, and stands in for nobody */
+#define LW_SPREAD_NO_RANK UINT32_MAX
 
 void lw_spread_plan(const lw_serverlist_t *sl, const char *backend, const char *zone,
 		    lw_spread_t *out);
 bool lw_spread_reads(const lw_spread_t *s);
 bool lw_spread_steps_in(const lw_spread_t *s);
-uint32_t lw_spread_patience_ms(const lw_spread_t *s);
 
 #endif
--- a/tests/decide_place.c
+++ b/tests/decide_place.c
@@ -229,11 +229,24 @@
 		lw_spread_plan(&sl, sl.servers[i].addr, sl.servers[i].zone, &s);
 		if (s.rank < LW_SPREAD_READERS + LW_SPREAD_SUBSTITUTES)
 			say(w, "%u %s after %u ms", s.rank, sl.servers[i].addr,
-			    lw_spread_reads(&s) ? 0 : lw_spread_patience_ms(&s));
+			    lw_spread_reads(&s) ? 0 : s.patience_ms);
 	}
 	free(sl.servers);
 }
 
+/* reader-unlisted ZONE/ADDR: the part of a node whose backend server is in no list */
+static void do_reader_unlisted(world_t *w, const words_t *a)
+{
+	lw_serverlist_t sl = listed(a);
+	lw_serverlist_t empty = { 0 };
+	lw_spread_t s;
+
+	lw_spread_plan(&empty, sl.servers[0].addr, sl.servers[0].zone, &s);
+	say(w, "rank %s after %u ms", s.rank == LW_SPREAD_NO_RANK ? "none" : "given",
+	    s.patience_ms);
+	free(sl.servers);
+}
+
 /* spread ZONES NODES [DEAD]: how news reaches NODES nodes in each of ZONES zones; every DEAD-th one stands still */
 static void do_spread(world_t *w, const words_t *a)
 {
@@ -304,5 +317,6 @@
 	{ "pick-again", do_pick_again },
 	{ "readers", do_readers },
 	{ "spread", do_spread },
+	{ "reader-unlisted", do_reader_unlisted },
 	{ NULL, NULL },
 };
