A node that does not listen yet is not taken for lost

Symptom: in a fleet that has just started calls go to hosts farther away (test_call_stays_on_its_servers failed 2 of 4: the nearest host was not asked first). Cause: nodes connect to those they tell news from their first list on, some of which do not listen yet; a refused connection made the host suspect for half a second and more. A connection that was only tried says nothing of a node never heard of.

--- a/src/mesh.c
+++ b/src/mesh.c
@@ -122,7 +122,7 @@
 	       l->node, (unsigned long long)l->name, HASH_COUNT(l->streams),
 	       (unsigned long long)(l->queued_total - l->written_total),
 	       (unsigned long long)((l->mesh->hub->now_us - l->heard_us) / 1000));
-	l->mesh->ops->lost(l->mesh->ctx, l->node);
+	l->mesh->ops->lost(l->mesh->ctx, l->node, true);
 	lw_mesh_forget_questions(l);
 	if (l->streams)
 		lw_mesh_ask_fate(l);
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -24,7 +24,8 @@
 	void (*load)(void *ctx, const char *node, const lw_load_t *load);
 	/* the node says that its backend server lives though its entry lapsed */
 	void (*vouched)(void *ctx, const char *node, const char *server, uint64_t born_ms);
-	void (*lost)(void *ctx, const char *node);
+	/* the connection to it is lost or silent; @used: it had carried something */
+	void (*lost)(void *ctx, const char *node, bool used);
 	/* levels this node has news of, for others; and one that another node told */
 	uint32_t (*levels)(void *ctx, lw_heard_t *out, uint32_t most);
 	void (*heard)(void *ctx, const lw_heard_t *heard);
--- a/src/meshlink.c
+++ b/src/meshlink.c
@@ -186,7 +186,7 @@
 	lw_mesh_source_lost(l);
 	lw_mesh_forget_questions(l);
 	if (l->outgoing && !l->silent)
-		l->mesh->ops->lost(l->mesh->ctx, l->node);
+		l->mesh->ops->lost(l->mesh->ctx, l->node, l->streams || l->peer_incarnation);
 	if (l->refused)
 		lw_mesh_peer_gone(l->mesh, l->node);
 	if (l->streams && lw_link_may_wait(l))
--- a/src/place.c
+++ b/src/place.c
@@ -353,14 +353,18 @@
 
 /*
  * lw_place_node_lost() - a node cannot be reached or has gone silent: it gets
- * no new work for a while, longer each time in a row.
+ * no new work for a while, longer each time in a row. @used: the lost connection
+ * had carried something. One that was only tried says nothing of a node never
+ * heard of: in a fleet that starts it may not listen yet.
  */
-void lw_place_node_lost(lw_place_t *p, const char *node, uint64_t now_us)
+void lw_place_node_lost(lw_place_t *p, const char *node, bool used, uint64_t now_us)
 {
 	for (lw_place_service_t *s = p->services; s; s = s->next)
 		for (lw_place_host_t *h = s->hosts; h; h = h->next) {
 			if (strcmp(h->node, node) != 0 || now_us < h->suspect_until_us)
 				continue;
+			if (!used && !h->load_us && !h->backoff_ms)
+				continue;
 			h->backoff_ms = h->backoff_ms ? h->backoff_ms * 2 : SUSPECT_MIN_MS;
 			if (h->backoff_ms > SUSPECT_MAX_MS)
 				h->backoff_ms = SUSPECT_MAX_MS;
--- a/src/place.h
+++ b/src/place.h
@@ -97,7 +97,7 @@
 void lw_place_replaced(lw_place_host_t *h, uint64_t now_us);
 void lw_place_told(lw_place_host_t *h, const lw_load_t *load, uint64_t now_us);
 void lw_place_node_told(lw_place_t *p, const char *node, const lw_load_t *load, uint64_t now_us);
-void lw_place_node_lost(lw_place_t *p, const char *node, uint64_t now_us);
+void lw_place_node_lost(lw_place_t *p, const char *node, bool used, uint64_t now_us);
 typedef void (*lw_place_node_fn)(void *ctx, const char *node);
 void lw_place_each(const lw_place_t *p, lw_place_node_fn fn, void *ctx, uint64_t now_us);
 void lw_place_each_lost(const lw_place_t *p, lw_place_node_fn fn, void *ctx);
--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -227,12 +227,12 @@
 	lw_hotpath_heard(p->engine.hotpath, heard, p->hub.now_us);
 }
 
-static void mesh_lost(void *ctx, const char *node)
+static void mesh_lost(void *ctx, const char *node, bool used)
 {
 	lw_proxy_t *p = ctx;
 
-	lw_log(LW_LOG_node_lost, "node=%s", node);
-	lw_place_node_lost(&p->engine.place, node, p->hub.now_us);
+	lw_log(LW_LOG_node_lost, "node=%s used=%d", node, used);
+	lw_place_node_lost(&p->engine.place, node, used, p->hub.now_us);
 }
 
 static uint64_t mesh_config_version(void *ctx)
--- a/tests/decide_place.c
+++ b/tests/decide_place.c
@@ -139,7 +139,7 @@
 
 static void do_lost(world_t *w, const words_t *a)
 {
-	lw_place_node_lost(&w->place, host_of(w, word(a, 1))->node, ms(a, 2));
+	lw_place_node_lost(&w->place, host_of(w, word(a, 1))->node, !has(a, "tried"), ms(a, 2));
 }
 
 /* outcomes ID ok|failed COUNT AT */
