A node announces itself only to those that may send it requests

A node whose server's entry lapsed tells every connection so twice a second, and a stopping one its state; over connections that it opened itself the other side ignores both.

--- a/src/meshnews.c
+++ b/src/meshnews.c
@@ -177,11 +177,16 @@
 	m->lapsed_born_ms = born_ms;
 }
 
-/* lw_mesh_announce() - tell every connected node this node's state now. */
+/*
+ * lw_mesh_announce() - tell this node's state now to those that may send it
+ * requests. They do so over connections of their own; what is told over one that
+ * this node opened says nothing of its server to the other side.
+ */
 void lw_mesh_announce(lw_mesh_t *m)
 {
 	for (lw_link_t *l = m->links; l; l = l->next)
-		lw_mesh_send_status(l, true);
+		if (!l->outgoing)
+			lw_mesh_send_status(l, true);
 }
 
 /*
