--- a/src/feed.c
+++ b/src/feed.c
@@ -59,6 +59,22 @@
 	set_wanted(f, false);
 }
 
+/*
+ * lw_feed_set_patient() - from the loop: whether this node leaves it to others to be
+ * the first to read again. In an outage every node of a fleet asks the store, and
+ * its calls are priced, those that fail, too.
+ */
+void lw_feed_set_patient(lw_feed_t *f, bool patient)
+{
+	__atomic_store_n(&f->patient, patient, __ATOMIC_RELAXED);
+}
+
+/* lw_feed_is_patient() - from the reader. */
+bool lw_feed_is_patient(const lw_feed_t *f)
+{
+	return __atomic_load_n(&f->patient, __ATOMIC_RELAXED);
+}
+
 /*
  * lw_feed_wait_wanted() - from the reader: wait until the store is to be read.
  * True if it was not for a while, so that what the reader knows is old.
--- a/src/feed.h
+++ b/src/feed.h
@@ -37,6 +37,7 @@
 	lw_mailbox_t servers; /* lw_serverlist_t */
 	uint32_t wanted; /* the loop wants the store to be read; by lw_feed_want() */
 	uint32_t why; /* lw_feed_why_t, of the newest wish; atomic */
+	uint32_t patient; /* other nodes are the first to read again after an outage; atomic */
 	uint64_t read_us; /* boot time of the last successful read; atomic */
 	uint64_t
 		due_us; /* boot time from which the call under way is waited for; 0: none is; atomic */
@@ -64,6 +65,8 @@
 const char *lw_feed_why_name(lw_feed_why_t why);
 void lw_feed_want(lw_feed_t *f, lw_feed_why_t why);
 void lw_feed_rest(lw_feed_t *f);
+void lw_feed_set_patient(lw_feed_t *f, bool patient);
+bool lw_feed_is_patient(const lw_feed_t *f);
 bool lw_feed_wait_wanted(lw_feed_t *f);
 void lw_feed_hurry(lw_feed_t *f);
 void lw_feed_pause(lw_feed_t *f, uint32_t ms);
--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -131,6 +131,8 @@
 static void begin_reading(lw_proxy_t *p, lw_feed_why_t why)
 {
 	lw_feed_want(&p->feed, why);
+	lw_feed_set_patient(&p->feed, why == LW_FEED_NEWS_OLD && p->servers &&
+					      !lw_spread_steps_in(&p->spread));
 	if (p->reads && p->reads_why == why)
 		return;
 	p->reads = true;
--- a/tests/mesh/news.py
+++ b/tests/mesh/news.py
@@ -49,6 +49,21 @@
     check(f.store.calls <= 24 + 3 * 4.5 + 8, f.store.calls)
 
 
+@test({"front": 12, "back": 12})
+async def test_an_outage_costs_few_calls(f):
+    """In an outage of the store every host of the fleet asks it again and again."""
+    await asyncio.sleep(2)
+    f.store.mode = "503"
+    await asyncio.sleep(1)
+    before = f.store.calls
+    await asyncio.sleep(6)
+    # two a second of those that read for others, one in two seconds of the rest
+    check(f.store.calls - before <= 6 * (4 * 2 + 20 / 2), f.store.calls - before)
+    f.store.mode = "ok"
+    f.store.put("op/config", config(8, many_routes(10)))
+    await in_force(f, f.all(), 8, 2)
+
+
 @test({"front": 12, "back": 12})
 async def test_news_past_hosts_that_stand_still(f):
     """A change is late where the hosts that read the store and those that pass news on stand still."""
