A status of an older node does not end a node that has no list yet

Cause: an older node names a revision of its list and no hash; a node without a list has the hash 0, too, took the lists for the same and wrote the revision into one it did not have. test_older_node_heard_before_the_store failed before, passes now.

--- a/src/docfetch.h
+++ b/src/docfetch.h
@@ -45,6 +45,8 @@
 	const void *failed; /* the last one that did not answer */
 	uint64_t asked_us;
 	bool whole; /* differences did not fit: ask for all of it */
+	uint64_t
+		refused; /* version that was whole and yet of no use here; it is not asked for again */
 	lw_revdoc_encoded_t got; /* len: of what has come so far */
 	size_t expected; /* length of the encoded form */
 } lw_docfetch_t;
--- a/src/linux/sock.c
+++ b/src/linux/sock.c
@@ -103,7 +103,7 @@
 /* lw_sock_peer() - the IP address at the other end of @fd; empty if it is not known. */
 void lw_sock_peer(int fd, char *dst, size_t len)
 {
-	struct sockaddr_in sa;
+	struct sockaddr_in sa = { 0 };
 	socklen_t salen = sizeof(sa);
 
 	dst[0] = '\0';
--- a/src/meshdocs.c
+++ b/src/meshdocs.c
@@ -40,7 +40,8 @@
 static bool has_newer(const lw_link_t *l, Lw__DocumentKind kind)
 {
 	return !l->closed && !l->silent && l->peer_fetches && lw_link_greeted(l) &&
-	       peer_has(l, kind) > own_has(l->mesh, kind);
+	       peer_has(l, kind) > own_has(l->mesh, kind) &&
+	       peer_has(l, kind) > l->mesh->fetch[kind].refused;
 }
 
 /* lw_mesh_fetch_from() - fetch what the peer has in a newer version, unless a fetch is under way. */
@@ -131,6 +132,9 @@
 	case LW_DOCFETCH_DONE:
 		received(m, w->kind, piece.of.version, (lw_str_t){ bytes, piece.of.length });
 		free(bytes);
+		/* as a newer version may accept what this one does not understand */
+		if (own_has(m, w->kind) < piece.of.version)
+			m->fetch[w->kind].refused = piece.of.version;
 		lw_mesh_settle_news(l);
 		break;
 	case LW_DOCFETCH_SPOILED:
--- a/src/meshnews.c
+++ b/src/meshnews.c
@@ -125,7 +125,8 @@
 	uint64_t own = own_revision(m);
 
 	l->peer_news_us = m->hub->now_us > age_us ? m->hub->now_us - age_us : 0;
-	if (w->servers_revision > own && w->servers_hash == lw_revdoc_hash(servers_document(m))) {
+	if (w->servers_revision > own && own &&
+	    w->servers_hash == lw_revdoc_hash(servers_document(m))) {
 		m->ops->servers_confirmed(m->ctx, w->servers_revision);
 		own = w->servers_revision;
 	}
--- a/tests/mesh/news.py
+++ b/tests/mesh/news.py
@@ -88,3 +88,20 @@
     await old.send_config(6, text)
     await in_force(f, f.all(), 6, 3)
     old.close()
+
+
+@test({"front": 1, "back": 2}, start=False)
+async def test_older_node_heard_before_the_store(f):
+    """A node that starts without the store ends when a node of the older version names its list."""
+    f.store.mode = "503"
+    await f.start(wait=False)
+    node = f.nodes["front"][0]
+    old = olderpeer.Peer(node.ip)
+    old.revision = 9
+    await until(lambda: node.logged("started"), bool, 3)
+    await old.connect()
+    await until(lambda: old.statuses, lambda n: n >= 2, 3)
+    check(node.proc.poll() is None, "the node ended")
+    f.store.mode = "ok"
+    await f.until_ready(timeout=5)
+    old.close()
--- a/tests/mesh/olderpeer.py
+++ b/tests/mesh/olderpeer.py
@@ -57,6 +57,7 @@
 class Peer:
     def __init__(self, ip):
         self.ip, self.config, self.servers, self.statuses = ip, 0, [], 0
+        self.revision = 0
 
     async def connect(self):
         self.reader, self.writer = await asyncio.open_connection(self.ip, fl.MESH)
@@ -66,7 +67,7 @@
     def status(self, is_reply):
         load = field(3, 8) + field(7, self.config)
         return (field(1, int(is_reply)) + field(LOAD, load) + field(4, 60000) +
-                field(6, 77) + varint(7 << 3 | 1) + b"\x01\x02\x03\x04\x05\x06\x07\x08")
+                field(5, self.revision) + field(6, 77) + varint(7 << 3 | 1) + b"\x01\x02\x03\x04\x05\x06\x07\x08")
 
     async def run(self):
         while True:
--- a/tests/test_docfetch.c
+++ b/tests/test_docfetch.c
@@ -27,7 +27,7 @@
 static void test_only_differences_are_sent(void)
 {
 	lw_revdoc_t from = { 0 }, to = { 0 };
-	const lw_revdoc_encoded_t *e;
+	lw_revdoc_encoded_t e;
 	lw_str_t text;
 	char *got;
 
@@ -35,17 +35,16 @@
 	CU_ASSERT_TRUE(lw_revdoc_put(&to, 1, text_of(1, LINES)));
 	text = text_of(2, LINES);
 	CU_ASSERT_TRUE(lw_revdoc_put(&from, 2, text));
-	e = lw_revdoc_encode(&from, lw_revdoc_hash(&to));
-	CU_ASSERT_PTR_NOT_NULL_FATAL(e);
-	CU_ASSERT_TRUE(e->len < 512);
-	CU_ASSERT_EQUAL_FATAL(lw_revdoc_decode(&to, e, &got), LW_OK);
-	CU_ASSERT_EQUAL(e->length, text.len);
+	e = *lw_revdoc_encode(&from, lw_revdoc_hash(&to));
+	CU_ASSERT_TRUE(e.len < 512);
+	CU_ASSERT_EQUAL_FATAL(lw_revdoc_decode(&to, &e, &got), LW_OK);
+	CU_ASSERT_EQUAL(e.length, text.len);
 	CU_ASSERT_EQUAL(memcmp(got, text.ptr, text.len), 0);
 	free(got);
 	/* one that has nothing is sent all of it */
-	e = lw_revdoc_encode(&from, 0);
-	CU_ASSERT_EQUAL(e->base, 0);
-	CU_ASSERT_TRUE(e->len > 10 * 512);
+	e = *lw_revdoc_encode(&from, 0);
+	CU_ASSERT_EQUAL(e.base, 0);
+	CU_ASSERT_TRUE(e.len > 10 * 512);
 	lw_revdoc_free(&from);
 	lw_revdoc_free(&to);
 }
