--- a/tests/decide.c
+++ b/tests/decide.c
@@ -18,6 +18,7 @@
 	decide_retry_commands,
 	decide_place_commands,
 	decide_lease_commands,
+	decide_spread_commands,
 };
 
 /* word() - word @i of the command, empty if there is none. */
--- a/tests/decide.h
+++ b/tests/decide.h
@@ -55,6 +55,7 @@
 extern const command_t decide_retry_commands[];
 extern const command_t decide_place_commands[];
 extern const command_t decide_lease_commands[];
+extern const command_t decide_spread_commands[];
 extern const lw_retryterms_t decide_retry_terms;
 
 const char *word(const words_t *a, int i);
--- a/tests/decide_place.c
+++ b/tests/decide_place.c
@@ -1,10 +1,8 @@
-/* Scripted decisions on servers' entries, placement and readers. */
-#include <stdio.h>
+/* Scripted decisions on servers' entries, and placement. */
 #include <stdlib.h>
 #include <string.h>
 
 #include "decide.h"
-#include "spread.h"
 #include "xalloc.h"
 
 /* entry ID SERVICE ADDR ZONE SLOTS CREATED [draining] [born N] | entry-gone ID | entry-list AT ... */
@@ -199,105 +197,6 @@
 	say(w, "%s", pick ? pick->id : "none");
 }
 
-/* the list of servers that a script names as ZONE/ADDR */
-static lw_serverlist_t listed(const words_t *a)
-{
-	lw_serverlist_t sl = { .servers = xcalloc(WORDS_MAX, sizeof(lw_server_entry_t)) };
-
-	for (int i = 1; i < a->n; i++) {
-		lw_server_entry_t *e = &sl.servers[sl.nservers];
-		const char *slash = strchr(word(a, i), '/');
-
-		if (!slash)
-			continue;
-		lw_str_copy(e->zone, LW_NAME_MAX,
-			    (lw_str_t){ word(a, i), (size_t)(slash - word(a, i)) });
-		lw_str_copy(e->addr, LW_NAME_MAX, lw_str_c(slash + 1));
-		e->draining = has(a, "draining") && i == 1;
-		sl.nservers++;
-	}
-	return sl;
-}
-
-/* readers ZONE/ADDR... [draining]: which of the nodes beside these backend servers read; the first one drains */
-static void do_readers(world_t *w, const words_t *a)
-{
-	lw_serverlist_t sl = listed(a);
-	lw_spread_t s;
-
-	for (size_t i = 0; i < sl.nservers; i++) {
-		lw_spread_plan(&sl, sl.servers[i].addr, sl.servers[i].zone, &s);
-		if (s.rank < LW_SPREAD_READERS + LW_SPREAD_SUBSTITUTES)
-			say(w, "%u %s after %u ms", s.rank, sl.servers[i].addr,
-			    lw_spread_reads(&s) ? 0 : s.patience_ms);
-	}
-	free(sl.servers);
-}
-
-/* reader-unlisted ZONE/ADDR: the part of a node whose backend server is in no list */
-static void do_reader_unlisted(world_t *w, const words_t *a)
-{
-	lw_serverlist_t sl = listed(a);
-	lw_serverlist_t empty = { 0 };
-	lw_spread_t s;
-
-	lw_spread_plan(&empty, sl.servers[0].addr, sl.servers[0].zone, &s);
-	say(w, "rank %s after %u ms", s.rank == LW_SPREAD_NO_RANK ? "none" : "given",
-	    s.patience_ms);
-	free(sl.servers);
-}
-
-/* spread ZONES NODES [DEAD]: how news reaches NODES nodes in each of ZONES zones; every DEAD-th one stands still */
-static void do_spread(world_t *w, const words_t *a)
-{
-	size_t zones = (size_t)num(a, 1), per = (size_t)num(a, 2), n = zones * per;
-	size_t every = (size_t)num(a, 3);
-	lw_serverlist_t sl = { .servers = xcalloc(n, sizeof(lw_server_entry_t)), .nservers = n };
-	lw_spread_t *plan = xcalloc(n, sizeof(*plan));
-	uint32_t *hops = xcalloc(n, sizeof(*hops));
-	uint32_t most = 0, heard = 0, depth = 0, between = 0, alive = 0;
-	bool more = true;
-
-	for (size_t i = 0; i < n; i++) {
-		snprintf(sl.servers[i].addr, LW_NAME_MAX, "10.0.%zu.%zu:80", i / 250, i % 250);
-		snprintf(sl.servers[i].zone, LW_NAME_MAX, "z%zu", i % zones);
-	}
-	for (size_t i = 0; i < n; i++) {
-		lw_spread_plan(&sl, sl.servers[i].addr, sl.servers[i].zone, &plan[i]);
-		if (plan[i].nchildren > most)
-			most = (uint32_t)plan[i].nchildren;
-		hops[i] = lw_spread_reads(&plan[i]) ? 1 : 0;
-	}
-	for (uint32_t at = 1; more; at++) {
-		more = false;
-		for (size_t i = 0; i < n; i++) {
-			if (hops[i] != at || (every && i % every == 0 && at > 1))
-				continue;
-			for (size_t c = 0; c < plan[i].nchildren; c++) {
-				size_t to = 0;
-
-				while (strcmp(sl.servers[to].addr, plan[i].child[c]) != 0)
-					to++;
-				between += to % zones != i % zones;
-				if (hops[to])
-					continue;
-				hops[to] = at + 1;
-				depth = at;
-				more = true;
-			}
-		}
-	}
-	for (size_t i = 0; i < n; i++) {
-		alive += !every || i % every;
-		heard += hops[i] && (!every || i % every);
-	}
-	say(w, "%u of %u hear, %u hops, %u children at most, %u times between zones", heard, alive,
-	    depth, most, between);
-	free(hops);
-	free(plan);
-	free(sl.servers);
-}
-
 const command_t decide_place_commands[] = {
 	{ "entry", do_entry },
 	{ "entry-gone", do_entry_gone },
@@ -315,8 +214,5 @@
 	{ "outcomes", do_outcomes },
 	{ "pick", do_pick },
 	{ "pick-again", do_pick_again },
-	{ "readers", do_readers },
-	{ "spread", do_spread },
-	{ "reader-unlisted", do_reader_unlisted },
 	{ NULL, NULL },
 };
