Reasons to read the store that alternate are not a line each time

A reader whose own server's entry lapsed wrote a line every 0.1 s, as either reason came round. Found in reading the diff; only lines change, and the reason that the status shows.

--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -133,7 +133,8 @@
 	lw_feed_want(&p->feed, why);
 	lw_feed_set_patient(&p->feed, why == LW_FEED_NEWS_OLD && p->servers &&
 					      !lw_spread_steps_in(&p->spread));
-	if (p->reads && p->reads_why == why)
+	/* several reasons may hold at once: only a new one that outlasts the others is told */
+	if (p->reads && (p->reads_why == why || why != LW_FEED_READER))
 		return;
 	p->reads = true;
 	p->reads_why = why;
