--- a/tests/decide.c
+++ b/tests/decide.c
@@ -14,11 +14,8 @@
 #include "lwtest.h"
 
 static const command_t *const groups[] = {
-	decide_route_commands,
-	decide_retry_commands,
-	decide_place_commands,
-	decide_lease_commands,
-	decide_spread_commands,
+	decide_route_commands, decide_retry_commands,  decide_place_commands,
+	decide_lease_commands, decide_spread_commands,
 };
 
 /* word() - word @i of the command, empty if there is none. */
