--- a/tests/mesh/fates.py
+++ b/tests/mesh/fates.py
@@ -547,3 +547,24 @@
         await asyncio.gather(*reads.values())
         late += [rid for _, rid in host.server.ran[before:] if rid in over]
     check(not late, late)
+
+
+@test({"front": 1, "back": 1})
+async def test_answer_that_lay_in_a_buffer_is_delivered(f):
+    """An answer that came while the asking host stood still is lost with the process that sent it."""
+    async def work(s, head, rid, stage):
+        if stage == "run" and rid == "order":
+            await asyncio.sleep(0.3)
+    node, host = f.nodes["front"][0], f.nodes["back"][0]
+    host.server.behave = work
+    for i in range(4):
+        await node.caller().ask("POST", "/up/1", f"w{i}", body=b"x")
+    order = asyncio.ensure_future(node.caller().ask("POST", "/up/1", "order", body=b"x"))
+    await until(lambda: runs(f, "order"), lambda n: n == 1)
+    node.signal(signal.SIGSTOP)
+    await asyncio.sleep(0.6)
+    host.kill()
+    await asyncio.sleep(0.2)
+    node.signal(signal.SIGCONT)
+    a = await order
+    check(a.status == 200, a)
