Answers that lay in a buffer are delivered, whatever became of their connection

Cause: all that lay on a connection of a host that stood still was read before any was acted on, and dropped with a lost connection; meant for requests, it took answers, too. Only connections that bring requests are read so now.

--- a/src/meshlink.c
+++ b/src/meshlink.c
@@ -275,18 +275,14 @@
 }
 
 /*
- * What lay in the buffers of a host that stood still: a request in it may be
- * given up further on, or its connection be lost by now, and its caller was
- * answered by another server. So all of it is read before any is acted on.
+ * Requests that lay in the buffers of a host that stood still: one may be given up
+ * further on, or its connection be lost by now, and its caller was answered by
+ * another server. So all is read before any is acted on. Answers are taken
+ * as they come, whatever became of their connection.
  */
-static void act_on_late(lw_link_t *l)
+static bool requests_are_late(const lw_link_t *l)
 {
-	find_given_up(l);
-	read_frames(l);
-	if (l->closed)
-		return;
-	lw_bytebuf_free(&l->given_up);
-	l->late_us = 0;
+	return l->late_us && !l->outgoing;
 }
 
 static void on_readable(lw_link_t *l)
@@ -299,7 +295,7 @@
 			lw_bytebuf_commit(&l->in, (size_t)n);
 			l->heard_us = l->mesh->hub->now_us;
 			l->asked_us = 0;
-			if (l->late_us)
+			if (requests_are_late(l))
 				continue;
 			if (n < READ_BYTES)
 				break;
@@ -313,12 +309,14 @@
 		lw_link_lost(l);
 		return;
 	}
-	if (l->late_us)
-		act_on_late(l);
-	else
-		read_frames(l);
-	if (!l->closed)
-		lw_bytebuf_consume(&l->in, 0);
+	if (requests_are_late(l))
+		find_given_up(l);
+	read_frames(l);
+	if (l->closed)
+		return;
+	lw_bytebuf_free(&l->given_up);
+	l->late_us = 0;
+	lw_bytebuf_consume(&l->in, 0);
 }
 
 static void on_io(struct ev_loop *loop, ev_io *w, int revents)
