Soak: a process is excused from a signal only if it is young and cannot handle it

Cause: let /proc alone decide, which excused processes of any age; the check was wider above 0.1 s, on a suspicion. Change: both must hold, which is stricter than either before.

--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -11,6 +11,8 @@
 
 DRAIN_S = 2.0
 GRACE_S = 6.0
+# before main() has begun nobody can handle a signal; a process older than this has begun it
+YOUNG_S = 0.1
 # a process has read its settings by then
 START_S = 0.5
 # a node says so soon after SIGHUP, also while it is stopping
@@ -88,8 +90,7 @@
         began = time.monotonic()
         self.note(f"term {node.ip}", node.ip)
         self.terms.append((began, node.ip))
-        # before main() has begun nobody can handle a signal
-        handled = node.handles(signal.SIGTERM)
+        handled = began - node.started >= YOUNG_S or node.handles(signal.SIGTERM)
         node.signal(signal.SIGTERM)
         while node.proc.poll() is None and time.monotonic() < began + GRACE_S:
             await asyncio.sleep(0.05)
@@ -132,7 +133,8 @@
         """SIGHUP; the file is new or broken, and the node must say which."""
         how, good, bad, lines = (rng.random(), rng.choice(GOOD_SETTINGS),
                                  rng.choice(BAD_SETTINGS), rng.choice(LINES_PER_S))
-        if node.proc.poll() is not None or not node.handles(signal.SIGHUP):
+        if node.proc.poll() is not None or (
+                time.monotonic() - node.started < YOUNG_S and not node.handles(signal.SIGHUP)):
             return
         text = node.settings()
         if time.monotonic() - node.started < START_S:
