Logs tell one request from another, and a server's end from a broken answer

Cause: ids are new with every repeat, so no line showed whether one request was in hand each time a server ended, and a broken call looked the same whether its server broke off one answer or was gone.

Calls whose connections break wait 3 ms for a look (gatecrash.c): if no connection to the server stands and a new one is refused it has ended, which E1601 says with the number of requests in hand.

Ruled out: XXH3, which is at hand, as its collisions can be made by callers that choose bodies. No decision depends on either yet.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -101,12 +101,12 @@
 	lw_reply_t *reply = x->reply;
 
 	lw_log(LW_LOG_request_ended,
-	       "id=%s route=%s service=%s config=%llu rank=%u status=%u why=%s given=%u handed_back=%u maybe_ran=%d after_ms=%u retry_after_ms=%u last=%s",
+	       "id=%s route=%s service=%s config=%llu rank=%u status=%u why=%s given=%u handed_back=%u maybe_ran=%d after_ms=%u retry_after_ms=%u last=%s print=%016llx",
 	       x->request_id, x->route, x->service->name,
 	       (unsigned long long)x->engine->conf->version, x->rank, status, lw_fail_name(why),
 	       x->attempts.given, x->attempts.handed_back, x->attempts.maybe_ran,
 	       (uint32_t)((x->engine->hub->now_us - x->started_us) / 1000), retry_after_ms,
-	       x->last[0] ? x->last : "none");
+	       x->last[0] ? x->last : "none", (unsigned long long)x->print.value.whole);
 	lw_exchange_tell_parent(x);
 	lw_exchange_release(x);
 	if (reply)
@@ -196,6 +196,7 @@
 		return;
 	lw_bytebuf_append_str(&x->body, data);
 	x->fin = fin;
+	lw_fingerprinter_body(&x->print, data, fin);
 	lw_exchange_feed(x);
 }
 
@@ -262,6 +263,9 @@
 	const lw_hub_t *hub = x->engine->hub;
 
 	lw_httphead_forward(h, &x->head);
+	lw_fingerprinter_begin(&x->print,
+			       (lw_str_t){ lw_bytebuf_head(&x->head), lw_bytebuf_len(&x->head) });
+	lw_fingerprinter_body(&x->print, (lw_str_t){ NULL, 0 }, x->fin);
 	lw_bytebuf_printf(&x->head, "%s: %s\r\n", hub->names->header[LW_HEADER_CALLER],
 			  hub->set->service);
 }
--- a/src/exchange_int.h
+++ b/src/exchange_int.h
@@ -37,6 +37,7 @@
 	uint64_t target_us; /* when the user request misses its latency objective */
 	uint32_t room_ms; /* shortest wait for room a server told */
 	lw_attempts_t attempts;
+	lw_fingerprinter_t print;
 	lw_place_tried_t tried;
 	ev_timer timer;
 	ev_timer stall; /* until the lw_exchange_attempt counts as stalled */
--- /dev/null
+++ b/src/fingerprint.c
@@ -0,0 +1,78 @@
+/* Digests of requests; see fingerprint.h. */
+#include "fingerprint.h"
+
+#include <string.h>
+#include <strings.h>
+
+static uint64_t digest(const struct sha256_ctx *sha)
+{
+	struct sha256_ctx copy = *sha;
+	uint64_t out;
+
+	sha256_digest(&copy, sizeof(out), (uint8_t *)&out);
+	return out;
+}
+
+static void update(lw_fingerprinter_t *f, const char *data, size_t len)
+{
+	sha256_update(&f->sha, len, (const uint8_t *)data);
+}
+
+/* the line that begins at @at, without its end; @next: where the one after it begins */
+static lw_str_t line_at(lw_str_t text, size_t at, size_t *next)
+{
+	const char *end = memchr(text.ptr + at, '\r', text.len - at);
+	size_t len = end ? (size_t)(end - text.ptr) - at : text.len - at;
+
+	*next = at + len + 2;
+	return (lw_str_t){ text.ptr + at, len };
+}
+
+static bool is_host(lw_str_t line)
+{
+	static const lw_str_t name = { "host:", 5 };
+
+	return line.len > name.len && strncasecmp(line.ptr, name.ptr, name.len) == 0;
+}
+
+/*
+ * lw_fingerprinter_begin() - the digest of the request with @head: its first line
+ * and its header lines, CRLF each. Other headers than the host do not count, as
+ * some are new with every request.
+ */
+void lw_fingerprinter_begin(lw_fingerprinter_t *f, lw_str_t head)
+{
+	size_t next = 0;
+	bool first = true;
+
+	sha256_init(&f->sha);
+	f->left = LW_FINGERPRINT_BODY_BYTES;
+	f->known = false;
+	while (next < head.len) {
+		lw_str_t line = line_at(head, next, &next);
+
+		if (!first && !is_host(line))
+			continue;
+		update(f, line.ptr, line.len);
+		update(f, "\n", 1);
+		first = false;
+	}
+	f->value.head = digest(&f->sha);
+	f->value.whole = 0;
+}
+
+/* lw_fingerprinter_body() - more of the body; @fin: that was all. */
+void lw_fingerprinter_body(lw_fingerprinter_t *f, lw_str_t data, bool fin)
+{
+	size_t len = data.len < f->left ? data.len : f->left;
+
+	if (f->known)
+		return;
+	if (len)
+		update(f, data.ptr, len);
+	f->left -= (uint32_t)len;
+	if (f->left && !fin)
+		return;
+	f->value.whole = digest(&f->sha);
+	f->known = true;
+}
--- a/src/gate.c
+++ b/src/gate.c
@@ -216,6 +216,7 @@
 	j = lw_job_new(g, sink, ask);
 	j->fin = fin;
 	lw_bytebuf_append_str(&j->body, body);
+	lw_fingerprinter_body(&j->print, body, fin);
 	g->ncalls++;
 	HASH_ADD_KEYPTR(hh, g->by_id, j->request_id, strlen(j->request_id), j);
 	if (occupied(g) < g->limit && !g->queue.first) {
@@ -250,12 +251,15 @@
  */
 void lw_gate_server_down(lw_gate_t *g)
 {
-	if (g->hub->now_us < g->down_until_us)
+	if (g->hub->now_us < g->down_until_us) {
+		lw_gate_look_down(g);
 		return;
+	}
 	g->down_until_us = g->hub->now_us + DOWN_US;
 	lw_log(LW_LOG_backend_error, "server=%s why=no_connection queued=%zu", g->server_id,
 	       g->queue.len);
 	hand_back_queue(g, LW_FAIL_NO_SERVER);
+	lw_gate_look_down(g);
 }
 
 /*
@@ -378,6 +382,7 @@
 	ev_timer_init(&g->expiry, on_expiry, 0, EXPIRY_STEP_S);
 	g->expiry.data = g;
 	lw_level_init(&g->level);
+	lw_gate_look_init(g);
 	ev_timer_init(&g->step, on_step, 0, LW_LEVEL_STEP_MS / 1000.0);
 	g->step.data = g;
 	lw_hub_on_tick(hub, lw_gate_close_old_idle, g);
--- a/src/gate.h
+++ b/src/gate.h
@@ -12,6 +12,7 @@
 
 #include "bconn.h"
 #include "call.h"
+#include "fingerprint.h"
 #include "histogram.h"
 #include "hub.h"
 #include "level.h"
@@ -27,6 +28,19 @@
 	lw_histogram_t wait;
 } lw_gate_stats_t;
 
+/* Requests in hand at the end of the backend server that are told apart. */
+#define LW_CRASH_SUSPECTS_MAX 128
+
+/* A look whether the backend server has ended; see gatecrash.c. */
+typedef struct lw_crash {
+	ev_timer due; /* runs while the look is under way */
+	ev_io io; /* of the connection that shows it */
+	uint64_t since_us; /* when the first connection broke */
+	uint32_t in_hand; /* requests whose connections broke */
+	uint32_t nsuspects; /* of these, known by their digests */
+	lw_fingerprint_t suspects[LW_CRASH_SUSPECTS_MAX];
+} lw_crash_t;
+
 typedef struct lw_gate {
 	lw_hub_t *hub;
 	uint32_t slots; /* of the backend server; 0: not known yet */
@@ -56,6 +70,7 @@
 	uint32_t quiet_steps;
 	lw_level_t level;
 	struct lw_job *by_id; /* calls by request id */
+	lw_crash_t crash;
 	lw_gate_stats_t stats;
 } lw_gate_t;
 
--- a/src/gate_int.h
+++ b/src/gate_int.h
@@ -36,6 +36,8 @@
 	bool head_passed; /* the sink has the head of the answer */
 	bool not_run; /* the backend server says that it did not run it */
 	bool dead;
+	bool broken; /* its connection ended; told once it is known whether the server did */
+	lw_fingerprinter_t print;
 	uint32_t rank;
 	bool repeat;
 	bool call_failed; /* a call made for it failed */
@@ -54,6 +56,9 @@
 void lw_gate_dispatch(lw_gate_t *g);
 void lw_gate_ran(lw_gate_t *g, uint64_t took_us);
 void lw_gate_server_down(lw_gate_t *g);
+void lw_gate_look(lw_job_t *j);
+void lw_gate_look_down(lw_gate_t *g);
+void lw_gate_look_init(lw_gate_t *g);
 lw_job_t *lw_job_new(lw_gate_t *g, lw_sink_t *sink, const lw_ask_t *ask);
 
 #endif
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -75,8 +75,9 @@
 	if (lw_fail_reached_server(why))
 		took_outcome(g, true);
 	lw_log(LW_LOG_call_ended,
-	       "id=%s server=%s why=%s ran_ms=%llu waited_ms=%llu running=%u queued=%zu limit=%u",
+	       "id=%s server=%s why=%s print=%016llx ran_ms=%llu waited_ms=%llu running=%u queued=%zu limit=%u",
 	       j->request_id, j->target, lw_fail_name(why),
+	       (unsigned long long)j->print.value.whole,
 	       j->started_us ? (unsigned long long)((g->hub->now_us - j->started_us) / 1000) : 0,
 	       (unsigned long long)(((j->started_us ? j->started_us : g->hub->now_us) -
 				     j->came_us) /
@@ -220,8 +221,12 @@
 	bool refused = !j->conn->established;
 
 	j->conn = NULL;
-	lw_job_fail(j, sent ? LW_FAIL_BROKEN : LW_FAIL_NO_SERVER);
-	if (!sent && refused)
+	if (sent) {
+		lw_gate_look(j);
+		return;
+	}
+	lw_job_fail(j, LW_FAIL_NO_SERVER);
+	if (refused)
 		lw_gate_server_down(g);
 }
 
@@ -309,9 +314,10 @@
 {
 	lw_job_t *j = (lw_job_t *)call;
 
-	if (j->dead)
+	if (j->dead || j->broken)
 		return;
 	j->fin = fin;
+	lw_fingerprinter_body(&j->print, data, fin);
 	if (!j->conn) {
 		lw_bytebuf_append_str(&j->body, data);
 		j->gate->queued_bytes += data.len;
@@ -373,6 +379,7 @@
 	j->rank = ask->rank;
 	j->repeat = ask->repeat;
 	lw_bytebuf_append_str(&j->head, ask->head);
+	lw_fingerprinter_begin(&j->print, ask->head);
 	j->request_id = lw_str_dup(ask->request_id);
 	lw_str_copy(j->target, sizeof(j->target), ask->target);
 	ev_timer_init(&j->timer, on_job_timeout, 0, 0);
--- a/src/log.h
+++ b/src/log.h
@@ -89,7 +89,9 @@
 	X(1410, fate_heard, LOG_NOTICE, "a node told what became of such requests")                \
 	X(1411, link_ended, LOG_NOTICE,                                                            \
 	  "requests of a lost connection got their outcome, as nobody knew more of them")          \
-	X(1600, backend_error, LOG_WARNING, "the local backend server could not be reached")
+	X(1600, backend_error, LOG_WARNING, "the local backend server could not be reached")       \
+	X(1601, server_ended, LOG_WARNING,                                                         \
+	  "the local backend server ended with requests in hand, and takes no connection")
 
 typedef enum lw_event_id {
 #define LW_EV_ENUM(id, name, pri, desc) LW_LOG_##name = id,
--- a/tools/deps.sh
+++ b/tools/deps.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Install the Debian packages the build needs, once; a no-op when present.
 set -e
-PKGS="liburcu-dev libprotobuf-c-dev libmicrohttpd-dev libneon27-dev libargtable2-dev libcunit1-dev libtomlplusplus-dev libxxhash-dev libcairo2-dev libclang-rt-14-dev uthash-dev libev-dev libhttp-parser-dev libjansson-dev libzstd-dev"
+PKGS="liburcu-dev libprotobuf-c-dev libmicrohttpd-dev libneon27-dev libargtable2-dev libcunit1-dev libtomlplusplus-dev libxxhash-dev libcairo2-dev libclang-rt-14-dev uthash-dev libev-dev libhttp-parser-dev libjansson-dev libzstd-dev nettle-dev"
 missing=""
 for p in $PKGS; do
 	dpkg -s "$p" >/dev/null 2>&1 || missing="$missing $p"
