--- a/src/call.h
+++ b/src/call.h
@@ -34,6 +34,8 @@
 	/* it may have run */
 	LW_FAIL_BROKEN, /* the connection ended or the answer was not valid */
 	LW_FAIL_TIMEOUT, /* no answer in time */
+	/* no backend server was given it: servers ended under it; never told to other nodes */
+	LW_FAIL_HELD,
 	LW_FAIL_COUNT
 } lw_fail_t;
 
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -120,6 +120,11 @@
 				     lw_exchange_left_ms(x, x->deadline_us),
 				     lw_hub_random(x->engine->hub, UINT32_MAX));
 
+	/* all that held it are certain to refuse it until then */
+	if (why == LW_FAIL_HELD) {
+		x->engine->stats.held++;
+		ms = room;
+	}
 	x->engine->stats.refused++;
 	lw_exchange_count(x, LW_ROUTE_REFUSED);
 	answer_own(x, 503, why, ms);
@@ -197,6 +202,11 @@
 	lw_bytebuf_append_str(&x->body, data);
 	x->fin = fin;
 	lw_fingerprinter_body(&x->print, data, fin);
+	if (x->awaits_body && x->print.known) {
+		x->awaits_body = false;
+		lw_exchange_attempt(x, LW_FAIL_NO_SERVER);
+		return;
+	}
 	lw_exchange_feed(x);
 }
 
@@ -374,6 +384,10 @@
 /* lw_exchange_send() - find the request a server. */
 void lw_exchange_send(lw_exchange_t *x)
 {
-	if (!x->dead)
+	if (x->dead)
+		return;
+	x->awaits_body = !x->print.known &&
+			 lw_quarantine_awaits_body(x->engine->quarantine, x->print.value.head);
+	if (!x->awaits_body)
 		lw_exchange_attempt(x, LW_FAIL_NO_SERVER);
 }
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -53,6 +53,7 @@
 	uint64_t retries_denied;
 	uint64_t handed_back;
 	uint64_t cut;
+	uint64_t held; /* of those refused: backend servers ended under them */
 	lw_histogram_t latency_user;
 	lw_histogram_t latency_nested;
 } lw_engine_stats_t;
@@ -63,6 +64,7 @@
 	lw_place_t place;
 	lw_gate_t gate;
 	lw_mesh_t *mesh;
+	lw_quarantine_t *quarantine;
 	lw_hotpath_t *hotpath;
 	lw_fleetconf_t *conf; /* in force; NULL before the first */
 	uint32_t active;
--- a/src/exchange_int.h
+++ b/src/exchange_int.h
@@ -50,6 +50,9 @@
 	uint32_t above; /* levels of requests above it */
 	bool fin; /* the body is complete */
 	bool answering; /* the caller has the head of the answer */
+	bool answered_well; /* it is no failure of the server */
+	bool heard_of_ends; /* word of servers that ended under it elsewhere was waited for */
+	bool awaits_body; /* which tells whether servers ended under the request */
 	bool dead;
 };
 
@@ -68,6 +71,12 @@
 void lw_exchange_attempt(lw_exchange_t *x, lw_fail_t last);
 void lw_exchange_attempt_at(lw_exchange_t *x, lw_place_host_t *host, lw_fail_t last);
 void lw_exchange_give(lw_exchange_t *x);
+lw_quarantine_verdict_t lw_exchange_verdict(const lw_exchange_t *x);
+bool lw_exchange_detain(lw_exchange_t *x, lw_fail_t last);
+void lw_exchange_tell_answered(const lw_exchange_t *x);
+void lw_exchange_go_on(lw_exchange_t *x, lw_fail_t why);
+bool lw_exchange_wait_for_word(lw_exchange_t *x);
+bool lw_exchange_wait_for_host(lw_exchange_t *x, lw_fail_t last);
 lw_place_ask_t lw_exchange_choice(const lw_exchange_t *x);
 void lw_exchange_log_retry(const lw_exchange_t *x, lw_fail_t last);
 
--- a/src/exchattempt.c
+++ b/src/exchattempt.c
@@ -107,22 +107,30 @@
 		lw_gate_note_call(&e->gate, x->parent_id, &shut);
 }
 
-/* wait for a host if there is time and none has had the request */
-static void hold_or_answer(lw_exchange_t *x, lw_fail_t last)
+/* lw_exchange_wait_for_host() - look again in a moment, if there is time and no host had the request */
+bool lw_exchange_wait_for_host(lw_exchange_t *x, lw_fail_t last)
 {
 	uint32_t percent = x->nested ? HOLD_NESTED_PERCENT : HOLD_NEW_PERCENT;
 	uint64_t hold_us = (uint64_t)x->target_ms * percent * 10;
+
+	if (x->attempts.given ||
+	    x->engine->hub->now_us - x->started_us + HOLD_STEP_MS * 1000 >= hold_us)
+		return false;
+	x->held_for = last;
+	x->attempts.handed_back = 0;
+	ev_timer_init(&x->hold, lw_exchange_hold_over, HOLD_STEP_MS / 1000.0, 0);
+	x->hold.data = x;
+	ev_timer_start(x->engine->hub->loop, &x->hold);
+	return true;
+}
+
+/* wait for a host if there is time and none has had the request */
+static void hold_or_answer(lw_exchange_t *x, lw_fail_t last)
+{
 	bool unreached = last == LW_FAIL_NO_SERVER || last == LW_FAIL_UNSENT;
 
-	if (unreached && !x->attempts.given &&
-	    x->engine->hub->now_us - x->started_us + HOLD_STEP_MS * 1000 < hold_us) {
-		x->held_for = last;
-		x->attempts.handed_back = 0;
-		ev_timer_init(&x->hold, lw_exchange_hold_over, HOLD_STEP_MS / 1000.0, 0);
-		x->hold.data = x;
-		ev_timer_start(x->engine->hub->loop, &x->hold);
+	if (unreached && lw_exchange_wait_for_host(x, last))
 		return;
-	}
 	if (unreached)
 		tell_shut(x);
 	lw_exchange_answer_verdict(x, lw_retry_final(&x->attempts, last), last);
@@ -191,6 +199,8 @@
 	lw_place_ask_t ask = lw_exchange_choice(x);
 	lw_place_host_t *host = NULL;
 
+	if (lw_exchange_detain(x, last))
+		return;
 	if (x->tried.n < LW_PLACE_TRIED_MAX)
 		host = lw_place_pick(x->service, &x->tried, &ask);
 	if (host)
--- a/src/exchoutcome.c
+++ b/src/exchoutcome.c
@@ -48,8 +48,6 @@
 /* lw_exchange_after_failure() - a call failed: try elsewhere or answer */
 void lw_exchange_after_failure(lw_exchange_t *x, lw_fail_t why)
 {
-	lw_verdict_t v;
-
 	if (x->answering) {
 		lw_reply_t *reply = x->reply;
 
@@ -69,8 +67,19 @@
 	x->resending = false;
 	if (!lw_fail_not_run(why))
 		x->attempts.maybe_ran = true;
+	if (why != LW_FAIL_BROKEN || !lw_exchange_wait_for_word(x))
+		lw_exchange_go_on(x, why);
+}
+
+/* lw_exchange_go_on() - the outcome of the last attempt is counted: try elsewhere or answer */
+void lw_exchange_go_on(lw_exchange_t *x, lw_fail_t why)
+{
+	lw_verdict_t v;
+
 	x->attempts.left_ms = lw_exchange_left_ms(x, x->give_up_us);
 	x->attempts.body_kept = x->body_base == 0;
+	if (lw_exchange_detain(x, why))
+		return;
 	v = lw_retry_verdict(&x->attempts, why);
 	if (v == LW_VERDICT_AGAIN) {
 		x->engine->stats.handed_back++;
@@ -232,9 +241,11 @@
 	if (a->status >= 500)
 		lw_exchange_tell_parent(x);
 	x->answering = true;
+	x->answered_well = a->status < 500;
 	x->engine->stats.answered++;
 	lw_exchange_count(x, a->status < 500 ? LW_ROUTE_ANSWERED : LW_ROUTE_SERVER_FAILED);
 	if (fin) {
+		lw_exchange_tell_answered(x);
 		lw_exchange_attempt_ended(x, a->status < 500);
 		lw_exchange_release(x);
 	}
@@ -250,6 +261,7 @@
 	if (x->dead)
 		return;
 	if (fin) {
+		lw_exchange_tell_answered(x);
 		lw_exchange_attempt_ended(x, true);
 		lw_exchange_release(x);
 	}
@@ -301,7 +313,8 @@
 		room = lw_place_pick_room(x->service, &x->tried, &ask, sure);
 	x->attempts.left_ms = lw_exchange_left_ms(x, x->give_up_us);
 	x->attempts.body_kept = x->body_base == 0;
-	v = lw_retry_silent(&x->attempts);
+	v = lw_exchange_verdict(x) == LW_QUARANTINE_CLEAR ? lw_retry_silent(&x->attempts) :
+							    LW_VERDICT_FAIL;
 	if (!room && (sure || v == LW_VERDICT_AGAIN_COUNTED)) {
 		watch_for_room(x);
 		return;
--- a/src/gate.c
+++ b/src/gate.c
@@ -187,6 +187,18 @@
 	};
 }
 
+/* what servers ended under is given to this one alone, or not at all */
+static bool may_be_given(const lw_gate_t *g, lw_quarantine_verdict_t verdict,
+			 const lw_fingerprint_t *print)
+{
+	if (verdict == LW_QUARANTINE_CLEAR)
+		return true;
+	for (const lw_job_t *j = g->by_id; j; j = j->hh.next)
+		if (j->print.value.whole == print->whole)
+			return false;
+	return verdict == LW_QUARANTINE_TRIAL;
+}
+
 /*
  * lw_gate_submit() - hand a request to the backend server or to the queue in
  * front of it. Returns the call, whose outcome @sink will hear; or NULL with
@@ -195,10 +207,15 @@
 lw_call_t *lw_gate_submit(lw_gate_t *g, lw_sink_t *sink, const lw_ask_t *ask, lw_str_t body,
 			  bool fin, lw_fail_t *why, uint32_t *retry_after_ms)
 {
+	lw_quarantine_verdict_t verdict;
+	lw_fingerprinter_t print;
 	lw_waiter_t probe;
 	lw_admit_state_t st;
 	lw_job_t *j;
 
+	lw_fingerprinter_begin(&print, ask->head);
+	lw_fingerprinter_body(&print, body, fin);
+	verdict = lw_quarantine_verdict(g->quarantine, &print.value, g->hub->now_us);
 	lw_level_arrival(&g->level, ask->rank);
 	if (!ev_is_active(&g->step))
 		ev_timer_again(g->hub->loop, &g->step);
@@ -207,6 +224,8 @@
 	st.ahead = (uint32_t)lw_waitq_ahead(&g->queue, &probe);
 	*retry_after_ms = lw_admit_retry_after_ms(&st.load);
 	*why = refusal(g, &st, ask);
+	if (!*why && !may_be_given(g, verdict, &print.value))
+		*why = LW_FAIL_BUSY;
 	if (!*why)
 		*why = lw_admit(&st, ask);
 	if (*why) {
@@ -214,9 +233,10 @@
 		return NULL;
 	}
 	j = lw_job_new(g, sink, ask);
+	j->print = print;
+	j->tried = verdict == LW_QUARANTINE_TRIAL;
 	j->fin = fin;
 	lw_bytebuf_append_str(&j->body, body);
-	lw_fingerprinter_body(&j->print, body, fin);
 	g->ncalls++;
 	HASH_ADD_KEYPTR(hh, g->by_id, j->request_id, strlen(j->request_id), j);
 	if (occupied(g) < g->limit && !g->queue.first) {
@@ -373,10 +393,11 @@
 }
 
 /* lw_gate_init() - a gate in front of the backend server of the settings. */
-void lw_gate_init(lw_gate_t *g, lw_hub_t *hub)
+void lw_gate_init(lw_gate_t *g, lw_hub_t *hub, lw_quarantine_t *quarantine)
 {
 	memset(g, 0, sizeof(*g));
 	g->hub = hub;
+	g->quarantine = quarantine;
 	g->limit = lw_admit_limit(0);
 	g->service_us = SERVICE_FIRST_US;
 	ev_timer_init(&g->expiry, on_expiry, 0, EXPIRY_STEP_S);
--- a/src/gate.h
+++ b/src/gate.h
@@ -17,6 +17,7 @@
 #include "hub.h"
 #include "level.h"
 #include "place.h"
+#include "quarantine.h"
 #include "waitq.h"
 
 typedef struct lw_gate_stats {
@@ -31,6 +32,11 @@
 /* Requests in hand at the end of the backend server that are told apart. */
 #define LW_CRASH_SUSPECTS_MAX 128
 
+typedef struct lw_crash_suspect {
+	lw_fingerprint_t print;
+	bool tried; /* alone */
+} lw_crash_suspect_t;
+
 /* A look whether the backend server has ended; see gatecrash.c. */
 typedef struct lw_crash {
 	ev_timer due; /* runs while the look is under way */
@@ -38,7 +44,7 @@
 	uint64_t since_us; /* when the first connection broke */
 	uint32_t in_hand; /* requests whose connections broke */
 	uint32_t nsuspects; /* of these, known by their digests */
-	lw_fingerprint_t suspects[LW_CRASH_SUSPECTS_MAX];
+	lw_crash_suspect_t suspects[LW_CRASH_SUSPECTS_MAX];
 } lw_crash_t;
 
 typedef struct lw_gate {
@@ -71,6 +77,10 @@
 	lw_level_t level;
 	struct lw_job *by_id; /* calls by request id */
 	lw_crash_t crash;
+	lw_quarantine_t *quarantine;
+	/* the backend server ended with crash.suspects in hand; before their outcomes are told */
+	void (*ended)(void *ctx, const lw_crash_t *crash);
+	void *ended_ctx;
 	lw_gate_stats_t stats;
 } lw_gate_t;
 
@@ -81,7 +91,7 @@
 	uint64_t target_us; /* when the user request misses its objective */
 } lw_gate_parent_t;
 
-void lw_gate_init(lw_gate_t *g, lw_hub_t *hub);
+void lw_gate_init(lw_gate_t *g, lw_hub_t *hub, lw_quarantine_t *quarantine);
 void lw_gate_set_server(lw_gate_t *g, const lw_place_host_t *server);
 void lw_gate_set_leaving(lw_gate_t *g, bool leaving);
 lw_call_t *lw_gate_submit(lw_gate_t *g, lw_sink_t *sink, const lw_ask_t *ask, lw_str_t body,
--- a/src/gate_int.h
+++ b/src/gate_int.h
@@ -37,6 +37,7 @@
 	bool not_run; /* the backend server says that it did not run it */
 	bool dead;
 	bool broken; /* its connection ended; told once it is known whether the server did */
+	bool tried; /* alone, as servers ended under it */
 	lw_fingerprinter_t print;
 	uint32_t rank;
 	bool repeat;
--- a/src/gatecrash.c
+++ b/src/gatecrash.c
@@ -46,6 +46,8 @@
 	if (ended) {
 		lw_log(LW_LOG_server_ended, "server=%s in_hand=%u known=%u", g->server_id,
 		       c->in_hand, c->nsuspects);
+		if (g->ended)
+			g->ended(g->ended_ctx, c);
 		c->nsuspects = 0;
 		c->in_hand = 0;
 	}
@@ -109,7 +111,7 @@
 	j->broken = true;
 	c->in_hand++;
 	if (j->print.known && c->nsuspects < LW_CRASH_SUSPECTS_MAX)
-		c->suspects[c->nsuspects++] = j->print.value;
+		c->suspects[c->nsuspects++] = (lw_crash_suspect_t){ j->print.value, j->tried };
 	if (looking)
 		return;
 	ev_timer_set(&c->due, LOOK_AFTER_S, 0);
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -379,7 +379,6 @@
 	j->rank = ask->rank;
 	j->repeat = ask->repeat;
 	lw_bytebuf_append_str(&j->head, ask->head);
-	lw_fingerprinter_begin(&j->print, ask->head);
 	j->request_id = lw_str_dup(ask->request_id);
 	lw_str_copy(j->target, sizeof(j->target), ask->target);
 	ev_timer_init(&j->timer, on_job_timeout, 0, 0);
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -65,6 +65,9 @@
 	case LW__MESH_FRAME__BODY_PIECE:
 		lw_mesh_on_piece(l, f->piece);
 		break;
+	case LW__MESH_FRAME__BODY_SUSPECTS:
+		lw_mesh_on_suspects(l, f->suspects);
+		break;
 	default:
 		break; /* a newer node's frame */
 	}
@@ -87,6 +90,7 @@
 		[LW__MESH_FRAME__BODY_FATES] = "fates",
 		[LW__MESH_FRAME__BODY_FETCH] = "fetch",
 		[LW__MESH_FRAME__BODY_PIECE] = "piece",
+		[LW__MESH_FRAME__BODY_SUSPECTS] = "suspects",
 	};
 
 	return kind < LW_MESH_FRAME_KINDS ? names[kind] : NULL;
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -12,10 +12,11 @@
 #include "fleetconf.h"
 #include "gate.h"
 #include "hub.h"
+#include "quarantine.h"
 #include "revdoc.h"
 
 /* Kinds of frames, and one that is none. */
-#define LW_MESH_FRAME_KINDS 14
+#define LW_MESH_FRAME_KINDS 15
 
 typedef struct lw_mesh lw_mesh_t;
 
@@ -42,6 +43,10 @@
 	uint32_t (*news_age_ms)(void *ctx);
 	/* @node, which has nothing newer than this one, knows of a read of the store at @at_us */
 	void (*news)(void *ctx, const char *node, uint64_t at_us);
+	/* a node knows this of a request; returns what others must hear now, or NULL */
+	const lw_suspect_t *(*suspect)(void *ctx, const lw_suspect_t *told);
+	/* the requests that a node that begins must know of */
+	size_t (*suspects)(void *ctx, const lw_suspect_t **out, size_t most);
 } lw_mesh_ops_t;
 
 typedef struct lw_mesh_stats {
@@ -67,6 +72,8 @@
 void lw_mesh_vouch(lw_mesh_t *m, const char *server, uint64_t born_ms);
 void lw_mesh_tell(lw_mesh_t *m, const char *node);
 void lw_mesh_ask_news(lw_mesh_t *m, uint32_t nodes);
+void lw_mesh_tell_ended(lw_mesh_t *m, uint64_t process, const lw_fingerprint_t *prints, size_t n);
+void lw_mesh_tell_suspect(lw_mesh_t *m, const lw_suspect_t *s);
 void lw_mesh_contact(lw_mesh_t *m, const char *node);
 const lw_mesh_stats_t *lw_mesh_stats(const lw_mesh_t *m);
 const char *lw_mesh_control_name(size_t kind);
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -817,6 +817,141 @@
   assert(message->base.descriptor == &lw__config__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lw__suspect__init
+                     (Lw__Suspect         *message)
+{
+  static const Lw__Suspect init_value = LW__SUSPECT__INIT;
+  *message = init_value;
+}
+size_t lw__suspect__get_packed_size
+                     (const Lw__Suspect *message)
+{
+  assert(message->base.descriptor == &lw__suspect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lw__suspect__pack
+                     (const Lw__Suspect *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lw__suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lw__suspect__pack_to_buffer
+                     (const Lw__Suspect *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lw__suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lw__Suspect *
+       lw__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lw__Suspect *)
+     protobuf_c_message_unpack (&lw__suspect__descriptor,
+                                allocator, len, data);
+}
+void   lw__suspect__free_unpacked
+                     (Lw__Suspect *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lw__suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lw__server_ended__init
+                     (Lw__ServerEnded         *message)
+{
+  static const Lw__ServerEnded init_value = LW__SERVER_ENDED__INIT;
+  *message = init_value;
+}
+size_t lw__server_ended__get_packed_size
+                     (const Lw__ServerEnded *message)
+{
+  assert(message->base.descriptor == &lw__server_ended__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lw__server_ended__pack
+                     (const Lw__ServerEnded *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lw__server_ended__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lw__server_ended__pack_to_buffer
+                     (const Lw__ServerEnded *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lw__server_ended__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lw__ServerEnded *
+       lw__server_ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lw__ServerEnded *)
+     protobuf_c_message_unpack (&lw__server_ended__descriptor,
+                                allocator, len, data);
+}
+void   lw__server_ended__free_unpacked
+                     (Lw__ServerEnded *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lw__server_ended__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lw__suspects__init
+                     (Lw__Suspects         *message)
+{
+  static const Lw__Suspects init_value = LW__SUSPECTS__INIT;
+  *message = init_value;
+}
+size_t lw__suspects__get_packed_size
+                     (const Lw__Suspects *message)
+{
+  assert(message->base.descriptor == &lw__suspects__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lw__suspects__pack
+                     (const Lw__Suspects *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lw__suspects__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lw__suspects__pack_to_buffer
+                     (const Lw__Suspects *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lw__suspects__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lw__Suspects *
+       lw__suspects__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lw__Suspects *)
+     protobuf_c_message_unpack (&lw__suspects__descriptor,
+                                allocator, len, data);
+}
+void   lw__suspects__free_unpacked
+                     (Lw__Suspects *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lw__suspects__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lw__mesh_frame__init
                      (Lw__MeshFrame         *message)
 {
@@ -2514,7 +2649,238 @@
   (ProtobufCMessageInit) lw__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__mesh_frame__field_descriptors[13] =
+static const ProtobufCFieldDescriptor lw__suspect__field_descriptors[7] =
+{
+  {
+    "head",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Suspect, head),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Suspect, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ends",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Lw__Suspect, n_ends),
+    offsetof(Lw__Suspect, ends),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trials",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Suspect, trials),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Suspect, ended_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Suspect, held_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cleared_age_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Suspect, cleared_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lw__suspect__field_indices_by_name[] = {
+  6,   /* field[6] = cleared_age_ms */
+  4,   /* field[4] = ended_age_ms */
+  2,   /* field[2] = ends */
+  0,   /* field[0] = head */
+  5,   /* field[5] = held_ms */
+  3,   /* field[3] = trials */
+  1,   /* field[1] = whole */
+};
+static const ProtobufCIntRange lw__suspect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor lw__suspect__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lw.Suspect",
+  "Suspect",
+  "Lw__Suspect",
+  "lw",
+  sizeof(Lw__Suspect),
+  7,
+  lw__suspect__field_descriptors,
+  lw__suspect__field_indices_by_name,
+  1,  lw__suspect__number_ranges,
+  (ProtobufCMessageInit) lw__suspect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lw__server_ended__field_descriptors[3] =
+{
+  {
+    "process",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lw__ServerEnded, process),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heads",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Lw__ServerEnded, n_heads),
+    offsetof(Lw__ServerEnded, heads),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wholes",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Lw__ServerEnded, n_wholes),
+    offsetof(Lw__ServerEnded, wholes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lw__server_ended__field_indices_by_name[] = {
+  1,   /* field[1] = heads */
+  0,   /* field[0] = process */
+  2,   /* field[2] = wholes */
+};
+static const ProtobufCIntRange lw__server_ended__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor lw__server_ended__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lw.ServerEnded",
+  "ServerEnded",
+  "Lw__ServerEnded",
+  "lw",
+  sizeof(Lw__ServerEnded),
+  3,
+  lw__server_ended__field_descriptors,
+  lw__server_ended__field_indices_by_name,
+  1,  lw__server_ended__number_ranges,
+  (ProtobufCMessageInit) lw__server_ended__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lw__suspects__field_descriptors[2] =
+{
+  {
+    "ended",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Suspects, ended),
+    &lw__server_ended__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspects",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lw__Suspects, n_suspects),
+    offsetof(Lw__Suspects, suspects),
+    &lw__suspect__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lw__suspects__field_indices_by_name[] = {
+  0,   /* field[0] = ended */
+  1,   /* field[1] = suspects */
+};
+static const ProtobufCIntRange lw__suspects__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor lw__suspects__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lw.Suspects",
+  "Suspects",
+  "Lw__Suspects",
+  "lw",
+  sizeof(Lw__Suspects),
+  2,
+  lw__suspects__field_descriptors,
+  lw__suspects__field_indices_by_name,
+  1,  lw__suspects__number_ranges,
+  (ProtobufCMessageInit) lw__suspects__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lw__mesh_frame__field_descriptors[14] =
 {
   {
     "open",
@@ -2672,6 +3038,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspects",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lw__MeshFrame, body_case),
+    offsetof(Lw__MeshFrame, suspects),
+    &lw__suspects__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__mesh_frame__field_indices_by_name[] = {
   1,   /* field[1] = answer */
@@ -2687,11 +3065,12 @@
   9,   /* field[9] = query */
   8,   /* field[8] = servers */
   6,   /* field[6] = status */
+  13,   /* field[13] = suspects */
 };
 static const ProtobufCIntRange lw__mesh_frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor lw__mesh_frame__descriptor =
 {
@@ -2701,7 +3080,7 @@
   "Lw__MeshFrame",
   "lw",
   sizeof(Lw__MeshFrame),
-  13,
+  14,
   lw__mesh_frame__field_descriptors,
   lw__mesh_frame__field_indices_by_name,
   1,  lw__mesh_frame__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -33,6 +33,9 @@
 typedef struct Lw__ServerEntry Lw__ServerEntry;
 typedef struct Lw__Servers Lw__Servers;
 typedef struct Lw__Config Lw__Config;
+typedef struct Lw__Suspect Lw__Suspect;
+typedef struct Lw__ServerEnded Lw__ServerEnded;
+typedef struct Lw__Suspects Lw__Suspects;
 typedef struct Lw__MeshFrame Lw__MeshFrame;
 
 
@@ -513,6 +516,74 @@
     , 0, {0,NULL} }
 
 
+/*
+ * What the sender knows of a request under which backend servers ended. Ages are
+ * in ms and 0 stands for never.
+ */
+struct  Lw__Suspect
+{
+  ProtobufCMessage base;
+  /*
+   * digests of the request, see fingerprint.h
+   */
+  uint64_t head;
+  uint64_t whole;
+  /*
+   * processes that ended with it in hand
+   */
+  size_t n_ends;
+  uint64_t *ends;
+  /*
+   * that ended their servers
+   */
+  uint32_t trials;
+  /*
+   * of the newest end, plus one
+   */
+  uint32_t ended_age_ms;
+  /*
+   * it is held back for so long
+   */
+  uint32_t held_ms;
+  /*
+   * of an answer, plus one
+   */
+  uint32_t cleared_age_ms;
+};
+#define LW__SUSPECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lw__suspect__descriptor) \
+    , 0, 0, 0,NULL, 0, 0, 0, 0 }
+
+
+/*
+ * A backend server ended with these requests in hand.
+ */
+struct  Lw__ServerEnded
+{
+  ProtobufCMessage base;
+  uint64_t process;
+  size_t n_heads;
+  uint64_t *heads;
+  size_t n_wholes;
+  uint64_t *wholes;
+};
+#define LW__SERVER_ENDED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lw__server_ended__descriptor) \
+    , 0, 0,NULL, 0,NULL }
+
+
+struct  Lw__Suspects
+{
+  ProtobufCMessage base;
+  Lw__ServerEnded *ended;
+  size_t n_suspects;
+  Lw__Suspect **suspects;
+};
+#define LW__SUSPECTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lw__suspects__descriptor) \
+    , NULL, 0,NULL }
+
+
 typedef enum {
   LW__MESH_FRAME__BODY__NOT_SET = 0,
   LW__MESH_FRAME__BODY_OPEN = 1,
@@ -527,7 +598,8 @@
   LW__MESH_FRAME__BODY_QUERY = 10,
   LW__MESH_FRAME__BODY_FATES = 11,
   LW__MESH_FRAME__BODY_FETCH = 12,
-  LW__MESH_FRAME__BODY_PIECE = 13
+  LW__MESH_FRAME__BODY_PIECE = 13,
+  LW__MESH_FRAME__BODY_SUSPECTS = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LW__MESH_FRAME__BODY__CASE)
 } Lw__MeshFrame__BodyCase;
 
@@ -549,6 +621,7 @@
     Lw__Fates *fates;
     Lw__Fetch *fetch;
     Lw__Piece *piece;
+    Lw__Suspects *suspects;
   };
 };
 #define LW__MESH_FRAME__INIT \
@@ -898,6 +971,63 @@
 void   lw__config__free_unpacked
                      (Lw__Config *message,
                       ProtobufCAllocator *allocator);
+/* Lw__Suspect methods */
+void   lw__suspect__init
+                     (Lw__Suspect         *message);
+size_t lw__suspect__get_packed_size
+                     (const Lw__Suspect   *message);
+size_t lw__suspect__pack
+                     (const Lw__Suspect   *message,
+                      uint8_t             *out);
+size_t lw__suspect__pack_to_buffer
+                     (const Lw__Suspect   *message,
+                      ProtobufCBuffer     *buffer);
+Lw__Suspect *
+       lw__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lw__suspect__free_unpacked
+                     (Lw__Suspect *message,
+                      ProtobufCAllocator *allocator);
+/* Lw__ServerEnded methods */
+void   lw__server_ended__init
+                     (Lw__ServerEnded         *message);
+size_t lw__server_ended__get_packed_size
+                     (const Lw__ServerEnded   *message);
+size_t lw__server_ended__pack
+                     (const Lw__ServerEnded   *message,
+                      uint8_t             *out);
+size_t lw__server_ended__pack_to_buffer
+                     (const Lw__ServerEnded   *message,
+                      ProtobufCBuffer     *buffer);
+Lw__ServerEnded *
+       lw__server_ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lw__server_ended__free_unpacked
+                     (Lw__ServerEnded *message,
+                      ProtobufCAllocator *allocator);
+/* Lw__Suspects methods */
+void   lw__suspects__init
+                     (Lw__Suspects         *message);
+size_t lw__suspects__get_packed_size
+                     (const Lw__Suspects   *message);
+size_t lw__suspects__pack
+                     (const Lw__Suspects   *message,
+                      uint8_t             *out);
+size_t lw__suspects__pack_to_buffer
+                     (const Lw__Suspects   *message,
+                      ProtobufCBuffer     *buffer);
+Lw__Suspects *
+       lw__suspects__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lw__suspects__free_unpacked
+                     (Lw__Suspects *message,
+                      ProtobufCAllocator *allocator);
 /* Lw__MeshFrame methods */
 void   lw__mesh_frame__init
                      (Lw__MeshFrame         *message);
@@ -973,6 +1103,15 @@
 typedef void (*Lw__Config_Closure)
                  (const Lw__Config *message,
                   void *closure_data);
+typedef void (*Lw__Suspect_Closure)
+                 (const Lw__Suspect *message,
+                  void *closure_data);
+typedef void (*Lw__ServerEnded_Closure)
+                 (const Lw__ServerEnded *message,
+                  void *closure_data);
+typedef void (*Lw__Suspects_Closure)
+                 (const Lw__Suspects *message,
+                  void *closure_data);
 typedef void (*Lw__MeshFrame_Closure)
                  (const Lw__MeshFrame *message,
                   void *closure_data);
@@ -1002,6 +1141,9 @@
 extern const ProtobufCMessageDescriptor lw__server_entry__descriptor;
 extern const ProtobufCMessageDescriptor lw__servers__descriptor;
 extern const ProtobufCMessageDescriptor lw__config__descriptor;
+extern const ProtobufCMessageDescriptor lw__suspect__descriptor;
+extern const ProtobufCMessageDescriptor lw__server_ended__descriptor;
+extern const ProtobufCMessageDescriptor lw__suspects__descriptor;
 extern const ProtobufCMessageDescriptor lw__mesh_frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/meshnews.c
+++ b/src/meshnews.c
@@ -143,7 +143,7 @@
 void lw_mesh_on_status(lw_link_t *l, const Lw__Status *w)
 {
 	lw_load_t load;
-	bool greeted;
+	bool greeted, first;
 
 	lw_meshframe_read_load(w->load, &load);
 	lw_mesh_take_levels(l, w->load);
@@ -156,7 +156,10 @@
 	l->peer_revision = w->servers_revision;
 	l->peer_fetches = w->fetches;
 	greeted = lw_link_greeted(l);
+	first = !l->peer_incarnation;
 	l->peer_incarnation = w->incarnation;
+	if (first)
+		lw_mesh_greet_with_suspects(l);
 	if (!greeted && !load.limit)
 		lw_link_drop_unsent(l);
 	if (!l->outgoing && w->link) {
@@ -205,7 +208,8 @@
 	lw_mesh_send_status(l, true);
 }
 
-static bool may_be_asked(const lw_link_t *l)
+/* lw_link_may_be_asked() - whether the process at the other end is there and heard. */
+bool lw_link_may_be_asked(const lw_link_t *l)
 {
 	return l->peer_incarnation && !l->silent && !l->closed;
 }
@@ -216,9 +220,9 @@
 	uint32_t left = 0;
 
 	for (const lw_link_t *l = m->links; l; l = l->next)
-		left += may_be_asked(l);
+		left += lw_link_may_be_asked(l);
 	for (lw_link_t *l = m->links; l && nodes; l = l->next) {
-		if (!may_be_asked(l))
+		if (!lw_link_may_be_asked(l))
 			continue;
 		if (lw_hub_random(m->hub, left--) < nodes) {
 			lw_mesh_send_status(l, false);
--- /dev/null
+++ b/src/meshsuspects.c
@@ -0,0 +1,175 @@
+/*
+ * Word of requests under which backend servers ended. The node beside a server tells
+ * those that send it requests; whoever treats a request otherwise from then on tells
+ * a few more, so that it spreads past connections that are not there.
+ */
+#include "mesh_int.h"
+
+/* nodes that hear of what is new here, drawn at random */
+#define PASS_ON_NODES 3
+/* requests that a new connection begins with, and that a frame may name */
+#define GREETING_MOST 64
+/* more trials than anybody keeps, and the longest hold, ms: a frame may say anything */
+#define TRIALS_MOST  100
+#define HELD_MOST_MS 3600000
+
+typedef struct suspect_frame {
+	Lw__Suspect wire[GREETING_MOST];
+	Lw__Suspect *list[GREETING_MOST];
+} suspect_frame_t;
+
+static uint32_t age_ms(uint64_t at_us, uint64_t now_us)
+{
+	return at_us ? (uint32_t)((now_us - at_us) / 1000) + 1 : 0;
+}
+
+static uint64_t time_of(uint32_t age_ms, uint64_t now_us)
+{
+	uint64_t age_us = age_ms ? (uint64_t)(age_ms - 1) * 1000 : 0;
+
+	return age_ms && age_us < now_us ? now_us - age_us : 0;
+}
+
+static void fill(Lw__Suspect *out, const lw_suspect_t *s, uint64_t now_us)
+{
+	lw__suspect__init(out);
+	out->head = s->print.head;
+	out->whole = s->print.whole;
+	out->n_ends = s->nends;
+	out->ends = (uint64_t *)(uintptr_t)s->end;
+	out->trials = s->trials;
+	out->ended_age_ms = age_ms(s->ended_us, now_us);
+	out->cleared_age_ms = age_ms(s->cleared_us, now_us);
+	if (s->held_until_us > now_us)
+		out->held_ms = (uint32_t)((s->held_until_us - now_us) / 1000);
+}
+
+static lw_suspect_t read_suspect(const Lw__Suspect *in, uint64_t now_us)
+{
+	uint32_t held_ms = in->held_ms < HELD_MOST_MS ? in->held_ms : HELD_MOST_MS;
+	lw_suspect_t s = {
+		.print = { in->head, in->whole },
+		.trials = in->trials < TRIALS_MOST ? in->trials : TRIALS_MOST,
+		.ended_us = time_of(in->ended_age_ms, now_us),
+		.cleared_us = time_of(in->cleared_age_ms, now_us),
+		.held_until_us = held_ms ? now_us + (uint64_t)held_ms * 1000 : 0,
+	};
+
+	while (s.nends < in->n_ends && s.nends < LW_SUSPECT_ENDS_MAX) {
+		s.end[s.nends] = in->ends[s.nends];
+		s.nends++;
+	}
+	return s;
+}
+
+static void send_suspects(lw_link_t *l, const lw_suspect_t *const *suspects, size_t n)
+{
+	suspect_frame_t frame;
+	Lw__Suspects w = LW__SUSPECTS__INIT;
+	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
+
+	for (size_t i = 0; i < n; i++) {
+		fill(&frame.wire[i], suspects[i], l->mesh->hub->now_us);
+		frame.list[i] = &frame.wire[i];
+	}
+	w.n_suspects = n;
+	w.suspects = frame.list;
+	f.body_case = LW__MESH_FRAME__BODY_SUSPECTS;
+	f.suspects = &w;
+	lw_link_send(l, &f);
+}
+
+/* lw_mesh_greet_with_suspects() - the peer may have begun just now and know of none. */
+void lw_mesh_greet_with_suspects(lw_link_t *l)
+{
+	const lw_suspect_t *list[GREETING_MOST];
+	size_t n = l->mesh->ops->suspects(l->mesh->ctx, list, GREETING_MOST);
+
+	if (n)
+		send_suspects(l, list, n);
+}
+
+/* lw_mesh_tell_suspect() - tell all connected nodes what is known of a request. */
+void lw_mesh_tell_suspect(lw_mesh_t *m, const lw_suspect_t *s)
+{
+	for (lw_link_t *l = m->links; l; l = l->next)
+		if (lw_link_may_be_asked(l))
+			send_suspects(l, &s, 1);
+}
+
+/*
+ * lw_mesh_tell_ended() - the backend server here ended as @process with the @n
+ * requests @prints in hand. Told over the connections that requests come by, so
+ * that it is there before their outcomes.
+ */
+void lw_mesh_tell_ended(lw_mesh_t *m, uint64_t process, const lw_fingerprint_t *prints, size_t n)
+{
+	uint64_t heads[LW_CRASH_SUSPECTS_MAX], wholes[LW_CRASH_SUSPECTS_MAX];
+	Lw__ServerEnded e = LW__SERVER_ENDED__INIT;
+	Lw__Suspects w = LW__SUSPECTS__INIT;
+	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
+
+	for (size_t i = 0; i < n; i++) {
+		heads[i] = prints[i].head;
+		wholes[i] = prints[i].whole;
+	}
+	e.process = process;
+	e.n_heads = n;
+	e.heads = heads;
+	e.n_wholes = n;
+	e.wholes = wholes;
+	w.ended = &e;
+	f.body_case = LW__MESH_FRAME__BODY_SUSPECTS;
+	f.suspects = &w;
+	for (lw_link_t *l = m->links; l; l = l->next)
+		if (!l->outgoing && lw_link_may_be_asked(l))
+			lw_link_send(l, &f);
+}
+
+static void pass_on(lw_mesh_t *m, const lw_suspect_t *s)
+{
+	uint32_t left = 0, nodes = PASS_ON_NODES;
+
+	for (const lw_link_t *l = m->links; l; l = l->next)
+		left += lw_link_may_be_asked(l);
+	for (lw_link_t *l = m->links; l && nodes; l = l->next) {
+		if (!lw_link_may_be_asked(l))
+			continue;
+		if (lw_hub_random(m->hub, left--) < nodes) {
+			send_suspects(l, &s, 1);
+			nodes--;
+		}
+	}
+}
+
+static void take(lw_mesh_t *m, const lw_suspect_t *told)
+{
+	const lw_suspect_t *news = m->ops->suspect(m->ctx, told);
+
+	if (news)
+		pass_on(m, news);
+}
+
+static void take_ended(lw_mesh_t *m, const Lw__ServerEnded *w)
+{
+	lw_suspect_t s = { .end = { w->process }, .nends = 1, .ended_us = m->hub->now_us };
+
+	for (size_t i = 0; i < w->n_heads && i < w->n_wholes && i < LW_CRASH_SUSPECTS_MAX; i++) {
+		s.print = (lw_fingerprint_t){ w->heads[i], w->wholes[i] };
+		take(m, &s);
+	}
+}
+
+/* lw_mesh_on_suspects() - a node tells of requests under which servers ended. */
+void lw_mesh_on_suspects(lw_link_t *l, const Lw__Suspects *w)
+{
+	lw_mesh_t *m = l->mesh;
+
+	if (w->ended)
+		take_ended(m, w->ended);
+	for (size_t i = 0; i < w->n_suspects && i < GREETING_MOST; i++) {
+		lw_suspect_t s = read_suspect(w->suspects[i], m->hub->now_us);
+
+		take(m, &s);
+	}
+}
--- a/src/place.c
+++ b/src/place.c
@@ -3,6 +3,7 @@
 
 #include <math.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "level.h"
 
@@ -254,6 +255,51 @@
 	return pick(s, tried, true, ask);
 }
 
+/* lw_place_process() - tells one process of a server from the next, also if its id stays. */
+uint64_t lw_place_process(const char *id, uint64_t born_ms)
+{
+	return XXH64(id, strlen(id), born_ms);
+}
+
+static bool is_among(const lw_place_host_t *h, const uint64_t *processes, size_t n)
+{
+	uint64_t process = lw_place_process(h->id, h->born_ms);
+
+	for (size_t i = 0; i < n; i++)
+		if (processes[i] == process)
+			return true;
+	return false;
+}
+
+/*
+ * lw_place_pick_trial() - the host of @s that a request which may end its server is
+ * tried at, @key standing for the request: the same host on every node that has the
+ * same list. The @n processes @ended are not there any more. NULL if there is none,
+ * and where it is the last of several that is left.
+ */
+lw_place_host_t *lw_place_pick_trial(const lw_place_service_t *s, uint64_t key,
+				     const uint64_t *ended, size_t n, uint64_t now_us)
+{
+	lw_place_host_t *best = NULL;
+	uint64_t best_weight = 0;
+	uint32_t hosts = 0, good = 0;
+
+	for (lw_place_host_t *h = s->hosts; h; h = h->next) {
+		uint64_t weight = XXH64(h->id, strlen(h->id), key);
+
+		hosts += h->listed;
+		if (!gets_work(h, now_us) || host_tier(h, now_us) != TIER_GOOD ||
+		    is_among(h, ended, n))
+			continue;
+		good++;
+		if (best && weight <= best_weight)
+			continue;
+		best = h;
+		best_weight = weight;
+	}
+	return good > 1 || hosts < 2 ? best : NULL;
+}
+
 /* whether @h has room for a request now; @sure: not if nothing is known of it */
 static bool has_room(const lw_place_host_t *h, uint64_t now_us, bool sure)
 {
--- a/src/place.h
+++ b/src/place.h
@@ -91,6 +91,9 @@
 				     const lw_place_ask_t *ask);
 lw_place_host_t *lw_place_pick_room(const lw_place_service_t *s, const lw_place_tried_t *tried,
 				    const lw_place_ask_t *ask, bool sure);
+uint64_t lw_place_process(const char *id, uint64_t born_ms);
+lw_place_host_t *lw_place_pick_trial(const lw_place_service_t *s, uint64_t key,
+				     const uint64_t *ended, size_t n, uint64_t now_us);
 bool lw_place_takes(const lw_place_host_t *h, uint64_t now_us);
 void lw_place_sent(lw_place_host_t *h);
 void lw_place_ended(lw_place_host_t *h, bool ok, uint64_t now_us);
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -53,6 +53,7 @@
 		.news_age_ms = lw_proxy_news_age_ms(p),
 		.log_dropped = lw_log_dropped(),
 		.longest_turn_us = p->hub.longest_turn_us,
+		.suspects = lw_quarantine_count(p->engine.quarantine),
 		.reader = lw_spread_reads(&p->spread),
 		.ready = p->engine.conf && p->engine.place.nhosts && !p->hub.leaving,
 		.leaving = p->hub.leaving,
@@ -164,7 +165,9 @@
 	lw_proxy_lease_init(p);
 	lw_place_init(&p->engine.place, set->zone, set->backend, set->mesh_port,
 		      lw_proxyset_retryterms(set));
-	lw_gate_init(&p->engine.gate, &p->hub);
+	p->engine.quarantine = lw_quarantine_new();
+	lw_gate_init(&p->engine.gate, &p->hub, p->engine.quarantine);
+	lw_proxy_crash_init(p);
 	p->engine.hotpath = lw_hotpath_new();
 	p->engine.mesh = lw_mesh_new(&p->hub, &p->engine.gate, &lw_proxy_mesh_ops, p);
 	p->callers = lw_callers_new(&p->engine);
--- a/src/proxy_int.h
+++ b/src/proxy_int.h
@@ -52,6 +52,9 @@
 extern const lw_mesh_ops_t lw_proxy_mesh_ops;
 lw_status_t lw_proxy_start_feed(lw_proxy_t *p);
 void lw_proxy_list_is_old(void *ctx);
+const lw_suspect_t *lw_proxy_suspect(void *ctx, const lw_suspect_t *told);
+size_t lw_proxy_suspects(void *ctx, const lw_suspect_t **out, size_t most);
+void lw_proxy_crash_init(lw_proxy_t *p);
 void lw_proxy_lease_init(lw_proxy_t *p);
 void lw_proxy_lease_missing(lw_proxy_t *p);
 void lw_proxy_lease_found(lw_proxy_t *p, uint64_t born_ms);
--- /dev/null
+++ b/src/proxycrash.c
@@ -0,0 +1,71 @@
+/*
+ * What follows for the fleet when the backend server on this host ends: quarantine.c
+ * decides, here its evidence is gathered and passed on.
+ */
+#include "log.h"
+#include "proxy_int.h"
+
+static void log_change(const lw_suspect_t *s, uint64_t now_us, const char *by)
+{
+	lw_log(LW_LOG_suspect_changed, "print=%016llx ends=%u trials=%u held_ms=%llu by=%s",
+	       (unsigned long long)s->print.whole, s->nends, s->trials,
+	       (unsigned long long)(s->held_until_us > now_us ? (s->held_until_us - now_us) / 1000 :
+								0),
+	       by);
+}
+
+static void on_server_ended(void *ctx, const lw_crash_t *crash)
+{
+	lw_proxy_t *p = ctx;
+	lw_fingerprint_t prints[LW_CRASH_SUSPECTS_MAX];
+	uint64_t process =
+		lw_place_process(p->engine.gate.server_id, p->engine.gate.server_born_ms);
+
+	for (uint32_t i = 0; i < crash->nsuspects; i++)
+		prints[i] = crash->suspects[i].print;
+	lw_mesh_tell_ended(p->engine.mesh, process, prints, crash->nsuspects);
+	for (uint32_t i = 0; i < crash->nsuspects; i++) {
+		const lw_suspect_t *s =
+			lw_quarantine_ended(p->engine.quarantine, &prints[i], process,
+					    crash->suspects[i].tried, p->hub.now_us);
+
+		if (!lw_suspect_matters(s))
+			continue;
+		log_change(s, p->hub.now_us, "end");
+		lw_mesh_tell_suspect(p->engine.mesh, s);
+	}
+}
+
+/* lw_proxy_suspect() - a node knows this of a request; returns what others must hear now, or NULL. */
+const lw_suspect_t *lw_proxy_suspect(void *ctx, const lw_suspect_t *told)
+{
+	lw_proxy_t *p = ctx;
+	const lw_suspect_t *s = lw_quarantine_told(p->engine.quarantine, told, p->hub.now_us);
+
+	if (s)
+		log_change(s, p->hub.now_us, "peer");
+	return s;
+}
+
+/* lw_proxy_suspects() - the requests that a node that begins must know of. */
+size_t lw_proxy_suspects(void *ctx, const lw_suspect_t **out, size_t most)
+{
+	const lw_proxy_t *p = ctx;
+
+	return lw_quarantine_list(p->engine.quarantine, out, most);
+}
+
+static void on_tick(void *ctx)
+{
+	lw_proxy_t *p = ctx;
+
+	lw_quarantine_expire(p->engine.quarantine, p->hub.now_us);
+}
+
+/* lw_proxy_crash_init() - once the gate stands. */
+void lw_proxy_crash_init(lw_proxy_t *p)
+{
+	p->engine.gate.ended = on_server_ended;
+	p->engine.gate.ended_ctx = p;
+	lw_hub_on_tick(&p->hub, on_tick, p);
+}
--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -324,6 +324,8 @@
 	.servers_confirmed = mesh_servers_confirmed,
 	.news_age_ms = mesh_news_age_ms,
 	.news = mesh_news,
+	.suspect = lw_proxy_suspect,
+	.suspects = lw_proxy_suspects,
 };
 
 /*
--- a/src/proxystats.c
+++ b/src/proxystats.c
@@ -102,6 +102,7 @@
 	counter(f, "lw_retries_denied_total", "not sent again for lack of allowance",
 		e->retries_denied);
 	counter(f, "lw_handed_back_total", "placed elsewhere, as no server had it", e->handed_back);
+	counter(f, "lw_held_total", "refused, as backend servers ended under them", e->held);
 	fprintf(f, "# HELP lw_latency_seconds until the last byte of the answer is queued\n"
 		   "# TYPE lw_latency_seconds histogram\n");
 	lw_histogram_print(f, "lw_latency_seconds", "kind=\"user\"", &e->latency_user);
@@ -171,6 +172,8 @@
 	counter(f, "lw_store_resyncs_total", "times everything was read anew", s->feed.resyncs);
 	gauge(f, "lw_store_reader", "1: this node reads the store for others", s->reader);
 	gauge(f, "lw_store_news_age_ms", "since the store was last read by anyone", s->news_age_ms);
+	gauge(f, "lw_suspects", "requests tried alone or held, as backend servers ended under them",
+	      s->suspects);
 	gauge(f, "lw_config_version", "configuration in force", s->config_version);
 	gauge(f, "lw_servers", "backend servers in the list", s->servers);
 	gauge(f, "lw_servers_revision", "revision of that list", s->servers_revision);
--- a/src/proxystats.h
+++ b/src/proxystats.h
@@ -28,6 +28,7 @@
 	uint64_t servers_revision;
 	uint64_t news_age_ms;
 	uint64_t log_dropped;
+	size_t suspects; /* requests under which backend servers ended */
 	uint64_t longest_turn_us;
 	bool reader;
 	bool ready;
--- a/src/proxystatus.c
+++ b/src/proxystatus.c
@@ -6,6 +6,9 @@
 
 #include "level.h"
 
+/* requests shown that servers ended under */
+#define SUSPECTS_SHOWN 32
+
 static const char *state_of(const lw_place_host_t *h, uint64_t now_us)
 {
 	if (!lw_place_usable(h, now_us))
@@ -81,6 +84,17 @@
 	fprintf(f, " calls_below=%u\n", lw_hotpath_depth(e->hotpath, r->name));
 }
 
+static void print_suspects(FILE *f, const lw_engine_t *e)
+{
+	const lw_suspect_t *list[SUSPECTS_SHOWN];
+	size_t n = lw_quarantine_list(e->quarantine, list, SUSPECTS_SHOWN);
+
+	for (size_t i = 0; i < n; i++)
+		fprintf(f, "suspect: print=%016" PRIx64 " ends=%u trials=%u held_ms=%u\n",
+			list[i]->print.whole, list[i]->nends, list[i]->trials,
+			lw_quarantine_held_ms(e->quarantine, &list[i]->print, e->hub->now_us));
+}
+
 /* lw_proxystatus_print() - one item a line, key=value fields. */
 void lw_proxystatus_print(FILE *f, const lw_proxystatus_t *s)
 {
@@ -99,6 +113,7 @@
 		e->gate.server_id, e->gate.leaving, own.running, own.queued, own.limit,
 		own.service_us / 1000, own.level, own.failing);
 	print_news(f, s);
+	print_suspects(f, e);
 	print_services(f, e);
 	for (size_t i = 0; e->conf && i < e->conf->nroutes; i++)
 		print_route(f, e, &e->conf->routes[i]);
--- /dev/null
+++ b/src/quarantine.c
@@ -0,0 +1,283 @@
+/* Requests that end backend servers; see quarantine.h. */
+#include "quarantine.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+#include "xalloc.h"
+
+/* ends with which a request is tried alone: one may have hit anything in hand */
+#define TRIAL_ENDS 2
+/* what was in hand at one end is remembered for so long, us */
+#define ONE_END_US 30000000
+/* what is to be tried alone, if nobody sends it any more, us */
+#define TRIAL_US 120000000
+/* what was held, from the end of the last hold, us */
+#define HELD_BEFORE_US 3600000000
+/* an answer outlives what was told before it and comes late, us */
+#define ANSWERED_US 30000000
+
+/* holds after the first, second and third trial that ended a server, us */
+static const uint64_t hold_us[] = { 15000000, 120000000, 960000000 };
+#define HOLDS (sizeof(hold_us) / sizeof(hold_us[0]))
+/* after all of them it is held until nobody has sent it for so long, us */
+#define LAST_HOLD_US 3600000000
+
+typedef struct entry {
+	lw_suspect_t s;
+	UT_hash_handle hh;
+} entry_t;
+
+struct lw_quarantine {
+	entry_t *entries; /* by digest, the oldest first */
+};
+
+/* lw_quarantine_new() - nothing is suspected. */
+lw_quarantine_t *lw_quarantine_new(void)
+{
+	return xcalloc(1, sizeof(lw_quarantine_t));
+}
+
+static void drop(lw_quarantine_t *q, entry_t *e)
+{
+	HASH_DEL(q->entries, e);
+	free(e);
+}
+
+/* lw_quarantine_free() - release it and all that it remembers. */
+void lw_quarantine_free(lw_quarantine_t *q)
+{
+	entry_t *e, *next;
+
+	HASH_ITER(hh, q->entries, e, next)
+	drop(q, e);
+	free(q);
+}
+
+static entry_t *find(const lw_quarantine_t *q, const lw_fingerprint_t *print)
+{
+	entry_t *e;
+
+	HASH_FIND(hh, q->entries, print, sizeof(*print), e);
+	return e;
+}
+
+/* lw_suspect_matters() - whether requests are treated otherwise for it, now or later. */
+bool lw_suspect_matters(const lw_suspect_t *s)
+{
+	return s->nends >= TRIAL_ENDS || s->trials;
+}
+
+/* a place for one more: the oldest that does not matter goes, or else the oldest */
+static void make_room(lw_quarantine_t *q)
+{
+	entry_t *e, *next;
+
+	if (HASH_COUNT(q->entries) < LW_QUARANTINE_MAX)
+		return;
+	HASH_ITER(hh, q->entries, e, next)
+	{
+		if (!lw_suspect_matters(&e->s)) {
+			drop(q, e);
+			return;
+		}
+	}
+	drop(q, q->entries);
+}
+
+static entry_t *get(lw_quarantine_t *q, const lw_fingerprint_t *print)
+{
+	entry_t *e = find(q, print);
+
+	if (e)
+		return e;
+	make_room(q);
+	e = xcalloc(1, sizeof(*e));
+	e->s.print = *print;
+	HASH_ADD(hh, q->entries, s.print, sizeof(e->s.print), e);
+	return e;
+}
+
+static lw_quarantine_verdict_t verdict_of(const lw_suspect_t *s, uint64_t now_us)
+{
+	if (s->trials && now_us < s->held_until_us)
+		return LW_QUARANTINE_HELD;
+	return lw_suspect_matters(s) ? LW_QUARANTINE_TRIAL : LW_QUARANTINE_CLEAR;
+}
+
+/* lw_quarantine_verdict() - what is to be done with a request that comes now. */
+lw_quarantine_verdict_t lw_quarantine_verdict(lw_quarantine_t *q, const lw_fingerprint_t *print,
+					      uint64_t now_us)
+{
+	entry_t *e = q->entries ? find(q, print) : NULL;
+	lw_quarantine_verdict_t v;
+
+	if (!e)
+		return LW_QUARANTINE_CLEAR;
+	v = verdict_of(&e->s, now_us);
+	if (v == LW_QUARANTINE_HELD && e->s.trials > HOLDS)
+		e->s.held_until_us = now_us + LAST_HOLD_US;
+	return v;
+}
+
+/* lw_quarantine_find() - what is known of the request if servers ended with it in hand; else NULL. */
+const lw_suspect_t *lw_quarantine_find(const lw_quarantine_t *q, const lw_fingerprint_t *print)
+{
+	const entry_t *e = q->entries ? find(q, print) : NULL;
+
+	return e && e->s.nends ? &e->s : NULL;
+}
+
+/*
+ * lw_quarantine_awaits_body() - whether a request with this method, host and target
+ * may be one that matters: its body tells, so it is waited for.
+ */
+bool lw_quarantine_awaits_body(const lw_quarantine_t *q, uint64_t head)
+{
+	for (const entry_t *e = q->entries; e; e = e->hh.next)
+		if (e->s.print.head == head && lw_suspect_matters(&e->s))
+			return true;
+	return false;
+}
+
+/* lw_quarantine_held_ms() - until a request that is held may come again; 0: it is not held. */
+uint32_t lw_quarantine_held_ms(const lw_quarantine_t *q, const lw_fingerprint_t *print,
+			       uint64_t now_us)
+{
+	const entry_t *e = find(q, print);
+
+	if (!e || verdict_of(&e->s, now_us) != LW_QUARANTINE_HELD)
+		return 0;
+	return (uint32_t)((e->s.held_until_us - now_us) / 1000) + 1;
+}
+
+static void add_end(lw_suspect_t *s, uint64_t process)
+{
+	for (uint32_t i = 0; i < s->nends; i++)
+		if (s->end[i] == process)
+			return;
+	if (s->nends < LW_SUSPECT_ENDS_MAX)
+		s->end[s->nends++] = process;
+}
+
+/*
+ * lw_quarantine_ended() - the server process @process ended with the request in
+ * hand; @tried: it was tried alone there. Returns what is known of it now.
+ */
+const lw_suspect_t *lw_quarantine_ended(lw_quarantine_t *q, const lw_fingerprint_t *print,
+					uint64_t process, bool tried, uint64_t now_us)
+{
+	lw_suspect_t *s = &get(q, print)->s;
+
+	add_end(s, process);
+	s->ended_us = now_us;
+	if (!tried)
+		return s;
+	s->held_until_us = now_us + (s->trials < HOLDS ? hold_us[s->trials] : LAST_HOLD_US);
+	s->trials++;
+	return s;
+}
+
+static void clear(lw_suspect_t *s, uint64_t at_us)
+{
+	s->nends = 0;
+	s->trials = 0;
+	s->ended_us = 0;
+	s->held_until_us = 0;
+	s->cleared_us = at_us;
+}
+
+/*
+ * lw_quarantine_answered() - a server answered the request and lives. Returns what
+ * others must be told, NULL if nothing.
+ */
+const lw_suspect_t *lw_quarantine_answered(lw_quarantine_t *q, const lw_fingerprint_t *print,
+					   uint64_t now_us)
+{
+	entry_t *e = q->entries ? find(q, print) : NULL;
+	bool mattered;
+
+	if (!e || !e->s.nends)
+		return NULL;
+	mattered = lw_suspect_matters(&e->s);
+	clear(&e->s, now_us);
+	return mattered ? &e->s : NULL;
+}
+
+static void merge(lw_suspect_t *s, const lw_suspect_t *told)
+{
+	if (told->cleared_us > s->cleared_us) {
+		if (told->cleared_us >= s->ended_us)
+			clear(s, told->cleared_us);
+		s->cleared_us = told->cleared_us;
+	}
+	if (told->ended_us <= s->cleared_us)
+		return;
+	for (uint32_t i = 0; i < told->nends; i++)
+		add_end(s, told->end[i]);
+	if (told->trials > s->trials)
+		s->trials = told->trials;
+	if (told->ended_us > s->ended_us)
+		s->ended_us = told->ended_us;
+	if (told->held_until_us > s->held_until_us)
+		s->held_until_us = told->held_until_us;
+}
+
+/*
+ * lw_quarantine_told() - another node knows this of a request. Returns what is known
+ * of it now if it is treated otherwise from now on, so that others must hear of it.
+ */
+const lw_suspect_t *lw_quarantine_told(lw_quarantine_t *q, const lw_suspect_t *told,
+				       uint64_t now_us)
+{
+	lw_suspect_t *s = &get(q, &told->print)->s;
+	lw_quarantine_verdict_t before = verdict_of(s, now_us);
+	uint32_t trials = s->trials;
+
+	merge(s, told);
+	return verdict_of(s, now_us) != before || s->trials != trials ? s : NULL;
+}
+
+/* lw_quarantine_list() - what a node that has just begun must know; returns how many. */
+size_t lw_quarantine_list(const lw_quarantine_t *q, const lw_suspect_t **out, size_t most)
+{
+	size_t n = 0;
+
+	for (const entry_t *e = q->entries; e && n < most; e = e->hh.next)
+		if (lw_suspect_matters(&e->s))
+			out[n++] = &e->s;
+	return n;
+}
+
+/* lw_quarantine_count() - requests that matter. */
+size_t lw_quarantine_count(const lw_quarantine_t *q)
+{
+	size_t n = 0;
+
+	for (const entry_t *e = q->entries; e; e = e->hh.next)
+		n += lw_suspect_matters(&e->s);
+	return n;
+}
+
+static uint64_t forget_us(const lw_suspect_t *s)
+{
+	if (s->trials)
+		return (s->held_until_us > s->ended_us ? s->held_until_us : s->ended_us) +
+		       HELD_BEFORE_US;
+	if (lw_suspect_matters(s))
+		return s->ended_us + TRIAL_US;
+	if (s->nends)
+		return s->ended_us + ONE_END_US;
+	return s->cleared_us + ANSWERED_US;
+}
+
+/* lw_quarantine_expire() - forget what has not come for long. */
+void lw_quarantine_expire(lw_quarantine_t *q, uint64_t now_us)
+{
+	entry_t *e, *next;
+
+	HASH_ITER(hh, q->entries, e, next)
+	if (now_us >= forget_us(&e->s))
+		drop(q, e);
+}
--- a/tests/decide.c
+++ b/tests/decide.c
@@ -15,7 +15,7 @@
 
 static const command_t *const groups[] = {
 	decide_route_commands, decide_retry_commands,  decide_place_commands,
-	decide_lease_commands, decide_spread_commands,
+	decide_lease_commands, decide_spread_commands, decide_quarantine_commands,
 };
 
 /* word() - word @i of the command, empty if there is none. */
@@ -87,6 +87,7 @@
 	w->conf = lw_fleetconf_new();
 	w->hot = lw_hotpath_new();
 	w->entries = lw_serverset_new();
+	w->quarantine = lw_quarantine_new();
 	lw_level_init(&w->level);
 	lw_place_init(&w->place, "zone-a", "10.0.0.1:80", 7000, decide_retry_terms);
 }
@@ -119,6 +120,7 @@
 	lw_bytebuf_free(&w.out);
 	lw_fleetconf_free(w.conf);
 	lw_serverset_free(w.entries);
+	lw_quarantine_free(w.quarantine);
 	free(w.list.servers);
 	lw_bytebuf_append(want, "", 1);
 	lw_bytebuf_append(got, "", 1);
--- a/tests/decide.h
+++ b/tests/decide.h
@@ -15,6 +15,7 @@
 #include "lease.h"
 #include "level.h"
 #include "place.h"
+#include "quarantine.h"
 #include "retrylimit.h"
 #include "serverset.h"
 #include "waitq.h"
@@ -30,6 +31,7 @@
 	lw_place_t place;
 	lw_serverset_t *entries;
 	lw_lease_t lease;
+	lw_quarantine_t *quarantine;
 	lw_serverlist_t list;
 	lw_waitq_t queue;
 	struct {
@@ -56,6 +58,7 @@
 extern const command_t decide_place_commands[];
 extern const command_t decide_lease_commands[];
 extern const command_t decide_spread_commands[];
+extern const command_t decide_quarantine_commands[];
 extern const lw_retryterms_t decide_retry_terms;
 
 const char *word(const words_t *a, int i);
--- a/tests/lwtest.h
+++ b/tests/lwtest.h
@@ -15,6 +15,7 @@
 void suite_docfetch(void);
 void suite_documents(void);
 void suite_lease(void);
+void suite_quarantine(void);
 void suite_scripts(const char *dir);
 int script_run(const char *path, char *why, size_t whylen);
 
--- /dev/null
+++ b/tests/test_quarantine.c
@@ -0,0 +1,187 @@
+/*
+ * A bounded search over what nodes hear of requests that end servers: word that is
+ * lost, doubled, late or out of order, nodes that begin anew, callers that repeat at
+ * any node. The promises are checked at each step.
+ */
+#include <string.h>
+
+#include "lwtest.h"
+#include "quarantine.h"
+
+#define NODES	  4
+#define RUNS	  3000
+#define STEPS	  160
+#define STEP_US	  50000
+#define WORDS_MAX 256 /* under way */
+/* the promises: servers that a request ends in one run while all word arrives */
+#define ENDS_MOST 8
+
+typedef struct word_under_way {
+	lw_suspect_t what;
+	int to;
+} word_under_way_t;
+
+typedef struct search {
+	lw_quarantine_t *node[NODES];
+	word_under_way_t word[WORDS_MAX];
+	size_t nwords;
+	uint64_t now_us, process, rng;
+	uint32_t bad_ends;
+	bool loses, restarts;
+	bool good_tried_at_an_end; /* only then may it be held */
+} search_t;
+
+static const lw_fingerprint_t bad = { 1, 1 }, good = { 1, 2 };
+
+static uint32_t draw(search_t *s, uint32_t below)
+{
+	s->rng = s->rng * 6364136223846793005ULL + 1442695040888963407ULL;
+	return (uint32_t)(s->rng >> 33) % below;
+}
+
+static void send_word(search_t *s, const lw_suspect_t *what, int from)
+{
+	for (int to = 0; to < NODES; to++) {
+		if (to == from || s->nwords == WORDS_MAX || (s->loses && draw(s, 5) == 0))
+			continue;
+		s->word[s->nwords++] = (word_under_way_t){ *what, to };
+	}
+}
+
+/* one word arrives, any of those under way; now and then it stays to come again */
+static void deliver(search_t *s)
+{
+	size_t i = draw(s, (uint32_t)s->nwords);
+	word_under_way_t w = s->word[i];
+	const lw_suspect_t *news;
+
+	if (draw(s, 8))
+		s->word[i] = s->word[--s->nwords];
+	news = lw_quarantine_told(s->node[w.to], &w.what, s->now_us);
+	if (news)
+		send_word(s, news, w.to);
+}
+
+/* a server ends beside @n with both requests in hand, or the bad one alone */
+static void end_server(search_t *s, int n, bool tried, bool good_in_hand, bool good_tried)
+{
+	s->process++;
+	s->bad_ends++;
+	send_word(s, lw_quarantine_ended(s->node[n], &bad, s->process, tried, s->now_us), n);
+	if (!good_in_hand)
+		return;
+	s->good_tried_at_an_end |= good_tried;
+	send_word(s, lw_quarantine_ended(s->node[n], &good, s->process, good_tried, s->now_us), n);
+}
+
+static void come_bad(search_t *s, int n)
+{
+	lw_quarantine_verdict_t good_now = lw_quarantine_verdict(s->node[n], &good, s->now_us);
+	lw_quarantine_verdict_t v = lw_quarantine_verdict(s->node[n], &bad, s->now_us);
+	bool in_hand = good_now != LW_QUARANTINE_HELD && draw(s, 3) == 0;
+
+	if (v != LW_QUARANTINE_HELD)
+		end_server(s, n, v == LW_QUARANTINE_TRIAL, in_hand,
+			   good_now == LW_QUARANTINE_TRIAL);
+}
+
+static void come_good(search_t *s, int n)
+{
+	const lw_suspect_t *news;
+
+	if (lw_quarantine_verdict(s->node[n], &good, s->now_us) == LW_QUARANTINE_HELD)
+		return;
+	news = lw_quarantine_answered(s->node[n], &good, s->now_us);
+	if (news)
+		send_word(s, news, n);
+}
+
+/* a node begins anew and is greeted by another */
+static void begin_anew(search_t *s, int n)
+{
+	const lw_suspect_t *list[8];
+	size_t known;
+
+	lw_quarantine_free(s->node[n]);
+	s->node[n] = lw_quarantine_new();
+	known = lw_quarantine_list(s->node[(n + 1) % NODES], list, 8);
+	for (size_t i = 0; i < known; i++)
+		lw_quarantine_told(s->node[n], list[i], s->now_us);
+}
+
+static void step(search_t *s)
+{
+	int n = (int)draw(s, NODES);
+
+	s->now_us += STEP_US;
+	switch (draw(s, 4)) {
+	case 0:
+		come_bad(s, n);
+		break;
+	case 1:
+		come_good(s, n);
+		break;
+	case 2:
+		if (s->restarts && draw(s, 10) == 0)
+			begin_anew(s, n);
+		break;
+	default:
+		lw_quarantine_expire(s->node[n], s->now_us);
+		break;
+	}
+	for (uint32_t i = draw(s, 12); i && s->nwords; i--)
+		deliver(s);
+}
+
+static void deliver_all(search_t *s)
+{
+	for (int i = 0; i < 20000 && s->nwords; i++)
+		deliver(s);
+}
+
+static void run(uint64_t seed, bool loses, bool restarts)
+{
+	search_t s = { .now_us = 1000000, .rng = seed, .loses = loses, .restarts = restarts };
+
+	for (int n = 0; n < NODES; n++)
+		s.node[n] = lw_quarantine_new();
+	for (int i = 0; i < STEPS; i++) {
+		step(&s);
+		if (!s.good_tried_at_an_end)
+			for (int n = 0; n < NODES; n++)
+				CU_ASSERT_FATAL(lw_quarantine_verdict(s.node[n], &good, s.now_us) !=
+						LW_QUARANTINE_HELD);
+	}
+	deliver_all(&s);
+	for (int n = 1; n < NODES && !loses && !restarts; n++) {
+		CU_ASSERT_EQUAL(lw_quarantine_verdict(s.node[n], &bad, s.now_us),
+				lw_quarantine_verdict(s.node[0], &bad, s.now_us));
+		CU_ASSERT_EQUAL(lw_quarantine_verdict(s.node[n], &good, s.now_us),
+				lw_quarantine_verdict(s.node[0], &good, s.now_us));
+	}
+	if (!loses && !restarts)
+		CU_ASSERT_TRUE(s.bad_ends <= ENDS_MOST);
+	for (int n = 0; n < NODES; n++)
+		lw_quarantine_free(s.node[n]);
+}
+
+static void all_word_arrives(void)
+{
+	for (uint64_t seed = 1; seed <= RUNS; seed++)
+		run(seed, false, false);
+}
+
+static void word_is_lost_and_nodes_begin_anew(void)
+{
+	for (uint64_t seed = 1; seed <= RUNS; seed++)
+		run(seed, true, seed % 2);
+}
+
+/* suite_quarantine() - register the search. */
+void suite_quarantine(void)
+{
+	CU_pSuite s = CU_add_suite("quarantine", NULL, NULL);
+
+	CU_add_test(s, "all word arrives, in any order", all_word_arrives);
+	CU_add_test(s, "word is lost and nodes begin anew", word_is_lost_and_nodes_begin_anew);
+}
