Logs tell of a list that is dropped as old, and of the store's era

Cause: whether the list with a drain was dropped as not newer, or never read, could not be told: neither the drop nor the store's return from a copy had a line.

Nothing is decided by it yet.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -18,6 +18,7 @@
 struct lw_httpc {
 	ne_session *sess;
 	int read_timeout_s;
+	const char *want; /* header to be copied from each answer; may be NULL */
 };
 
 static pthread_once_t neon_once = PTHREAD_ONCE_INIT;
@@ -78,6 +79,12 @@
 	return v ? (unsigned)strtoul(v, NULL, 10) : 0;
 }
 
+/* lw_httpc_want() - copy @header, which must stay, from each answer from now on. */
+void lw_httpc_want(lw_httpc_t *c, const char *header)
+{
+	c->want = header;
+}
+
 /*
  * lw_httpc_call() - send one request and read the whole answer into @out.
  * @timeout_ms: how long to wait for the answer; neon counts whole seconds,
@@ -112,6 +119,8 @@
 		copy_hdr(req, "X-LW-Outcome", out->outcome, sizeof(out->outcome));
 		copy_hdr(req, "X-LW-Reason", out->reason, sizeof(out->reason));
 		copy_hdr(req, "X-LW-Index", out->index, sizeof(out->index));
+		if (c->want)
+			copy_hdr(req, c->want, out->wanted, sizeof(out->wanted));
 		out->retry_after_ms = hdr_uint(req, "X-LW-Retry-After-Ms");
 		out->retries_used = hdr_uint(req, "X-LW-Retries-Used");
 		out->no_retry = hdr_uint(req, "X-LW-No-Retry") != 0;
--- a/src/log.h
+++ b/src/log.h
@@ -46,6 +46,10 @@
 	  "a document from another node was not what it should be; it is asked for anew")          \
 	X(1213, store_reading, LOG_INFO,                                                           \
 	  "this node begins or ends to read the configuration service itself, and why")            \
+	X(1214, list_not_newer, LOG_INFO,                                                          \
+	  "a list of backend servers not newer than the one in use was ignored")                   \
+	X(1215, store_restored, LOG_WARNING,                                                       \
+	  "the configuration service came back from an older copy; everything is read anew")       \
 	X(1211, server_vouched, LOG_NOTICE,                                                        \
 	  "a node says that its backend server lives although its entry lapsed")                   \
 	X(1300, request_shed, LOG_INFO, "a request was refused at admission (not run)")            \
--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -94,6 +94,10 @@
 	bool known;
 
 	if (p->servers && sl->revision <= p->servers->revision) {
+		if (sl->revision < p->servers->revision)
+			lw_log(LW_LOG_list_not_newer, "revision=%llu in_use=%llu from=%s",
+			       (unsigned long long)sl->revision,
+			       (unsigned long long)p->servers->revision, from);
 		lw_serverlist_free(sl);
 		return;
 	}
