Failing tests: a drain is not heard of after the store came back from a copy

Sequences: the list with the drain has a revision given out before; the drain is below the revision that the watch goes on from; a host cut from the store; two returns while the readers are turned away by turns.

--- a/tests/mesh/standin.py
+++ b/tests/mesh/standin.py
@@ -21,6 +21,17 @@
         self.turned_away = 0
         self.calls = 0
         self.changed = asyncio.Event()
+        self.era = 7
+
+    def copy(self):
+        return dict(self.items), self.revision, list(self.log)
+
+    def restore(self, copy):
+        """Comes back from a copy: what was written since is gone, its revisions are given out again."""
+        self.items, self.revision, self.log = dict(copy[0]), copy[1], list(copy[2])
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     async def start(self, ip, port):
         self.addr = f"{ip}:{port}"
@@ -74,7 +85,8 @@
         args = dict(p.split("=", 1) for p in query.split("&") if "=" in p)
         status, body = (int(mode), {}) if mode in ("503", "429") else await self.read(path, args)
         data = json.dumps(body).encode()
-        writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
+        writer.write(f"HTTP/1.1 {status} X\r\nStore-Era: {self.era}\r\n"
+                     f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
         await writer.drain()
 
     async def read(self, path, args):
@@ -91,7 +103,7 @@
     async def watch(self, prefix, after, wait):
         end = time.monotonic() + wait
         while True:
-            if after < self.oldest:
+            if after < self.oldest or after > self.revision:
                 return 410, {}
             events = [e for e in self.log if e["revision"] > after and e["key"].startswith(prefix)]
             left = end - time.monotonic()
