News from the store is compared by era and revision

Cause: revisions go back with the copy and are given out again. Store-Era, which tells of the return, was read nowhere.

Change: a place in the store's history is era and revision in one number that only grows (storepos.h), used wherever revisions were compared: the reader, the lists in use, statuses, fetches, removals, the order of entries at one address. In a new era the reader drops what it was answered and reads everything anew; what the copy lacks counts 2.1 s more, what it alone has does not count until it is written again or has stayed 5 s, and a drain is not taken back (serverset.c, placelist.c). A node that reads again after a rest begins with the list that the fleet has in use, as its own memory may be minutes old. News from a node that is an era behind, or of a version without eras, does not count as news.

Ruled out: the readers' news was late; the configuration of that second was in time.

--- a/src/feed.c
+++ b/src/feed.c
@@ -46,6 +46,12 @@
 	pthread_mutex_unlock(&f->lock);
 }
 
+/* lw_feed_rests() - from the loop: whether the store is not read now. */
+bool lw_feed_rests(const lw_feed_t *f)
+{
+	return !__atomic_load_n(&f->wanted, __ATOMIC_RELAXED);
+}
+
 /* lw_feed_want() - from the loop: read the store from now on. */
 void lw_feed_want(lw_feed_t *f, lw_feed_why_t why)
 {
--- a/src/feed.h
+++ b/src/feed.h
@@ -35,6 +35,8 @@
 	const lw_proxyset_t *set;
 	lw_mailbox_t conf; /* lw_fleetconf_t */
 	lw_mailbox_t servers; /* lw_serverlist_t */
+	lw_mailbox_t
+		in_use; /* the other way: the list that a reader that begins again finds in use */
 	uint32_t wanted; /* the loop wants the store to be read; by lw_feed_want() */
 	uint32_t why; /* lw_feed_why_t, of the newest wish; atomic */
 	uint32_t patient; /* other nodes are the first to read again after an outage; atomic */
@@ -63,6 +65,7 @@
 
 void lw_feed_init(lw_feed_t *f, const lw_proxyset_t *set);
 const char *lw_feed_why_name(lw_feed_why_t why);
+bool lw_feed_rests(const lw_feed_t *f);
 void lw_feed_want(lw_feed_t *f, lw_feed_why_t why);
 void lw_feed_rest(lw_feed_t *f);
 void lw_feed_set_patient(lw_feed_t *f, bool patient);
--- a/src/fleetconf.c
+++ b/src/fleetconf.c
@@ -182,6 +182,19 @@
 	return best->service;
 }
 
+/* lw_serverlist_copy() - the same list; the caller owns it. */
+lw_serverlist_t *lw_serverlist_copy(const lw_serverlist_t *sl)
+{
+	lw_serverlist_t *copy = xcalloc(1, sizeof(*copy));
+
+	copy->revision = sl->revision;
+	copy->nservers = sl->nservers;
+	copy->servers = xcalloc(sl->nservers + 1, sizeof(*copy->servers));
+	if (sl->nservers)
+		memcpy(copy->servers, sl->servers, sl->nservers * sizeof(*copy->servers));
+	return copy;
+}
+
 /* lw_serverlist_free() - release a list of backend servers; NULL is fine. */
 void lw_serverlist_free(lw_serverlist_t *sl)
 {
--- a/src/fleetconf.h
+++ b/src/fleetconf.h
@@ -68,11 +68,11 @@
 	char zone[LW_NAME_MAX];
 	uint32_t slots;
 	bool draining;
-	uint64_t created; /* orders entries that share an address */
+	uint64_t created; /* place in the store's history; orders entries that share an address */
 } lw_server_entry_t;
 
 typedef struct lw_serverlist {
-	uint64_t revision; /* of the store when it was read */
+	uint64_t revision; /* place in the store's history when it was read, see storepos.h */
 	lw_server_entry_t *servers;
 	size_t nservers;
 } lw_serverlist_t;
@@ -86,6 +86,7 @@
 void lw_fleetconf_seal(lw_fleetconf_t *fc);
 lw_fleet_route_t *lw_fleetconf_match(const lw_fleetconf_t *fc, lw_str_t host, lw_str_t path);
 const char *lw_fleet_route_next(lw_fleet_route_t *r);
+lw_serverlist_t *lw_serverlist_copy(const lw_serverlist_t *sl);
 void lw_serverlist_free(lw_serverlist_t *sl);
 
 #endif
--- a/src/mailbox.c
+++ b/src/mailbox.c
@@ -3,17 +3,18 @@
 
 #include <urcu-bp.h>
 
-/* lw_mailbox_put() - from the reader thread: @snapshot replaces what is there. */
+/* lw_mailbox_put() - @snapshot replaces what is there. */
 void lw_mailbox_put(lw_mailbox_t *m, void *snapshot)
 {
 	void *old = rcu_xchg_pointer(&m->slot, snapshot);
 
 	if (old)
 		m->release(old);
-	ev_async_send(m->loop, m->wake);
+	if (m->loop)
+		ev_async_send(m->loop, m->wake);
 }
 
-/* lw_mailbox_take() - from the loop: the newest snapshot, NULL if none is new. */
+/* lw_mailbox_take() - the newest snapshot, NULL if none is new. */
 void *lw_mailbox_take(lw_mailbox_t *m)
 {
 	return rcu_xchg_pointer(&m->slot, NULL);
--- a/src/mailbox.h
+++ b/src/mailbox.h
@@ -1,6 +1,6 @@
 /*
- * Hands the newest snapshot from a reader thread to the request loop without
- * a lock: the loop never waits, an older snapshot not yet taken is released.
+ * Hands the newest snapshot from one thread to another without a lock: neither
+ * waits, an older snapshot not yet taken is released.
  */
 #ifndef LW_MAILBOX_H
 #define LW_MAILBOX_H
@@ -11,7 +11,7 @@
 typedef struct lw_mailbox {
 	void *slot;
 	void (*release)(void *snapshot);
-	struct ev_loop *loop;
+	struct ev_loop *loop; /* woken by a new snapshot; may be NULL */
 	ev_async *wake;
 } lw_mailbox_t;
 
--- a/src/meshnews.c
+++ b/src/meshnews.c
@@ -3,6 +3,7 @@
  * of backend servers, and how old their news from the store is.
  */
 #include "mesh_int.h"
+#include "storepos.h"
 
 /* a peer is given so long to learn a new configuration by itself, us */
 #define CONFIG_PUSH_US 600000
@@ -106,13 +107,15 @@
 
 /*
  * lw_mesh_settle_news() - news counts only from a node that has nothing newer than
- * this one: else this node would think itself up to date while it fetches.
+ * this one: else this node would think itself up to date while it fetches. Nor does
+ * it from one that is an era behind: what it read says nothing of the store now.
  */
 void lw_mesh_settle_news(lw_link_t *l)
 {
 	lw_mesh_t *m = l->mesh;
 
 	if (l->peer_revision <= own_revision(m) &&
+	    lw_storepos_same_era(l->peer_revision, own_revision(m)) &&
 	    l->peer_version <= m->ops->config_version(m->ctx))
 		m->ops->news(m->ctx, l->node, l->peer_news_us);
 }
--- a/src/placelist.c
+++ b/src/placelist.c
@@ -169,7 +169,10 @@
 			h = host_add(p, e);
 		h->listed = true;
 		h->removed_us = 0;
-		h->draining = e->draining;
+		if (e->born_ms)
+			h->born_ms = e->born_ms;
+		/* taken back only in a copy of the store that is older than the drain */
+		h->draining |= e->draining;
 		p->nhosts++;
 	}
 	mark_removed(p, now_us, lapsed_until_us);
--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -6,6 +6,7 @@
 #include "log.h"
 #include "proxy_int.h"
 #include "meshframe.h"
+#include "storepos.h"
 
 /* the store is asked out of turn at most so often: its calls are few, us */
 #define HURRY_AGAIN_US 200000
@@ -95,9 +96,13 @@
 
 	if (p->servers && sl->revision <= p->servers->revision) {
 		if (sl->revision < p->servers->revision)
-			lw_log(LW_LOG_list_not_newer, "revision=%llu in_use=%llu from=%s",
-			       (unsigned long long)sl->revision,
-			       (unsigned long long)p->servers->revision, from);
+			lw_log(LW_LOG_list_not_newer,
+			       "era=%u revision=%llu in_use_era=%u in_use_revision=%llu from=%s",
+			       lw_storepos_era(sl->revision),
+			       (unsigned long long)lw_storepos_revision(sl->revision),
+			       lw_storepos_era(p->servers->revision),
+			       (unsigned long long)lw_storepos_revision(p->servers->revision),
+			       from);
 		lw_serverlist_free(sl);
 		return;
 	}
@@ -108,8 +113,10 @@
 	}
 	lw_place_update(&p->engine.place, sl, p->hub.now_us, lapsed_until_us(p));
 	self = lw_place_self(&p->engine.place, &known);
-	lw_log(LW_LOG_servers_changed, "servers=%zu revision=%llu from=%s self=%s draining=%d",
-	       sl->nservers, (unsigned long long)sl->revision, from, known ? self->id : "",
+	lw_log(LW_LOG_servers_changed,
+	       "servers=%zu era=%u revision=%llu from=%s self=%s draining=%d", sl->nservers,
+	       lw_storepos_era(sl->revision),
+	       (unsigned long long)lw_storepos_revision(sl->revision), from, known ? self->id : "",
 	       known && self->draining);
 	if (known) {
 		lw_gate_set_server(&p->engine.gate, self);
@@ -134,6 +141,8 @@
 /* this node reads the store itself from now on */
 static void begin_reading(lw_proxy_t *p, lw_feed_why_t why)
 {
+	if (p->servers && lw_feed_rests(&p->feed))
+		lw_mailbox_put(&p->feed.in_use, lw_serverlist_copy(p->servers));
 	lw_feed_want(&p->feed, why);
 	lw_feed_set_patient(&p->feed, why == LW_FEED_NEWS_OLD && p->servers &&
 					      !lw_spread_steps_in(&p->spread));
@@ -407,6 +416,7 @@
 	p->news_due.data = p;
 	ev_timer_start(p->hub.loop, &p->news_due);
 	p->feed.conf = (lw_mailbox_t){ .release = free_conf, .loop = p->hub.loop, .wake = &p->fed };
+	p->feed.in_use = (lw_mailbox_t){ .release = free_servers };
 	p->feed.servers =
 		(lw_mailbox_t){ .release = free_servers, .loop = p->hub.loop, .wake = &p->fed };
 	return p->platform->start_feed(&p->feed);
--- a/src/proxystats.c
+++ b/src/proxystats.c
@@ -8,6 +8,7 @@
 #include <time.h>
 
 #include "httpd.h"
+#include "storepos.h"
 
 /* the loop looks twice a second whether the status is wanted; longest wait, s */
 #define STATUS_WAIT_S 3
@@ -176,7 +177,10 @@
 	      s->suspects);
 	gauge(f, "lw_config_version", "configuration in force", s->config_version);
 	gauge(f, "lw_servers", "backend servers in the list", s->servers);
-	gauge(f, "lw_servers_revision", "revision of that list", s->servers_revision);
+	gauge(f, "lw_servers_revision", "revision of that list",
+	      lw_storepos_revision(s->servers_revision));
+	gauge(f, "lw_store_era", "era of the store that it is of",
+	      lw_storepos_era(s->servers_revision));
 	gauge(f, "lw_loop_longest_turn_us", "longest turn of the request loop since the start",
 	      s->longest_turn_us);
 	gauge(f, "lw_ready", "1: callers may come", s->ready);
--- a/src/proxystatus.c
+++ b/src/proxystatus.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "level.h"
+#include "storepos.h"
 
 /* requests shown that servers ended under */
 #define SUSPECTS_SHOWN 32
@@ -104,9 +105,10 @@
 	lw_gate_load(&e->gate, &own);
 	fprintf(f,
 		"node: service=%s zone=%s ready=%d stopping=%d active=%u config=%" PRIu64
-		" servers_revision=%" PRIu64 " news_age_ms=%u reads_store=%d\n",
+		" store_era=%u servers_revision=%" PRIu64 " news_age_ms=%u reads_store=%d\n",
 		e->hub->set->service, e->hub->set->zone, s->ready, e->hub->leaving, e->active,
-		e->conf ? e->conf->version : 0, s->servers_revision, s->news_age_ms, s->reader);
+		e->conf ? e->conf->version : 0, lw_storepos_era(s->servers_revision),
+		lw_storepos_revision(s->servers_revision), s->news_age_ms, s->reader);
 	fprintf(f,
 		"backend: id=%s leaving=%d running=%u queued=%u limit=%u service_ms=%u level=%u "
 		"failing_permille=%u\n",
--- a/src/serverset.c
+++ b/src/serverset.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <uthash.h>
 
+#include "storepos.h"
 #include "xalloc.h"
 
 /*
@@ -21,8 +22,16 @@
  */
 #define OUTAGE_MIN_US 2000000
 
+/*
+ * An entry that only an older copy of the store has is of a server that left, or
+ * of one that has just come. It lapses, or is written again, within three heartbeats.
+ * Unit us.
+ */
+#define UNPROVEN_US 5000000
+
 typedef struct lw_member {
 	lw_server_entry_t entry;
+	bool unproven; /* it came with a copy of the store, and was not known before */
 	bool missing; /* removed from the store, not yet taken as gone */
 	bool seen; /* in the read under way */
 	UT_hash_handle hh;
@@ -34,6 +43,9 @@
 	uint64_t away_us; /* since when the store does not answer; 0: it does */
 	uint64_t back_revision; /* of the store when it was back */
 	uint64_t hold_until_us; /* missing entries still count until then */
+	bool restoring; /* what is read now came with a copy of the store */
+	uint64_t
+		unproven_until_us; /* unproven entries do not count until then; 0: there are none */
 	bool held; /* some entries are missing and still count */
 	bool changed;
 	lw_fleetconf_t *known; /* services that the configuration names; NULL: not told yet */
@@ -81,6 +93,8 @@
 
 static bool counts(const lw_serverset_t *s, const lw_member_t *m)
 {
+	if (m->unproven)
+		return false;
 	return !s->known || !s->known->nservices ||
 	       lw_fleetconf_service(s->known, m->entry.service);
 }
@@ -118,6 +132,11 @@
 		m = xcalloc(1, sizeof(*m));
 		m->entry = *e;
 		HASH_ADD_STR(s->members, entry.id, m);
+		m->unproven = s->restoring;
+		s->changed = true;
+	}
+	if (m->unproven && !s->restoring) {
+		m->unproven = false;
 		s->changed = true;
 	}
 	if (!is_older(&m->entry, e))
@@ -167,6 +186,46 @@
 		}
 }
 
+/*
+ * lw_serverset_seed() - what was known is old: from now on it is what the fleet has
+ * in use, drains included.
+ */
+void lw_serverset_seed(lw_serverset_t *s, const lw_serverlist_t *in_use)
+{
+	lw_member_t *m, *tmp;
+
+	HASH_ITER(hh, s->members, m, tmp)
+	{
+		member_free(s, m);
+	}
+	for (size_t i = 0; i < in_use->nservers; i++) {
+		m = xcalloc(1, sizeof(*m));
+		m->entry = in_use->servers[i];
+		m->entry.created = 0;
+		HASH_ADD_STR(s->members, entry.id, m);
+	}
+	s->held = false;
+}
+
+/* lw_serverset_restoring() - the store came back from an older copy, which is read now. */
+void lw_serverset_restoring(lw_serverset_t *s)
+{
+	s->restoring = true;
+}
+
+/*
+ * lw_serverset_restored() - the copy was read, at @revision. What it does not have
+ * still counts while its servers may write it again; what it has and nobody knew
+ * does not count before it is written again, or has stayed.
+ */
+void lw_serverset_restored(lw_serverset_t *s, uint64_t now_us, uint64_t revision)
+{
+	s->restoring = false;
+	s->hold_until_us = now_us + RETURN_US;
+	s->back_revision = revision;
+	s->unproven_until_us = now_us + UNPROVEN_US;
+}
+
 /*
  * lw_serverset_resume() - the store is read again after a time in which it was
  * not. Others have read it meanwhile: whatever outage there was, is over, and
@@ -214,6 +273,26 @@
 	s->held = false;
 }
 
+static void take_unproven(lw_serverset_t *s)
+{
+	for (lw_member_t *m = s->members; m; m = m->hh.next) {
+		s->changed |= m->unproven;
+		m->unproven = false;
+	}
+	s->unproven_until_us = 0;
+}
+
+/*
+ * Whether @a was written before @b. What was written before the store came back
+ * from a copy and what the copy has are not in one order: the servers' starts tell.
+ */
+static bool written_before(const lw_server_entry_t *a, const lw_server_entry_t *b)
+{
+	if (!lw_storepos_same_era(a->created, b->created) && a->born_ms && b->born_ms)
+		return a->born_ms < b->born_ms;
+	return a->created < b->created;
+}
+
 /*
  * The newest entry of each address. The entry of a server that died stays
  * until it lapses, seconds after another has started in its place; work sent
@@ -228,7 +307,7 @@
 		if (!counts(s, m))
 			continue;
 		HASH_FIND(by_addr, newest, m->entry.addr, strlen(m->entry.addr), other);
-		if (other && other->entry.created >= m->entry.created)
+		if (other && !written_before(&other->entry, &m->entry))
 			continue;
 		if (other)
 			HASH_DELETE(by_addr, newest, other);
@@ -248,6 +327,8 @@
 
 	if (s->held && now_us >= s->hold_until_us)
 		drop_missing(s);
+	if (s->unproven_until_us && now_us >= s->unproven_until_us)
+		take_unproven(s);
 	if (!s->changed)
 		return NULL;
 	s->changed = false;
--- a/src/serverset.h
+++ b/src/serverset.h
@@ -2,7 +2,9 @@
  * The backend servers' entries as they come and go in the store, and which of
  * them count as there. Failure it guards against: while the store is away
  * entries lapse although their servers live; taking them as gone empties the
- * fleet the moment the store returns. No I/O; the time is given.
+ * fleet the moment the store returns. A store that returns from an older copy lacks
+ * what was written since, and has what was removed since. Revisions are places in
+ * its history (storepos.h). No I/O; the time is given.
  */
 #ifndef LW_SERVERSET_H
 #define LW_SERVERSET_H
@@ -20,6 +22,9 @@
 void lw_serverset_remove(lw_serverset_t *s, const char *id, uint64_t revision);
 void lw_serverset_begin(lw_serverset_t *s);
 void lw_serverset_end(lw_serverset_t *s);
+void lw_serverset_seed(lw_serverset_t *s, const lw_serverlist_t *in_use);
+void lw_serverset_restoring(lw_serverset_t *s);
+void lw_serverset_restored(lw_serverset_t *s, uint64_t now_us, uint64_t revision);
 void lw_serverset_resume(lw_serverset_t *s);
 void lw_serverset_store_away(lw_serverset_t *s, uint64_t last_us);
 void lw_serverset_store_back(lw_serverset_t *s, uint64_t now_us, uint64_t revision);
--- /dev/null
+++ b/src/storepos.h
@@ -0,0 +1,44 @@
+/*
+ * A place in the store's history as one number that only grows. Revisions alone go
+ * back and are given out again when the store returns from an older copy; it tells so
+ * by its era, which rises then. Nodes of a version that knew revisions only have
+ * places below all others.
+ */
+#ifndef LW_STOREPOS_H
+#define LW_STOREPOS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Bits of a place that hold the revision; above them stands the era, plus one. */
+#define LW_STOREPOS_REVISION_BITS 44
+#define LW_STOREPOS_REVISION_MASK ((1ULL << LW_STOREPOS_REVISION_BITS) - 1)
+
+/* lw_storepos() - the place of @revision in @era; 0 for a store that tells none. */
+static inline uint64_t lw_storepos(uint32_t era, uint64_t revision)
+{
+	return ((uint64_t)era + 1) << LW_STOREPOS_REVISION_BITS |
+	       (revision & LW_STOREPOS_REVISION_MASK);
+}
+
+/* lw_storepos_era() - the era of a place; 0 also for one of a node without eras. */
+static inline uint32_t lw_storepos_era(uint64_t pos)
+{
+	uint64_t above = pos >> LW_STOREPOS_REVISION_BITS;
+
+	return above ? (uint32_t)(above - 1) : 0;
+}
+
+/* lw_storepos_revision() - the revision of a place. */
+static inline uint64_t lw_storepos_revision(uint64_t pos)
+{
+	return pos & LW_STOREPOS_REVISION_MASK;
+}
+
+/* lw_storepos_same_era() - whether two places are comparable by their revisions. */
+static inline bool lw_storepos_same_era(uint64_t a, uint64_t b)
+{
+	return a >> LW_STOREPOS_REVISION_BITS == b >> LW_STOREPOS_REVISION_BITS;
+}
+
+#endif
--- a/tests/decide_place.c
+++ b/tests/decide_place.c
@@ -3,9 +3,10 @@
 #include <string.h>
 
 #include "decide.h"
+#include "storepos.h"
 #include "xalloc.h"
 
-/* entry ID SERVICE ADDR ZONE SLOTS CREATED [draining] [born N] | entry-gone ID | entry-list AT ... */
+/* entry ID SERVICE ADDR ZONE SLOTS CREATED [draining] [born N] [era N] | entry-gone ID | entry-list AT ... */
 static lw_server_entry_t entry_of(const words_t *a)
 {
 	lw_server_entry_t e = { .slots = (uint32_t)num(a, 5), .created = (uint64_t)num(a, 6) };
@@ -18,6 +19,8 @@
 	for (int i = 7; i + 1 < a->n; i++)
 		if (strcmp(word(a, i), "born") == 0)
 			e.born_ms = (uint64_t)num(a, i + 1);
+		else if (strcmp(word(a, i), "era") == 0)
+			e.created = lw_storepos((uint32_t)num(a, i + 1), e.created);
 	return e;
 }
 
@@ -43,6 +46,36 @@
 	lw_serverset_store_away(w->entries, ms(a, 1));
 }
 
+/* restoring: the store is back from a copy, which is read now | restored AT ERA REVISION */
+static void do_restoring(world_t *w, const words_t *a)
+{
+	(void)a;
+	lw_serverset_restoring(w->entries);
+}
+
+static void do_restored(world_t *w, const words_t *a)
+{
+	lw_serverset_restored(w->entries, ms(a, 1),
+			      lw_storepos((uint32_t)num(a, 2), (uint64_t)num(a, 3)));
+}
+
+/* seed ID SERVICE ADDR ZONE SLOTS CREATED ...: one server is in use, and no other is known */
+static void do_seed(world_t *w, const words_t *a)
+{
+	lw_server_entry_t e = entry_of(a);
+
+	lw_serverset_seed(w->entries, &(lw_serverlist_t){ .servers = &e, .nservers = 1 });
+}
+
+/* places ERA REVISION ERA REVISION: whether the second one is later in the store's history */
+static void do_places(world_t *w, const words_t *a)
+{
+	uint64_t first = lw_storepos((uint32_t)num(a, 1), (uint64_t)num(a, 2));
+	uint64_t second = lw_storepos((uint32_t)num(a, 3), (uint64_t)num(a, 4));
+
+	say(w, "%s", second > first ? "later" : "not later");
+}
+
 static void do_resume(world_t *w, const words_t *a)
 {
 	(void)a;
@@ -204,6 +237,10 @@
 	{ "vouch", do_vouch },
 	{ "store-back", do_store_back },
 	{ "resume", do_resume },
+	{ "restoring", do_restoring },
+	{ "restored", do_restored },
+	{ "seed", do_seed },
+	{ "places", do_places },
 	{ "store-away", do_store_away },
 	{ "reread", do_reread },
 	{ "entry-list", do_entry_list },
--- a/tests/mesh/eras.py
+++ b/tests/mesh/eras.py
@@ -2,13 +2,14 @@
 import asyncio
 import time
 
+import olderpeer
 from fleet import config, until
 from harness import check, test
 
 DRAIN_S = 2.05  # a little more than the bound, for the way to the server
 
 
-async def asks(f, target, stop, answers):
+async def asks(f, target, stop, answers, nodes=None):
     """One caller at each node, until told to stop."""
     async def at(node, k):
         i = 0
@@ -17,7 +18,7 @@
             a = await node.caller().ask("GET", target, f"e{k}-{i}")
             answers.append((time.monotonic(), a.status))
             await asyncio.sleep(0.02)
-    await asyncio.gather(*(at(n, k) for k, n in enumerate(f.all())))
+    await asyncio.gather(*(at(n, k) for k, n in enumerate(nodes or f.all())))
 
 
 def write_much(f, n):
@@ -218,3 +219,37 @@
     f.store.put("op/config", config(5, f.rules))
     for n in f.all():
         await until(lambda n=n: n.metric("lw_config_version"), lambda v: v == 5, 2)
+
+
+@test({"front": 2, "back": 3})
+async def test_older_version_reads_for_all(f):
+    """The hosts that read for all are of a version that knows no eras: a drain is not heard of while their news is young."""
+    readers = [n for n in f.all() if await n.metric("lw_store_reader") == 1]
+    rest = [n for n in f.all() if n not in readers]
+    for n in readers:
+        n.kill()
+    peers = [olderpeer.Peer(n.ip) for n in rest]
+    for p in peers:
+        p.news_age_ms = 0
+        p.revision = 5
+        await p.connect()
+
+    async def tell():
+        while True:
+            for p in peers:
+                await p.tell()
+            await asyncio.sleep(0.2)
+    telling = asyncio.ensure_future(tell())
+    await asyncio.sleep(2)
+    server = next(n.server for n in rest if n.server.service == "back")
+    stop, answers = [], []
+    task = asyncio.ensure_future(asks(f, "/leaf/1", stop, answers, rest))
+    await asyncio.sleep(1)
+    check(server.ran, "it had no work before")
+    too_late = await says_that_it_leaves(f, server)
+    stop.append(1)
+    await task
+    telling.cancel()
+    for p in peers:
+        p.close()
+    check(not too_late, (len(too_late), max(too_late, default=0)))
--- a/tests/mesh/olderpeer.py
+++ b/tests/mesh/olderpeer.py
@@ -58,6 +58,7 @@
     def __init__(self, ip):
         self.ip, self.config, self.servers, self.statuses = ip, 0, [], 0
         self.revision = 0
+        self.news_age_ms = 60000
 
     async def connect(self):
         self.reader, self.writer = await asyncio.open_connection(self.ip, fl.MESH)
@@ -66,7 +67,7 @@
 
     def status(self, is_reply):
         load = field(3, 8) + field(7, self.config)
-        return (field(1, int(is_reply)) + field(LOAD, load) + field(4, 60000) +
+        return (field(1, int(is_reply)) + field(LOAD, load) + field(4, self.news_age_ms) +
                 field(5, self.revision) + field(6, 77) + varint(7 << 3 | 1) + b"\x01\x02\x03\x04\x05\x06\x07\x08")
 
     async def run(self):
@@ -90,6 +91,10 @@
         self.writer.write(frame(CONFIG, field(1, version) + field(2, text)))
         await self.writer.drain()
 
+    async def tell(self):
+        self.writer.write(frame(STATUS, self.status(True)))
+        await self.writer.drain()
+
     def close(self):
         self.task.cancel()
         self.writer.close()
