Test of readers of an older version waits until there are readers

Cause: the test asked for the two readers before the metric says so, found none and killed none, and passed also without the rule that it guards.

--- a/tests/mesh/eras.py
+++ b/tests/mesh/eras.py
@@ -224,7 +224,9 @@
 @test({"front": 2, "back": 3})
 async def test_older_version_reads_for_all(f):
     """The hosts that read for all are of a version that knows no eras: a drain is not heard of while their news is young."""
+    await asyncio.sleep(1)
     readers = [n for n in f.all() if await n.metric("lw_store_reader") == 1]
+    check(len(readers) == 2, len(readers))
     rest = [n for n in f.all() if n not in readers]
     for n in readers:
         n.kill()
