Failing test: an entry held after an outage never goes

Symptom: a server whose entry lapsed in an outage of the store is in every node's list for good, unless something else is written there. Sequence: it counts for two seconds after the return; a configuration is in force meanwhile, with which the list is told anew; then the entry is dropped, at the same revision of the store.

--- a/tests/mesh/eras.py
+++ b/tests/mesh/eras.py
@@ -255,3 +255,21 @@
     for p in peers:
         p.close()
     check(not too_late, (len(too_late), max(too_late, default=0)))
+
+
+@test({"front": 2, "back": 2})
+async def test_held_entry_goes_without_another_write(f):
+    """An entry that lapsed in an outage counts on for good, as no write to the store follows its last hold."""
+    await asyncio.sleep(1)
+    f.beats.cancel()
+    f.store.mode = "reset"
+    await asyncio.sleep(3)
+    f.store.remove("servers/" + f.nodes["back"][0].server.id)
+    f.store.put("op/config", config(6, f.rules))
+    f.store.mode = "ok"
+    for n in f.all():
+        await until(lambda n=n: n.metric("lw_config_version"), lambda v: v == 6, 2)
+        check(await n.metric("lw_servers") == 4, "it counts for two seconds more")
+    await asyncio.sleep(3)
+    for n in f.all():
+        check(await n.metric("lw_servers") == 3, (n.ip, await n.metric("lw_servers")))
