A request is looked up also where no end of a server is known for it

Symptom: none seen; a frame that tells of failed trials without a server that ended would end the process that takes it. Cause: what such a request is to be tried at was looked up only if ends are known.

--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -121,12 +121,12 @@
 	return v;
 }
 
-/* lw_quarantine_find() - what is known of the request if servers ended with it in hand; else NULL. */
+/* lw_quarantine_find() - what is known of the request if it is not clear of all ends; else NULL. */
 const lw_suspect_t *lw_quarantine_find(const lw_quarantine_t *q, const lw_fingerprint_t *print)
 {
 	const entry_t *e = q->entries ? find(q, print) : NULL;
 
-	return e && e->s.nends ? &e->s : NULL;
+	return e && (e->s.nends || e->s.trials) ? &e->s : NULL;
 }
 
 /*
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -177,11 +177,26 @@
 		run(seed, true, seed % 2);
 }
 
+/* a node tells of trials without a server that ended: nobody may look for one */
+static void word_that_makes_no_sense(void)
+{
+	lw_quarantine_t *q = lw_quarantine_new();
+	lw_suspect_t told = { .print = bad, .trials = 3, .ended_us = 5, .held_until_us = 10 };
+
+	lw_quarantine_told(q, &told, 6);
+	CU_ASSERT_EQUAL(lw_quarantine_verdict(q, &bad, 7), LW_QUARANTINE_HELD);
+	CU_ASSERT_EQUAL(lw_quarantine_verdict(q, &bad, 11), LW_QUARANTINE_TRIAL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(lw_quarantine_find(q, &bad));
+	CU_ASSERT_EQUAL(lw_quarantine_find(q, &bad)->nends, 0);
+	lw_quarantine_free(q);
+}
+
 /* suite_quarantine() - register the search. */
 void suite_quarantine(void)
 {
 	CU_pSuite s = CU_add_suite("quarantine", NULL, NULL);
 
 	CU_add_test(s, "all word arrives, in any order", all_word_arrives);
+	CU_add_test(s, "word that makes no sense", word_that_makes_no_sense);
 	CU_add_test(s, "word is lost and nodes begin anew", word_is_lost_and_nodes_begin_anew);
 }
