Soak: requests that end servers, and a store that comes back from a copy

Change: seeds from 1000 on draw, beside configurations, drains, signals and faults of servers, a request that a caller repeats at any node for six seconds and that ends each server that runs it, and returns of the store from a copy up to 4.5 s old, with what operators and servers wrote since written again. The older seeds draw what they drew.

--- a/tests/mesh/crashes.py
+++ b/tests/mesh/crashes.py
@@ -12,13 +12,13 @@
 class Crashes:
     """Ends a server that runs a request to the path, and starts it anew under another id."""
 
-    def __init__(self, f, service, path, after=0.07):
+    def __init__(self, f, service, path, after=0.07, take=True):
         self.f, self.path, self.after = f, path, after
         self.sends = []  # when the request reached a server
         self.ends = []  # when a server ended under it
         self.tasks = []
         self.down = set()
-        for n in f.nodes[service]:
+        for n in f.nodes[service] if take else []:
             n.server.behave = self.behave
 
     async def behave(self, server, head, rid, stage):
--- a/tests/mesh/standin.py
+++ b/tests/mesh/standin.py
@@ -188,7 +188,7 @@
         try:
             while await self.one(reader, writer):
                 pass
-        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
             pass
         finally:
             self.conns.discard(writer)
--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -8,6 +8,7 @@
 import time
 
 import fleet as fl
+from crashes import SENDS_ALLOWED, TOUCH_S, Crashes
 
 DRAIN_S = 2.0
 GRACE_S = 6.0
@@ -210,6 +211,65 @@
         span.append(time.monotonic())
         self.note(f"store {mode} over", store=True)
 
+    async def store_copy(self, _node, rng):
+        """The store comes back from a copy some seconds old; what operators and servers
+        wrote since is written again, and what left lapses."""
+        if self.copying:
+            return
+        self.copying = True
+        store, copy = self.f.store, self.f.store.copy()
+        await asyncio.sleep(0.5 + rng.random() * 4)
+        span = self.unplanned()
+        self.note("store goes away", store=True)
+        store.mode = rng.choice(["silent", "503", "reset"])
+        await asyncio.sleep(rng.random() * 2)
+        store.restore(copy)
+        store.mode = "ok"
+        self.copies += 1
+        self.note(f"store back from a copy, era {store.era}", store=True)
+        await asyncio.sleep(rng.random())
+        store.put("op/config", fl.config(self.version, self.rules()))
+        now = {n.server.id: n.server for n in self.f.all()}
+        for server in now.values():
+            if server not in self.crashes.down:
+                self.f.register(server)
+        self.note("written again", store=True)
+        await asyncio.sleep(2)
+        for key in [k for k in store.items if k.startswith("servers/")]:
+            if key[len("servers/"):] not in {n.server.id for n in self.f.all()}:
+                store.remove(key)
+        span.append(time.monotonic())
+        self.copying = False
+
+    async def bad_request(self, _node, rng):
+        """A caller repeats a request that ends its servers, at any node."""
+        if self.crashes.path:
+            return
+        self.crashes.path = f"/get/bad{len(self.faults)}"
+        self.crashes.sends, self.crashes.ends = [], []
+        span = self.unplanned()
+        self.note(f"{self.crashes.path} ends servers")
+        began, n = time.monotonic(), 0
+        while time.monotonic() < began + 6:
+            rid = f"bad{len(self.faults)}-{n}"
+            n += 1
+            c = rng.choice(self.f.all()).caller()
+            try:
+                await c.ask("GET", self.crashes.path, rid, deadline=2000, timeout=3)
+            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+                pass
+            c.close()
+            await asyncio.sleep(0.1 + rng.random() * 0.4)
+        late = self.crashes.late_sends()
+        self.ended_servers += len(self.crashes.ends)
+        self.note(f"{self.crashes.path} ended {len(self.crashes.ends)} servers, {len(late)} late")
+        if len(late) > SENDS_ALLOWED:
+            self.fail(f"{self.crashes.path}: sent {len(late)} times later than {TOUCH_S} s "
+                      "after it had ended three servers")
+        await asyncio.sleep(3)
+        span.append(time.monotonic())
+        self.crashes.path = ""
+
     async def change(self, _node, _rng):
         self.version += 1
         self.f.store.put("op/config", fl.config(self.version, self.rules()))
@@ -247,6 +307,9 @@
                    self.change, self.change, self.drain]
         mixed = [self.kill, self.term, self.roll, self.pause, self.hangup, self.link, self.link,
                  self.server_fault, self.server_fault, self.store_fault, self.change, self.drain]
+        # no node is disturbed: what is known of requests and of the store must hold
+        ends = [self.bad_request, self.store_copy, self.store_copy, self.change, self.drain,
+                self.drain, self.hangup, self.server_fault]
         running = []
         at = rolled = 0.0
         while at < self.seconds:
@@ -254,7 +317,7 @@
             await asyncio.sleep(gap)
             at += gap
             node = self.chaos_rng.choice(self.f.all())
-            step = self.chaos_rng.choice(planned if self.planned else mixed)
+            step = self.chaos_rng.choice(planned if self.planned else ends if self.ends else mixed)
             rng = random.Random(self.chaos_rng.random())
             if step in (self.roll, self.two_rolls):
                 if rolled and at < rolled + ROLL_S:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -7,7 +7,8 @@
 processes are stopped in turn, paused, killed and restarted, get settings that
 are new or broken; servers drain, lose answers, shed, hang and send foreign
 bytes; the store goes silent, refuses and forgets (series.py). Every third seed
-draws planned work only: whatever a server has begun must be answered then. A
+draws planned work only: whatever a server has begun must be answered then. Seeds
+from 1000 on draw requests that end servers, and returns of the store from a copy. A
 seed draws the same series each time."""
 import argparse
 import asyncio
@@ -21,6 +22,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "mesh"))
 import fleet as fl  # noqa: E402
 import standin  # noqa: E402
+from crashes import Crashes  # noqa: E402
 from series import DRAIN_S, Series  # noqa: E402
 
 # a node or store counts as undisturbed this long after the last fault on it
@@ -39,6 +41,8 @@
 # a connection that closes without an answer does so this soon after a request
 # that it crossed
 SLACK_S = 0.2
+# seeds from here on draw requests that end servers, and a store back from a copy
+ENDS_SEEDS = 1000
 # a fifth of the requests of a planned seed must be fit to be judged
 JUDGED_SHARE = 0.2
 
@@ -49,7 +53,9 @@
         self.chaos_rng = random.Random(f"chaos {seed}")  # of the series of faults alone
         self.seconds = seconds
         self.net = net
-        self.planned = seed % 3 == 0
+        self.planned = seed % 3 == 0 and seed < ENDS_SEEDS
+        self.ends = seed >= ENDS_SEEDS
+        self.copying, self.copies, self.ended_servers = False, 0, 0
         self.broken = []
         self.asked = {}  # id -> (kind, node, time)
         self.outcome = {}  # id -> status, 0 for none
@@ -73,6 +79,7 @@
         layout = {"front": nodes // 3, "back": nodes - nodes // 3}
         # planned work has no use for relays, see follow()
         self.f = fl.Fleet(net, layout, rules=self.rules(), relays=not self.planned)
+        self.crashes = Crashes(self.f, "back", "", take=False)
         for n in self.f.all():
             n.server.behave = self.behave
         self.fault_of = {}  # server id -> (fault, share)
@@ -86,6 +93,8 @@
                 fl.route("version", f"/v{getattr(self, 'version', 1)}/", "front", timeout=1)]
 
     async def behave(self, server, head, rid, stage):
+        if self.crashes.path and head.start[1] == self.crashes.path:
+            return await self.crashes.behave(server, head, rid, stage)
         fault, share = self.fault_of.get(server.id, (None, 0))
         bad = fault and self.rng.random() < share
         if stage == "head":
@@ -189,7 +198,7 @@
                 ran.setdefault(rid, []).append((at, n.server.id))
         for rid, times in ran.items():
             if rid not in self.asked:
-                if not rid.startswith("probe"):
+                if not rid.startswith(("probe", "bad")):
                     self.fail(f"{rid}: ran, but was never sent")
                 continue
             order = self.asked[rid][0].endswith("put")
@@ -339,7 +348,9 @@
         passed += not s.broken
         if not s.broken:
             shutil.rmtree(s.f.dir)
-        kind = "planned" if s.planned else "mixed"
+        kind = "planned" if s.planned else "ends" if s.ends else "mixed"
+        if s.ends:
+            kind += f", {s.ended_servers} servers ended, {s.copies} copies"
         print(f"{'FAILED' if s.broken else 'passed'} seed {seed} ({kind}): {requests} requests, "
               f"{s.judged} judged for planned work, {len(s.terms)} stops, "
               f"{len(s.faults)} steps, late by {s.late * 1000:.0f} ms at most, "
