--- a/tests/mesh/news.py
+++ b/tests/mesh/news.py
@@ -3,7 +3,7 @@
 import signal
 
 import olderpeer
-from fleet import config, route, until
+from fleet import STORE, config, route, until
 from harness import check, test
 
 FRONT = [route("get", "/get/", "front"), route("leaf", "/leaf/", "back")]
@@ -49,6 +49,28 @@
     check(f.store.calls <= 24 + 3 * 4.5 + 8, f.store.calls)
 
 
+@test({"front": 12, "back": 12}, start=False)
+async def test_a_cold_start_costs_two_calls(f):
+    """Hosts that start before there is anything in the store ask it again and again."""
+    await f.store.start(f"127.{f.net}.0.250", STORE)
+    for n in f.all():
+        await n.server.start()
+        n.start()
+    began = asyncio.get_event_loop().time()
+    await asyncio.sleep(0.6)
+    f.store.put("op/config", config(1, FRONT))
+    await asyncio.sleep(0.2)
+    for n in f.all():
+        f.register(n.server)
+        await asyncio.sleep(0.06)
+    f.beats = asyncio.ensure_future(f.heartbeats())
+    await f.until_ready()
+    await asyncio.sleep(2)
+    seconds = asyncio.get_event_loop().time() - began
+    # one finds nothing, one all, and two a second are of those that read for others
+    check(f.store.calls <= 24 * 2 + seconds * 4.5, (f.store.calls, round(seconds, 1)))
+
+
 @test({"front": 12, "back": 12})
 async def test_an_outage_costs_few_calls(f):
     """In an outage of the store every host of the fleet asks it again and again."""
