--- a/src/serverset.c
+++ b/src/serverset.c
@@ -316,6 +316,12 @@
 	return newest;
 }
 
+/* lw_serverset_empty() - no entry was seen, or all have gone. */
+bool lw_serverset_empty(const lw_serverset_t *s)
+{
+	return !s->members;
+}
+
 /*
  * lw_serverset_changed() - the servers that count as there, if that differs
  * from the last list returned; else NULL. The caller owns the list.
--- a/src/serverset.h
+++ b/src/serverset.h
@@ -9,6 +9,7 @@
 #ifndef LW_SERVERSET_H
 #define LW_SERVERSET_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "fleetconf.h"
@@ -28,6 +29,7 @@
 void lw_serverset_resume(lw_serverset_t *s);
 void lw_serverset_store_away(lw_serverset_t *s, uint64_t last_us);
 void lw_serverset_store_back(lw_serverset_t *s, uint64_t now_us, uint64_t revision);
+bool lw_serverset_empty(const lw_serverset_t *s);
 lw_serverlist_t *lw_serverset_changed(lw_serverset_t *s, uint64_t now_us);
 
 #endif
