Levels of services in a file of their own, one way to draw connections

Word of suspects and questions for news drew connections at random by the same loop twice. No behaviour changes: unit, scripted and three mesh tests pass.

--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -152,6 +152,8 @@
 lw_link_t *lw_link_new(lw_mesh_t *m, int fd, bool outgoing);
 lw_link_t *lw_link_to(lw_mesh_t *m, const char *node);
 void lw_mesh_push_config(lw_link_t *l, uint64_t version, uint64_t now);
+typedef void (*lw_link_fn)(lw_link_t *l, const void *ctx);
+void lw_mesh_each_drawn(lw_mesh_t *m, uint32_t nodes, lw_link_fn fn, const void *ctx);
 bool lw_link_may_be_asked(const lw_link_t *l);
 void lw_mesh_greet_with_suspects(lw_link_t *l);
 void lw_mesh_on_suspects(lw_link_t *l, const Lw__Suspects *w);
--- a/src/meshnews.c
+++ b/src/meshnews.c
@@ -217,8 +217,8 @@
 	return l->peer_incarnation && !l->silent && !l->closed;
 }
 
-/* lw_mesh_ask_news() - ask @nodes connected nodes, drawn at random, what they know. */
-void lw_mesh_ask_news(lw_mesh_t *m, uint32_t nodes)
+/* lw_mesh_each_drawn() - call @fn with the connections to @nodes connected nodes, drawn at random. */
+void lw_mesh_each_drawn(lw_mesh_t *m, uint32_t nodes, lw_link_fn fn, const void *ctx)
 {
 	uint32_t left = 0;
 
@@ -228,12 +228,24 @@
 		if (!lw_link_may_be_asked(l))
 			continue;
 		if (lw_hub_random(m->hub, left--) < nodes) {
-			lw_mesh_send_status(l, false);
+			fn(l, ctx);
 			nodes--;
 		}
 	}
 }
 
+static void ask(lw_link_t *l, const void *ctx)
+{
+	(void)ctx;
+	lw_mesh_send_status(l, false);
+}
+
+/* lw_mesh_ask_news() - ask @nodes connected nodes, drawn at random, what they know. */
+void lw_mesh_ask_news(lw_mesh_t *m, uint32_t nodes)
+{
+	lw_mesh_each_drawn(m, nodes, ask, NULL);
+}
+
 /* lw_mesh_push_config() - a node that cannot reach the store gets the configuration from its peers */
 void lw_mesh_push_config(lw_link_t *l, uint64_t version, uint64_t now)
 {
--- a/src/meshsuspects.c
+++ b/src/meshsuspects.c
@@ -126,20 +126,11 @@
 			lw_link_send(l, &f);
 }
 
-static void pass_on(lw_mesh_t *m, const lw_suspect_t *s)
+static void send_one(lw_link_t *l, const void *ctx)
 {
-	uint32_t left = 0, nodes = PASS_ON_NODES;
-
-	for (const lw_link_t *l = m->links; l; l = l->next)
-		left += lw_link_may_be_asked(l);
-	for (lw_link_t *l = m->links; l && nodes; l = l->next) {
-		if (!lw_link_may_be_asked(l))
-			continue;
-		if (lw_hub_random(m->hub, left--) < nodes) {
-			send_suspects(l, &s, 1);
-			nodes--;
-		}
-	}
+	const lw_suspect_t *s = ctx;
+
+	send_suspects(l, &s, 1);
 }
 
 static void take(lw_mesh_t *m, const lw_suspect_t *told)
@@ -147,7 +138,7 @@
 	const lw_suspect_t *news = m->ops->suspect(m->ctx, told);
 
 	if (news)
-		pass_on(m, news);
+		lw_mesh_each_drawn(m, PASS_ON_NODES, send_one, news);
 }
 
 static void take_ended(lw_mesh_t *m, const Lw__ServerEnded *w)
--- a/src/place.c
+++ b/src/place.c
@@ -5,8 +5,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "level.h"
-
 /*
  * Cost factors. A host in another availability zone must be this much better
  * to be chosen: bytes between zones are paid for, and the extra round trip is
@@ -21,11 +19,6 @@
  * server is filled to about 70% before one of half its speed gets work.
  */
 #define COST_FULL 3.0
-/*
- * The open part of a service lifts its level by so many priorities: with a
- * third of it open nearly a whole priority more is admitted.
- */
-#define OPEN_LIFTS 3
 /* the backend server on this host needs no hop at all */
 #define COST_SELF 0.9
 /* a host whose requests all fail costs as much as one this many times as loaded */
@@ -56,8 +49,6 @@
 #define REPLACED_US 5000000
 /* a server that took no connection gets no work for so long, while others can take it, us */
 #define DOWN_US 500000
-/* a load that was told longer ago says nothing, us */
-#define LOAD_STALE_US 3000000
 
 /* lw_place_init() - no hosts yet; @zone and @backend are this host's. */
 void lw_place_init(lw_place_t *p, const char *zone, const char *backend, uint32_t mesh_port,
@@ -137,7 +128,7 @@
 /* the time a request is expected to take there, against the service's mean */
 static double host_cost(const lw_place_host_t *h, const lw_place_ask_t *ask, double mean_us)
 {
-	bool known = h->load_us && ask->now_us - h->load_us < LOAD_STALE_US;
+	bool known = h->load_us && ask->now_us - h->load_us < LW_PLACE_LOAD_STALE_US;
 	double use = host_use(h, known);
 	double cost = 1 + COST_FULL * use * use * use;
 	double failures;
@@ -184,7 +175,7 @@
  */
 static bool refuses(const lw_place_host_t *h, uint64_t now_us)
 {
-	return h->load_us && !h->load.limit && now_us - h->load_us < LOAD_STALE_US;
+	return h->load_us && !h->load.limit && now_us - h->load_us < LW_PLACE_LOAD_STALE_US;
 }
 
 /* whether @h may get work at all, however busy it is */
@@ -303,7 +294,7 @@
 /* whether @h has room for a request now; @sure: not if nothing is known of it */
 static bool has_room(const lw_place_host_t *h, uint64_t now_us, bool sure)
 {
-	bool known = h->load_us && now_us - h->load_us < LOAD_STALE_US;
+	bool known = h->load_us && now_us - h->load_us < LW_PLACE_LOAD_STALE_US;
 
 	return (known || !sure) && gets_work(h, now_us) && host_tier(h, now_us) == TIER_GOOD &&
 	       host_use(h, known) <= 1;
@@ -418,44 +409,3 @@
 			h->load.leaving = false;
 		}
 }
-
-/*
- * lw_place_level() - the first rank the service as a whole refuses: the mean
- * of its hosts' levels by the work they can do. One host that is full while
- * others are open shows that work is placed badly, not that there is too much.
- */
-uint32_t lw_place_level(const lw_place_service_t *s, uint64_t now_us)
-{
-	double sum = 0, open = 0, all = 0;
-	double level;
-
-	for (const lw_place_host_t *h = s->hosts; h; h = h->next) {
-		double capacity;
-
-		if (!lw_place_usable(h, now_us) || h->draining || !h->load_us ||
-		    !h->load.service_us || now_us - h->load_us > LOAD_STALE_US)
-			continue;
-		capacity = h->load.limit / (double)h->load.service_us;
-		all += capacity;
-		if (h->load.level >= LW_LEVEL_OPEN)
-			open += capacity;
-		else
-			sum += capacity * h->load.level;
-	}
-	if (all <= open)
-		return LW_LEVEL_OPEN;
-	level = sum / (all - open) + OPEN_LIFTS * LW_RANKS_PER_PRIORITY * open / all;
-	return level < LW_LEVEL_OPEN ? (uint32_t)level : LW_LEVEL_OPEN;
-}
-
-/*
- * lw_place_tell() - add the level of @s to what is passed on up the call graph
- * by a request that ran there for @work_us.
- */
-void lw_place_tell(const lw_place_service_t *s, uint32_t work_us, uint64_t now_us, lw_hots_t *out)
-{
-	lw_hot_t hot = { .level = lw_place_level(s, now_us), .work_us = work_us };
-
-	lw_str_copy(hot.service, sizeof(hot.service), lw_str_c(s->name));
-	lw_hots_add(out, &hot);
-}
--- a/src/place.h
+++ b/src/place.h
@@ -58,6 +58,9 @@
 	lw_retryterms_t terms;
 } lw_place_t;
 
+/* A load that was told longer ago says nothing, us. */
+#define LW_PLACE_LOAD_STALE_US 3000000
+
 /* Hosts that a request has been to already. */
 #define LW_PLACE_TRIED_MAX 8
 typedef struct lw_place_tried {
