A stand-in server frees the place of a request that hangs once its caller is gone

Cause: in the stand-in a request without an answer held its place for an hour, also when its connection was closed. With enough of them the server had no place left: each 504 at the end names last=i-front-1, whose requests hung 2.5 s before the end.

Change: the place is free once the caller has closed the connection, as of a server that drops a request then. The checks are as they were.

--- a/tests/mesh/standin.py
+++ b/tests/mesh/standin.py
@@ -235,15 +235,25 @@
         finally:
             self.running -= 1
             gone.cancel()
+        if fault == "hang":
+            await self.until_closed(reader)
         return await self.respond(writer, rid, fault, status, data)
 
     async def watch_close(self, reader, work):
         """A caller that closes its connection ends the work."""
+        await self.closed(reader)
+        work.cancel()
+
+    async def closed(self, reader):
         while not reader.at_eof():
             await asyncio.sleep(0.01)
             if reader._eof or reader.exception():  # no public way to look without reading
                 break
-        work.cancel()
+
+    async def until_closed(self, reader):
+        """No answer comes; the place is free again once the caller has closed the connection."""
+        await self.closed(reader)
+        raise ConnectionError
 
     async def work(self, head, rid, body):
         result = await self.behave(self, head, rid, "run") if self.behave else None
@@ -264,8 +274,6 @@
         if fault == "lost":
             writer.transport.abort()
             raise ConnectionError
-        if fault == "hang":
-            await asyncio.sleep(3600)
         if fault == "cut":
             self.write(writer, status, rid, data, length=len(data) + 50)
             await writer.drain()
