Tests: a host that starts anew hears of held requests, and a hold ends

Guards of the quarantine with real processes: a host that was killed and started anew refuses a held request from its first second and serves others; a request whose servers were mended is served at every host once its hold is over.

--- a/tests/mesh/crashes.py
+++ b/tests/mesh/crashes.py
@@ -134,3 +134,48 @@
     await asyncio.gather(rack(), *(repeat(f, 12, 0.01, ask, answers, k) for k in range(6)))
     lost = [(t, s) for t, s, _ in answers if s != 200]
     check(len(lost) < len(answers) / 50, (len(lost), len(answers), {s for _, s in lost}))
+
+
+@test({"front": 3, "back": 5})
+async def test_node_that_starts_anew_hears_of_held_requests(f):
+    """A host that starts anew gives a request that ends servers to one after the other, as nobody told it."""
+    crashes = Crashes(f, "back", "/leaf/bad")
+    node = f.nodes["front"][0]
+    c = f.nodes["front"][1].caller()
+    for i in range(20):
+        a = await c.ask("GET", "/leaf/bad", f"b{i}", deadline=2000, timeout=4)
+        if a.status == 503 and a.head.get("retry-after", "0") > "5":
+            break
+        await asyncio.sleep(0.3)
+    ended = len(crashes.ends)
+    check(a.status == 503, a)
+    node.kill()
+    node.start()
+    await f.until_ready([node])
+    await asyncio.sleep(1)
+    for i in range(6):
+        a = await node.caller().ask("GET", "/leaf/bad", f"anew{i}", deadline=2000, timeout=4)
+        check(a.status == 503 and float(a.head.get("retry-after", 0)) > 1, (a, a.head.fields))
+        a = await node.caller().ask("GET", f"/leaf/ok{i}", f"ok{i}", deadline=2000, timeout=4)
+        check(a.status == 200, a)
+        await asyncio.sleep(0.2)
+    check(len(crashes.ends) == ended, (ended, len(crashes.ends)))
+
+
+@test({"front": 2, "back": 4})
+async def test_request_is_let_go_after_its_hold(f):
+    """A request whose servers were mended stays refused for ever."""
+    crashes = Crashes(f, "back", "/leaf/bad")
+    c = f.nodes["front"][0].caller()
+    for i in range(20):
+        a = await c.ask("GET", "/leaf/bad", f"b{i}", deadline=2000, timeout=4)
+        if a.status == 503 and float(a.head.get("retry-after", 0)) > 5:
+            break
+        await asyncio.sleep(0.3)
+    wait = float(a.head.get("retry-after", 0))
+    check(5 < wait <= 15, a.head.fields)
+    crashes.path = "/never"
+    await asyncio.sleep(wait + 0.1)
+    for n in f.all():
+        a = await n.caller().ask("GET", "/leaf/bad", "mended" + n.ip, deadline=2000, timeout=4)
+        check(a.status == 200, a)
