What is known of a request that ends servers is never left out of the log

Cause: suspect_changed had a number among the lines about single requests, whose volume is bounded; beside hundreds of calls that end at once, as in the incident, it could be among those left out, and with it why a request is refused.

Change: it is E1602, among the lines about the node and its server. Nothing else.

Measured: unit, scripted and explain tests pass; lint clean.

--- a/src/explain.c
+++ b/src/explain.c
@@ -39,7 +39,7 @@
 	{ "timeout", "no answer within the route's timeout or the caller's deadline",
 	  "the calls above: waited_ms (queue) and ran_ms (server); none: the server was slow" },
 	{ "held", "servers ended while they ran this request; it is held back for a while",
-	  "E1314 with the same print on any node, E1601 on the nodes beside those servers" },
+	  "E1602 with the same print on any node, E1601 on the nodes beside those servers" },
 };
 
 /* lw_explain_init() - the story of the request @id, with no lines yet. */
--- a/src/log.h
+++ b/src/log.h
@@ -73,7 +73,7 @@
 	  "a request is refused where it begins, as a service its work leads to is full")          \
 	X(1313, request_held, LOG_NOTICE,                                                          \
 	  "a request is refused, as backend servers ended while they ran it")                      \
-	X(1314, suspect_changed, LOG_NOTICE,                                                       \
+	X(1602, suspect_changed, LOG_NOTICE,                                                       \
 	  "requests under which backend servers ended are tried alone, held or cleared")           \
 	X(1400, peer_suspected, LOG_WARNING,                                                       \
 	  "a peer failed repeatedly and gets no new work for a while")                             \
