Logs tell where a backend server says in an answer that it leaves

Observability for the report on leaving servers, before any decision changes: the node beside a server reads Server-Leaving and writes E1603 once for each process of the server. What is done with a request stays as it was.

--- a/src/gate.c
+++ b/src/gate.c
@@ -72,6 +72,15 @@
 	g->since_told = 0;
 }
 
+/* lw_gate_heard() - what the process of the backend server says of itself in an answer. */
+void lw_gate_heard(lw_gate_t *g, const lw_notice_said_t *said)
+{
+	if (!said->leaving || g->said_leaving)
+		return;
+	g->said_leaving = true;
+	lw_log(LW_LOG_server_leaving, "server=%s by=answer", g->server_id);
+}
+
 /*
  * A backend server that loses answers has room although its requests seem to
  * run: each would hold a slot here until its deadline, and with three answers
@@ -300,6 +309,7 @@
 	g->failing = 0;
 	g->told_busy = 0;
 	g->since_told = 0;
+	g->said_leaving = false;
 }
 
 /*
--- a/src/gate.h
+++ b/src/gate.h
@@ -16,6 +16,7 @@
 #include "histogram.h"
 #include "hub.h"
 #include "level.h"
+#include "notice.h"
 #include "place.h"
 #include "quarantine.h"
 #include "waitq.h"
@@ -61,6 +62,7 @@
 	double longest_us; /* longest run of late */
 	uint64_t longest_at_us; /* when it ended; it fades from then on */
 	bool leaving; /* the backend server takes no new work */
+	bool said_leaving; /* its process has said so in an answer */
 	uint64_t down_until_us; /* it took no connection: none is tried until then */
 	bool refusing; /* this node is about to exit */
 	uint64_t server_born_ms; /* start of its process; 0: not told */
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -138,6 +138,18 @@
 		j->call.sink->ops->credit(j->call.sink, (uint32_t)credit);
 }
 
+/* what the backend server announces with the answer; one that is not the target says nothing of it */
+static void heed_notice(const lw_job_t *j, const lw_httphead_t *h)
+{
+	lw_notice_said_t said = { 0 };
+
+	if (h->status == 421 || !lw_str_eq_c(lw_str_c(j->target), j->gate->server_id))
+		return;
+	for (size_t i = 0; i < h->nfields; i++)
+		lw_notice_field(&said, h->fields[i].meaning, h->fields[i].value);
+	lw_gate_heard(j->gate, &said);
+}
+
 /*
  * A faulty server may send a second answer late, at the place of the next
  * one. The caller would get another request's data; only the id tells.
@@ -154,6 +166,7 @@
 		g->stats.invalid_answers++;
 		return false;
 	}
+	heed_notice(j, h);
 	j->not_run = not_run;
 	j->answer_head.status = h->status;
 	j->answer_head.body_length = h->body_length < 0 ? -1 : h->body_length;
--- a/src/log.h
+++ b/src/log.h
@@ -104,7 +104,9 @@
 	  "requests of a lost connection got their outcome, as nobody knew more of them")          \
 	X(1600, backend_error, LOG_WARNING, "the local backend server could not be reached")       \
 	X(1601, server_ended, LOG_WARNING,                                                         \
-	  "the local backend server ended with requests in hand, and takes no connection")
+	  "the local backend server ended with requests in hand, and takes no connection")         \
+	X(1603, server_leaving, LOG_NOTICE,                                                        \
+	  "a backend server says in its answers that it leaves; it gets no new work from here")
 
 typedef enum lw_event_id {
 #define LW_EV_ENUM(id, name, pri, desc) LW_LOG_##name = id,
--- a/src/wirenames.h
+++ b/src/wirenames.h
@@ -16,6 +16,7 @@
 	LW_HEADER_NOT_RUN, /* in answers: the request was not run */
 	LW_HEADER_LOAD, /* in answers: running, waiting, slots */
 	LW_HEADER_INSTANCE, /* in answers: id of the backend server */
+	LW_HEADER_LEAVING, /* in answers: the backend server leaves */
 	LW_HEADER_CREDENTIAL, /* the key of the caller's organisation */
 	LW_HEADER_ORGANISATION, /* for backend servers: the organisation that holds the key */
 	LW_HEADER_COUNT
