Failing tests: a server that says only in its answers that it leaves

What callers' nodes do on the code as it is: requests reach such a server until the play ends, also with a silent store, a node beside it that starts anew, an entry that says ready, a store back from a copy, every server of the service leaving, a node that is stopping.

--- a/tests/mesh/standin.py
+++ b/tests/mesh/standin.py
@@ -164,6 +164,7 @@
         self.born = None  # start of its process, Unix ms; None: not told
         self.checks = 0  # health checks answered
         self.mute = False  # health checks get no answer
+        self.says = []  # header lines of all its answers, health checks too
         self.open = []
 
     async def start(self):
@@ -267,7 +268,7 @@
                  f"X-Server-Load: {self.running},0,{self.slots}", "Keep-Alive: timeout=10"]
         if length != "none":
             lines.append(f"Content-Length: {len(data) if length is None else length}")
-        lines += extra
+        lines += [*self.says, *extra]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + data)
 
     async def respond(self, writer, rid, fault, status, data):
