--- a/src/notice.c
+++ b/src/notice.c
@@ -33,8 +33,11 @@
 static void take_line(lw_notice_said_t *said, lw_str_t line, const lw_wirenames_t *names)
 {
 	const char *colon = memchr(line.ptr, ':', line.len);
-	size_t name_len = colon ? (size_t)(colon - line.ptr) : 0;
+	size_t name_len;
 
+	if (!colon)
+		return;
+	name_len = (size_t)(colon - line.ptr);
 	for (size_t i = 0; i < NMEANINGS; i++) {
 		const char *name = names->header[meanings[i]];
 
