A server gets no more requests a second than it names in its answers

What callers saw: a server in need named a limit in its answers and got what it had got before; in the record 170 requests in 4 s where 99 are allowed.

Change: the node beside the server, the only way to it, keeps the limit with a token bucket of half a second's requests; what does not fit waits in its queue as long as its answer is of use, or is handed back unrun. Placement, levels and Retry-After go by the smaller of slots and limit. A lower limit counts at once, a higher one or none only in the answer to a request that was sent after the lower one was heard, so that answers may come in any order. A process that starts anew beside the server hears of the limit with the first request from whoever knows it, and begins with an empty bucket. A server that is not heard for 1.5 s is asked by a health check, or a limit of nothing would hold for good. What is no decimal number, or named twice, counts as not said, with a line at most each half second. Older nodes do not know the fields; they are not harmed.

Ruled out: a share of the limit for each node where requests begin (8 a second over 195 nodes is nothing, and it needs everybody to agree on the shares).

--- a/src/admit.c
+++ b/src/admit.c
@@ -1,6 +1,8 @@
 /* Admission decisions; see admit.h. */
 #include "admit.h"
 
+#include <math.h>
+
 /* limit before the backend server's slots are known */
 #define LIMIT_UNKNOWN 16
 /*
@@ -23,8 +25,8 @@
 	return limit ? limit : 1;
 }
 
-/* lw_admit_expected_wait_ms() - time until a request that comes now starts. */
-uint32_t lw_admit_expected_wait_ms(const lw_admit_state_t *st)
+/* time until a slot of the backend server is free for a request that comes now */
+static uint32_t slot_wait_ms(const lw_admit_state_t *st)
 {
 	uint64_t ahead = st->ahead;
 
@@ -33,6 +35,14 @@
 	return (uint32_t)((ahead + 1) * st->load.service_us / st->load.limit / 1000);
 }
 
+/* lw_admit_expected_wait_ms() - time until a request that comes now starts. */
+uint32_t lw_admit_expected_wait_ms(const lw_admit_state_t *st)
+{
+	uint32_t slot_ms = slot_wait_ms(st);
+
+	return slot_ms > st->pace_ms ? slot_ms : st->pace_ms;
+}
+
 /* lw_admit_wait_ms() - how long the request may wait before it is handed back. */
 uint32_t lw_admit_wait_ms(const lw_admit_state_t *st, const lw_ask_t *ask)
 {
@@ -63,7 +73,12 @@
 	uint64_t ms = load->limit ? (uint64_t)(load->queued + load->running) * load->service_us /
 					    load->limit / 1000 :
 				    RETRY_AFTER_MAX_MS;
+	double pace_ms = load->notice.limited ?
+				 (load->queued + 1) * 1000 / fmax(load->notice.limit_per_s, 1) :
+				 0;
 
+	if (pace_ms > (double)ms)
+		ms = (uint64_t)pace_ms;
 	if (ms < RETRY_AFTER_MIN_MS)
 		return RETRY_AFTER_MIN_MS;
 	return ms > RETRY_AFTER_MAX_MS ? RETRY_AFTER_MAX_MS : (uint32_t)ms;
--- a/src/call.h
+++ b/src/call.h
@@ -71,6 +71,7 @@
 	uint32_t target_left_ms; /* until the user request misses its objective; 0: it did */
 	uint32_t rank; /* of the user request it is part of, see level.h */
 	bool repeat; /* it, or a request it is part of, was sent before */
+	lw_notice_t notice; /* what the sender knows of the target; of none: nothing */
 } lw_ask_t;
 
 /* The head of an answer. */
--- a/src/exchadmit.c
+++ b/src/exchadmit.c
@@ -201,6 +201,7 @@
 		return true;
 	lw_log(LW_LOG_path_busy, "id=%s route=%s rank=%u by=%s level=%u", x->request_id, x->route,
 	       x->rank, hot.service, hot.level);
+	x->limited = lw_place_limited(&e->place, hot.service, e->hub->now_us);
 	lw_exchange_refuse(x, LW_FAIL_PATH_BUSY);
 	return false;
 }
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -94,12 +94,12 @@
 	lw_reply_t *reply = x->reply;
 
 	lw_log(LW_LOG_request_ended,
-	       "id=%s route=%s org=%s service=%s config=%llu rank=%u status=%u why=%s given=%u handed_back=%u maybe_ran=%d after_ms=%u retry_after_ms=%u last=%s print=%016llx",
+	       "id=%s route=%s org=%s service=%s config=%llu rank=%u status=%u why=%s given=%u handed_back=%u maybe_ran=%d after_ms=%u retry_after_ms=%u last=%s server_limit=%d print=%016llx",
 	       x->request_id, x->route, x->org[0] ? x->org : "none", x->service->name,
 	       (unsigned long long)x->engine->conf->version, x->rank, status, lw_fail_name(why),
 	       x->attempts.given, x->attempts.handed_back, x->attempts.maybe_ran,
 	       (uint32_t)((x->engine->hub->now_us - x->started_us) / 1000), retry_after_ms,
-	       x->last[0] ? x->last : "none", (unsigned long long)x->print.value.whole);
+	       x->last[0] ? x->last : "none", x->limited, (unsigned long long)x->print.value.whole);
 	lw_exchange_tell_parent(x);
 	lw_exchange_release(x);
 	if (reply)
--- a/src/exchange_int.h
+++ b/src/exchange_int.h
@@ -55,6 +55,7 @@
 	bool fin; /* the body is complete */
 	bool answering; /* the caller has the head of the answer */
 	bool answered_well; /* it is no failure of the server */
+	bool limited; /* what decided last was a limit that backend servers have named */
 	bool heard_of_ends; /* word of servers that ended under it elsewhere was waited for */
 	bool awaits_body; /* which tells whether servers ended under the request */
 	bool dead;
--- a/src/exchattempt.c
+++ b/src/exchattempt.c
@@ -76,6 +76,7 @@
 	ask->target_left_ms = lw_exchange_left_ms(x, x->target_us);
 	ask->rank = x->rank;
 	ask->repeat = x->repeat || x->attempts.given;
+	ask->notice = x->host->load.notice;
 }
 
 /* lw_exchange_hold_over() - timer: look again for a host, also among those tried. */
--- a/src/exchoutcome.c
+++ b/src/exchoutcome.c
@@ -154,6 +154,7 @@
 		return;
 	if (load)
 		took_load(x, load, false);
+	x->limited = load && load->notice.limited;
 	if (retry_after_ms && (!x->room_ms || retry_after_ms < x->room_ms))
 		x->room_ms = retry_after_ms;
 	if (why == LW_FAIL_MISDIRECTED && x->host)
--- a/src/explain.c
+++ b/src/explain.c
@@ -41,6 +41,9 @@
 	{ "over_limit",
 	  "its organisation asks for more than its limit allows to all hosts together",
 	  "E1315 for the limit and the part let in; lw_organisation_requests_total by organisation" },
+	{ "server_limit",
+	  "the servers of a service it leads to take only so many requests a second",
+	  "E1604 on the nodes of that service; lw_server_limit_per_s and lw_gate_paced_total there" },
 	{ "held", "servers ended while they ran this request; it is held back for a while",
 	  "E1602 with the same print on any node, E1601 on the nodes beside those servers" },
 };
@@ -199,12 +202,21 @@
 	return found;
 }
 
+/* refusals for lack of room, which may be for what the servers say they take */
+static bool is_full(const char *why)
+{
+	return strcmp(why, "busy") == 0 || strcmp(why, "expired") == 0 ||
+	       strcmp(why, "path_busy") == 0;
+}
+
 static int reason_of(const lw_explain_line_t *l)
 {
 	char why[VALUE_MAX];
 
 	if (!l || !field(l->fields, "why", why, sizeof(why)))
 		return -1;
+	if (is_full(why) && number(l->fields, "server_limit"))
+		snprintf(why, sizeof(why), "server_limit");
 	for (size_t i = 0; i < sizeof(reasons) / sizeof(reasons[0]); i++)
 		if (strcmp(reasons[i].why, why) == 0)
 			return (int)i;
--- a/src/gate.c
+++ b/src/gate.c
@@ -24,8 +24,10 @@
 /* a server that took no connection is tried again after this, us */
 #define DOWN_US 250000
 /* steps without work after which the level's timer stops */
-#define QUIET_STEPS	 20
-#define JOB_OF_WAITER(w) ((lw_job_t *)(void *)((char *)(w)-offsetof(lw_job_t, waiter)))
+#define QUIET_STEPS 20
+/* a limit below this counts as this one in the level, requests a second */
+#define LEVEL_LEAST_PER_S 0.1
+#define JOB_OF_WAITER(w)  ((lw_job_t *)(void *)((char *)(w)-offsetof(lw_job_t, waiter)))
 
 /* slots of the backend server that are in use */
 static uint32_t occupied(const lw_gate_t *g)
@@ -33,8 +35,8 @@
 	return g->running > g->lost ? g->running - g->lost : 0;
 }
 
-/* lw_gate_load() - what callers are told of the backend server. */
-void lw_gate_load(const lw_gate_t *g, lw_load_t *out)
+/* what is known of the backend server here */
+static void own_load(const lw_gate_t *g, lw_load_t *out)
 {
 	out->running = occupied(g);
 	out->level = g->level.level;
@@ -49,7 +51,21 @@
 	out->depth = 0;
 	out->retry_used = 0;
 	out->hots.n = 0;
-	out->notice = g->notice.leaving ? g->notice : (lw_notice_t){ 0 };
+	out->notice = g->notice.leaving || g->notice.limited ? g->notice : (lw_notice_t){ 0 };
+}
+
+/*
+ * lw_gate_load() - what others are told of the backend server. One that takes only so
+ * many requests a second has no more slots for them than these keep busy: by its own
+ * slots it would look idle, and be sent what has to come back.
+ */
+void lw_gate_load(const lw_gate_t *g, lw_load_t *out)
+{
+	uint32_t slots = lw_pace_slots(&g->pace, g->service_us);
+
+	own_load(g, out);
+	if (out->limit > slots)
+		out->limit = slots;
 }
 
 /* lw_gate_learn_load() - the backend server's own figures; what it runs beside our requests counts too */
@@ -140,7 +156,7 @@
 /* lw_gate_dispatch() - start what may start now */
 void lw_gate_dispatch(lw_gate_t *g)
 {
-	while (g->queue.first && occupied(g) < g->limit)
+	while (g->queue.first && occupied(g) < g->limit && lw_pace_ready(&g->pace, g->hub->now_us))
 		start_next(g);
 	if (!g->queue.first)
 		ev_timer_stop(g->hub->loop, &g->expiry);
@@ -158,6 +174,15 @@
 	lw_gate_dispatch(g);
 }
 
+/* the limit that was heard of is kept from now on */
+static void set_pace(lw_gate_t *g, uint64_t server)
+{
+	lw_pace_set(&g->pace, g->named.on, g->named.per_s, g->hub->now_us);
+	g->notice.server = server;
+	g->notice.limited = g->named.on;
+	g->notice.limit_per_s = g->named.per_s;
+}
+
 static lw_fail_t refusal(const lw_gate_t *g, const lw_admit_state_t *st, const lw_ask_t *ask)
 {
 	if (lw_gate_leaving(g) && (!ask->target.len || lw_str_eq_c(ask->target, g->server_id)))
@@ -188,6 +213,16 @@
 	};
 }
 
+/* what the sender knows of the backend server, before that was heard here */
+static void take_word(lw_gate_t *g, const lw_notice_t *told)
+{
+	if (!told->limited || g->named.heard_us ||
+	    (g->server_id[0] && !lw_notice_is_of(told, g->server_id, g->server_born_ms)))
+		return;
+	if (lw_notice_limit_told(&g->named, told->limit_per_s))
+		set_pace(g, told->server);
+}
+
 /* what servers ended under is given to this one alone, or not at all */
 static bool may_be_given(const lw_gate_t *g, lw_quarantine_verdict_t verdict,
 			 const lw_fingerprint_t *print)
@@ -216,13 +251,15 @@
 
 	lw_fingerprinter_begin(&print, ask->head, g->hub->names->header[LW_HEADER_ORGANISATION]);
 	lw_fingerprinter_body(&print, body, fin);
+	take_word(g, &ask->notice);
 	verdict = lw_quarantine_verdict(g->quarantine, &print.value, g->hub->now_us);
 	lw_level_arrival(&g->level, ask->rank);
 	if (!ev_is_active(&g->step))
 		ev_timer_again(g->hub->loop, &g->step);
-	lw_gate_load(g, &st.load);
+	own_load(g, &st.load);
 	probe = waiter_of(g, &st, ask);
 	st.ahead = (uint32_t)lw_waitq_ahead(&g->queue, &probe);
+	st.pace_ms = lw_pace_wait_ms(&g->pace, st.ahead, g->hub->now_us);
 	*retry_after_ms = lw_admit_retry_after_ms(&st.load);
 	*why = refusal(g, &st, ask);
 	if (!*why && !may_be_given(g, verdict, &print.value))
@@ -231,6 +268,7 @@
 		*why = lw_admit(&st, ask);
 	if (*why) {
 		g->stats.refused[*why]++;
+		g->stats.paced += *why == LW_FAIL_BUSY && st.pace_ms;
 		return NULL;
 	}
 	j = lw_job_new(g, sink, ask);
@@ -240,7 +278,7 @@
 	lw_bytebuf_append_str(&j->body, body);
 	g->ncalls++;
 	HASH_ADD_KEYPTR(hh, g->by_id, j->request_id, strlen(j->request_id), j);
-	if (occupied(g) < g->limit && !g->queue.first) {
+	if (occupied(g) < g->limit && !g->queue.first && lw_pace_ready(&g->pace, g->hub->now_us)) {
 		lw_job_start(j);
 		return &j->call;
 	}
@@ -293,15 +331,24 @@
 	hand_back_queue(g, LW_FAIL_LEAVING);
 }
 
+static void forget_notice(lw_gate_t *g)
+{
+	memset(&g->notice, 0, sizeof(g->notice));
+	memset(&g->named, 0, sizeof(g->named));
+	lw_pace_set(&g->pace, false, 0, g->hub->now_us);
+}
+
 /* what was learned of the process before says nothing of the new one */
-static void forget_server(lw_gate_t *g)
+static void forget_server(lw_gate_t *g, const lw_place_host_t *server)
 {
 	g->replaced_id[0] = '\0';
 	g->down_until_us = 0;
 	g->failing = 0;
 	g->told_busy = 0;
 	g->since_told = 0;
-	memset(&g->notice, 0, sizeof(g->notice));
+	/* what others told before the first list is of this process, unless they named another */
+	if (g->server_id[0] || !lw_notice_is_of(&g->notice, server->id, server->born_ms))
+		forget_notice(g);
 }
 
 /*
@@ -317,7 +364,7 @@
 		g->limit = lw_admit_limit(server->slots);
 	}
 	if (other || (g->server_born_ms && server->born_ms != g->server_born_ms))
-		forget_server(g);
+		forget_server(g, server);
 	lw_str_copy(g->server_id, sizeof(g->server_id), lw_str_c(server->id));
 	g->server_born_ms = server->born_ms;
 	g->notice.server = lw_notice_server(server->id);
@@ -327,14 +374,8 @@
 	lw_gate_set_leaving(g, server->draining);
 }
 
-/*
- * lw_gate_heard() - the process of the backend server says this of itself in an
- * answer. That it leaves holds for good: an answer without it is an older one.
- */
-void lw_gate_heard(lw_gate_t *g, const lw_notice_said_t *said)
+static void heard_leaving(lw_gate_t *g)
 {
-	if (!said->leaving || g->notice.leaving)
-		return;
 	g->notice.leaving = true;
 	lw_log(LW_LOG_server_leaving, "server=%s by=answer", g->server_id);
 	hand_back_queue(g, LW_FAIL_LEAVING);
@@ -342,6 +383,20 @@
 		g->noticed(g->noticed_ctx);
 }
 
+/*
+ * lw_gate_heard() - the process of the backend server says this of itself in the
+ * answer to a request sent at @sent_us. That it leaves holds for good: an answer
+ * without it is an older one.
+ */
+void lw_gate_heard(lw_gate_t *g, const lw_notice_said_t *said, uint64_t sent_us)
+{
+	g->stats.invalid_limits += said->limit_invalid;
+	if (lw_notice_limit_hear(&g->named, said, sent_us, g->hub->now_us))
+		set_pace(g, g->notice.server);
+	if (said->leaving && !g->notice.leaving)
+		heard_leaving(g);
+}
+
 /* lw_gate_leaving() - whether the backend server takes no new work, as the list or its answers say. */
 bool lw_gate_leaving(const lw_gate_t *g)
 {
@@ -402,10 +457,21 @@
 		j->call_failed = true;
 }
 
+/* a limit of requests a second is one slot that each of them holds for its part of a second */
+static lw_level_input_t level_input(const lw_gate_t *g)
+{
+	uint32_t queued = (uint32_t)g->queue.len;
+	double each_us = g->pace.on ? 1e6 / fmax(g->pace.per_s, LEVEL_LEAST_PER_S) : 0;
+
+	if (each_us > g->service_us / g->limit)
+		return (lw_level_input_t){ queued, occupied(g), 1, each_us };
+	return (lw_level_input_t){ queued, occupied(g), g->limit, g->service_us };
+}
+
 static void on_step(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	lw_gate_t *g = w->data;
-	lw_level_input_t in = { (uint32_t)g->queue.len, occupied(g), g->limit, g->service_us };
+	lw_level_input_t in = level_input(g);
 	bool quiet = !g->ncalls && !g->level.arrivals && g->level.level == LW_LEVEL_OPEN;
 
 	(void)revents;
--- a/src/gate.h
+++ b/src/gate.h
@@ -17,6 +17,7 @@
 #include "hub.h"
 #include "level.h"
 #include "notice.h"
+#include "pace.h"
 #include "place.h"
 #include "quarantine.h"
 #include "waitq.h"
@@ -27,6 +28,8 @@
 	uint64_t refused[LW_FAIL_COUNT];
 	uint64_t connections; /* opened to the backend server */
 	uint64_t invalid_answers;
+	uint64_t invalid_limits; /* answers that name a limit which is no number */
+	uint64_t paced; /* handed back, as the backend server's limit had no room in time */
 	lw_histogram_t wait;
 } lw_gate_stats_t;
 
@@ -68,6 +71,8 @@
 	char server_id[LW_NAME_MAX]; /* of the backend server that is on this host now */
 	char replaced_id[LW_NAME_MAX]; /* the backend server said that it is not this one */
 	lw_notice_t notice; /* of the process of server_id */
+	lw_notice_limit_t named; /* the limit in it */
+	lw_pace_t pace; /* keeps to that */
 	void (*noticed)(void *ctx); /* the notice has changed */
 	void *noticed_ctx;
 	lw_waitq_t queue;
@@ -99,7 +104,7 @@
 void lw_gate_set_server(lw_gate_t *g, const lw_place_host_t *server);
 void lw_gate_set_leaving(lw_gate_t *g, bool leaving);
 bool lw_gate_leaving(const lw_gate_t *g);
-void lw_gate_heard(lw_gate_t *g, const lw_notice_said_t *said);
+void lw_gate_heard(lw_gate_t *g, const lw_notice_said_t *said, uint64_t sent_us);
 lw_call_t *lw_gate_submit(lw_gate_t *g, lw_sink_t *sink, const lw_ask_t *ask, lw_str_t body,
 			  bool fin, lw_fail_t *why, uint32_t *retry_after_ms);
 uint64_t lw_gate_oldest_us(const lw_gate_t *g);
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -144,7 +144,7 @@
 	lw_notice_said_t said = lw_httphead_notice(h);
 
 	if (h->status != 421 && strcmp(j->target, j->gate->server_id) == 0)
-		lw_gate_heard(j->gate, &said);
+		lw_gate_heard(j->gate, &said, j->started_us);
 }
 
 /*
@@ -300,6 +300,7 @@
 	j->started_us = g->hub->now_us;
 	g->running++;
 	g->since_told++;
+	lw_pace_take(&g->pace, g->hub->now_us);
 	if (!j->conn) {
 		lw_job_fail(j, LW_FAIL_NO_SERVER);
 		return;
--- a/src/log.h
+++ b/src/log.h
@@ -106,7 +106,11 @@
 	X(1601, server_ended, LOG_WARNING,                                                         \
 	  "the local backend server ended with requests in hand, and takes no connection")         \
 	X(1603, server_leaving, LOG_NOTICE,                                                        \
-	  "a backend server says in its answers that it leaves; it gets no new work from here")
+	  "a backend server says in its answers that it leaves; it gets no new work from here")    \
+	X(1604, server_limit, LOG_NOTICE,                                                          \
+	  "the local backend server takes so many requests a second from all hosts, or any")       \
+	X(1605, limit_invalid, LOG_WARNING,                                                        \
+	  "the local backend server names a limit that is no decimal number; it counts as none")
 
 typedef enum lw_event_id {
 #define LW_EV_ENUM(id, name, pri, desc) LW_LOG_##name = id,
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -1352,7 +1352,7 @@
   (ProtobufCMessageInit) lw__heard__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__notice__field_descriptors[3] =
+static const ProtobufCFieldDescriptor lw__notice__field_descriptors[5] =
 {
   {
     "server",
@@ -1390,16 +1390,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limited",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Notice, limited),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_per_s",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Notice, limit_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__notice__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
   2,   /* field[2] = leaving */
+  4,   /* field[4] = limit_per_s */
+  3,   /* field[3] = limited */
   0,   /* field[0] = server */
 };
 static const ProtobufCIntRange lw__notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lw__notice__descriptor =
 {
@@ -1409,7 +1435,7 @@
   "Lw__Notice",
   "lw",
   sizeof(Lw__Notice),
-  3,
+  5,
   lw__notice__field_descriptors,
   lw__notice__field_indices_by_name,
   1,  lw__notice__number_ranges,
@@ -1650,7 +1676,7 @@
   (ProtobufCMessageInit) lw__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__open__field_descriptors[12] =
+static const ProtobufCFieldDescriptor lw__open__field_descriptors[13] =
 {
   {
     "stream",
@@ -1796,6 +1822,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "notice",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Open, notice),
+    &lw__notice__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__open__field_indices_by_name[] = {
   9,   /* field[9] = body */
@@ -1803,6 +1841,7 @@
   1,   /* field[1] = deadline_ms */
   10,   /* field[10] = fin */
   6,   /* field[6] = head */
+  12,   /* field[12] = notice */
   2,   /* field[2] = queue_ms */
   3,   /* field[3] = rank */
   4,   /* field[4] = repeat */
@@ -1815,7 +1854,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor lw__open__descriptor =
 {
@@ -1825,7 +1864,7 @@
   "Lw__Open",
   "lw",
   sizeof(Lw__Open),
-  12,
+  13,
   lw__open__field_descriptors,
   lw__open__field_indices_by_name,
   2,  lw__open__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -126,10 +126,15 @@
    */
   uint64_t born_ms;
   protobuf_c_boolean leaving;
+  /*
+   * to so many requests a second from all hosts
+   */
+  protobuf_c_boolean limited;
+  double limit_per_s;
 };
 #define LW__NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__notice__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
@@ -255,10 +260,14 @@
    * the body is complete
    */
   protobuf_c_boolean fin;
+  /*
+   * of the target, as far as the sender knows
+   */
+  Lw__Notice *notice;
 };
 #define LW__OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__open__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, NULL }
 
 
 struct  Lw__Answer
--- a/src/meshcall.c
+++ b/src/meshcall.c
@@ -278,6 +278,7 @@
 		.target_left_ms = o->target_left_ms > late_ms ? o->target_left_ms - late_ms : 0,
 		.rank = o->rank,
 		.repeat = o->repeat,
+		.notice = lw_meshframe_read_notice(o->notice),
 	};
 	lw_stream_t *s;
 	lw_fail_t why;
@@ -396,6 +397,7 @@
 {
 	lw_link_t *l = lw_link_to(m, node);
 	Lw__Open o = LW__OPEN__INIT;
+	Lw__Notice notice;
 	Lw__MeshFrame f = LW__MESH_FRAME__INIT;
 	lw_stream_t *s;
 
@@ -414,6 +416,7 @@
 	o.target_left_ms = ask->target_left_ms;
 	o.rank = ask->rank;
 	o.repeat = ask->repeat;
+	o.notice = lw_meshframe_notice(&notice, &ask->notice);
 	o.body_length = ask->body_length;
 	o.head = lw_meshframe_bytes(ask->head);
 	o.request_id = lw_meshframe_bytes(ask->request_id);
--- a/src/meshframe.c
+++ b/src/meshframe.c
@@ -96,24 +96,33 @@
 	return (lw_str_t){ (const char *)b.data, b.len };
 }
 
-static void fill_notice(lw_meshframe_load_t *out, const lw_notice_t *n)
+/* lw_meshframe_notice() - what a backend server announces, in @out; NULL if it is nothing. */
+Lw__Notice *lw_meshframe_notice(Lw__Notice *out, const lw_notice_t *n)
 {
 	if (!n->server)
-		return;
-	lw__notice__init(&out->notice);
-	out->notice.server = n->server;
-	out->notice.born_ms = n->born_ms;
-	out->notice.leaving = n->leaving;
-	out->load.notice = &out->notice;
+		return NULL;
+	lw__notice__init(out);
+	out->server = n->server;
+	out->born_ms = n->born_ms;
+	out->leaving = n->leaving;
+	out->limited = n->limited;
+	out->limit_per_s = n->limit_per_s;
+	return out;
 }
 
-static void read_notice(const Lw__Notice *in, lw_notice_t *out)
+/* lw_meshframe_read_notice() - read it; zeroes if the frame has none. */
+lw_notice_t lw_meshframe_read_notice(const Lw__Notice *in)
 {
 	if (!in)
-		return;
-	out->server = in->server;
-	out->born_ms = in->born_ms;
-	out->leaving = in->leaving;
+		return (lw_notice_t){ 0 };
+	return (lw_notice_t){
+		.server = in->server,
+		.born_ms = in->born_ms,
+		.leaving = in->leaving,
+		/* the comparison is false for what is no number, too */
+		.limited = in->limited && in->limit_per_s >= 0,
+		.limit_per_s = in->limit_per_s >= 0 ? in->limit_per_s : 0,
+	};
 }
 
 /*
@@ -135,7 +144,7 @@
 	out->load.ran_us = load->ran_us;
 	out->load.depth = load->depth;
 	out->load.retry_used = load->retry_used;
-	fill_notice(out, &load->notice);
+	out->load.notice = lw_meshframe_notice(&out->notice, &load->notice);
 	out->load.n_hots = load->hots.n;
 	out->load.hots = out->list;
 	for (uint32_t i = 0; i < load->hots.n; i++) {
@@ -188,7 +197,7 @@
 	out->ran_us = in->ran_us;
 	out->depth = in->depth;
 	out->retry_used = in->retry_used;
-	read_notice(in->notice, &out->notice);
+	out->notice = lw_meshframe_read_notice(in->notice);
 	for (size_t i = 0; i < in->n_hots; i++) {
 		lw_hot_t hot = { .level = in->hots[i]->level, .work_us = in->hots[i]->work_us };
 
--- a/src/meshframe.h
+++ b/src/meshframe.h
@@ -44,6 +44,8 @@
 lw_docfetch_ask_t lw_meshframe_read_fetch(const Lw__Fetch *in);
 lw_docfetch_piece_t lw_meshframe_read_piece(const Lw__Piece *in);
 lw_serverlist_t *lw_meshframe_read_servers(const Lw__Servers *in);
+Lw__Notice *lw_meshframe_notice(Lw__Notice *out, const lw_notice_t *n);
+lw_notice_t lw_meshframe_read_notice(const Lw__Notice *in);
 void lw_meshframe_load(lw_meshframe_load_t *out, const lw_load_t *load);
 void lw_meshframe_heard(lw_meshframe_load_t *out, uint32_t n);
 void lw_meshframe_read_heard(const Lw__Heard *in, lw_heard_t *out);
--- a/src/notice.c
+++ b/src/notice.c
@@ -1,13 +1,46 @@
 /* What backend servers announce of themselves; see notice.h. */
 #include "notice.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 #include <xxhash.h>
 
 /* the headers that announce something */
-static const lw_header_t meanings[] = { LW_HEADER_LEAVING };
+static const lw_header_t meanings[] = { LW_HEADER_LEAVING, LW_HEADER_LIMIT };
 #define NMEANINGS (sizeof(meanings) / sizeof(meanings[0]))
+/* longest text of a limit, in bytes */
+#define LIMIT_TEXT_MAX 15
+
+/* digits, at most one point among them, at least one digit on each side of it */
+static bool is_decimal(lw_str_t s)
+{
+	bool point = false;
+
+	if (!s.len || s.len > LIMIT_TEXT_MAX || s.ptr[0] == '.' || s.ptr[s.len - 1] == '.')
+		return false;
+	for (size_t i = 0; i < s.len; i++) {
+		if (s.ptr[i] == '.' && !point)
+			point = true;
+		else if (s.ptr[i] < '0' || s.ptr[i] > '9')
+			return false;
+	}
+	return true;
+}
+
+static void take_limit(lw_notice_said_t *said, lw_str_t value)
+{
+	char text[LIMIT_TEXT_MAX + 1];
+
+	if (said->limited || said->limit_invalid || !is_decimal(value)) {
+		said->limited = false;
+		said->limit_invalid = true;
+		return;
+	}
+	lw_str_copy(text, sizeof(text), value);
+	said->limited = true;
+	said->limit_per_s = strtod(text, NULL);
+}
 
 /*
  * lw_notice_field() - take over one header of an answer, of a known @meaning, into
@@ -17,6 +50,8 @@
 {
 	if (meaning == LW_HEADER_LEAVING)
 		said->leaving |= lw_str_eq_c(value, "1");
+	else if (meaning == LW_HEADER_LIMIT)
+		take_limit(said, value);
 }
 
 static lw_str_t trimmed(lw_str_t s)
@@ -72,6 +107,44 @@
 	return XXH64(id, strlen(id), 0) | 1;
 }
 
+static bool set_limit(lw_notice_limit_t *l, bool on, double per_s)
+{
+	bool changed = l->on != on || (on && l->per_s != per_s);
+
+	l->on = on;
+	l->per_s = on ? per_s : 0;
+	return changed;
+}
+
+/*
+ * lw_notice_limit_hear() - an answer, to a request that was sent at @sent_us, names
+ * this limit or none; true if that changes it. Answers may come in another order than
+ * they were given in: a lower limit counts at once, a higher one or none only in the
+ * answer to a request that was sent after the lower one was heard.
+ */
+bool lw_notice_limit_hear(lw_notice_limit_t *l, const lw_notice_said_t *said, uint64_t sent_us,
+			  uint64_t now_us)
+{
+	bool higher = l->on && (!said->limited || said->limit_per_s > l->per_s);
+
+	if (higher && sent_us < l->heard_us)
+		return false;
+	l->heard_us = now_us;
+	return set_limit(l, said->limited, said->limit_per_s);
+}
+
+/*
+ * lw_notice_limit_told() - another node has heard of this limit; true if that changes
+ * it. It counts where the server itself has not been heard yet, as in a process that
+ * has just started.
+ */
+bool lw_notice_limit_told(lw_notice_limit_t *l, double per_s)
+{
+	if (l->heard_us || (l->on && l->per_s <= per_s))
+		return false;
+	return set_limit(l, true, per_s);
+}
+
 /* lw_notice_is_of() - whether @n is of the process @born_ms of server @id; a start that is not told matches any. */
 bool lw_notice_is_of(const lw_notice_t *n, const char *id, uint64_t born_ms)
 {
--- a/src/place.c
+++ b/src/place.c
@@ -47,6 +47,8 @@
  * lapses, after three heartbeats: it gets nothing for so long, us.
  */
 #define REPLACED_US 5000000
+/* a limit below this counts as this one where hosts are compared, requests a second */
+#define PACE_LEAST_PER_S 0.01
 /* a server that took no connection gets no work for so long, while others can take it, us */
 #define DOWN_US 500000
 
@@ -96,14 +98,24 @@
 			tried->back[i] = true;
 }
 
+/* part of a second's work that waits at a host which takes only so many requests a second */
+static double paced_use(const lw_place_host_t *h, bool known)
+{
+	uint32_t waiting = known ? h->load.queued + h->sent : h->inflight;
+
+	return (waiting + 1.0) / fmax(h->load.notice.limit_per_s, PACE_LEAST_PER_S);
+}
+
 /* part of a host's slots in use: as its node told, and what was sent since */
 static double host_use(const lw_place_host_t *h, bool known)
 {
 	uint32_t busy = known ? h->load.running + h->load.queued + h->sent : h->inflight;
+	double use;
 
 	if (busy < h->inflight)
 		busy = h->inflight;
-	return (busy + 1.0) / (h->load.limit ? h->load.limit : 1);
+	use = (busy + 1.0) / (h->load.limit ? h->load.limit : 1);
+	return h->load.notice.limited ? fmax(use, paced_use(h, known)) : use;
 }
 
 static double zone_cost(const lw_place_host_t *h, int64_t body_length)
--- a/src/place.h
+++ b/src/place.h
@@ -109,6 +109,7 @@
 typedef void (*lw_place_node_fn)(void *ctx, const char *node);
 void lw_place_each(const lw_place_t *p, lw_place_node_fn fn, void *ctx, uint64_t now_us);
 void lw_place_each_lost(const lw_place_t *p, lw_place_node_fn fn, void *ctx);
+bool lw_place_limited(const lw_place_t *p, const char *service, uint64_t now_us);
 uint32_t lw_place_level(const lw_place_service_t *s, uint64_t now_us);
 void lw_place_tell(const lw_place_service_t *s, uint32_t work_us, uint64_t now_us, lw_hots_t *out);
 const lw_place_host_t *lw_place_self(const lw_place_t *p, bool *known);
--- a/src/placelevel.c
+++ b/src/placelevel.c
@@ -1,4 +1,5 @@
 /* Placement: how much of its work a service refuses; see place.h. */
+#include <math.h>
 #include <string.h>
 
 #include "level.h"
@@ -10,6 +11,14 @@
  */
 #define OPEN_LIFTS 3
 
+/* requests that @h can run in a microsecond */
+static double capacity_of(const lw_place_host_t *h)
+{
+	double by_slots = h->load.limit / (double)h->load.service_us;
+
+	return h->load.notice.limited ? fmin(by_slots, h->load.notice.limit_per_s / 1e6) : by_slots;
+}
+
 /*
  * lw_place_level() - the first rank the service as a whole refuses: the mean
  * of its hosts' levels by the work they can do. One host that is full while
@@ -26,7 +35,7 @@
 		if (!lw_place_usable(h, now_us) || h->draining || !h->load_us ||
 		    !h->load.service_us || now_us - h->load_us > LW_PLACE_LOAD_STALE_US)
 			continue;
-		capacity = h->load.limit / (double)h->load.service_us;
+		capacity = capacity_of(h);
 		all += capacity;
 		if (h->load.level >= LW_LEVEL_OPEN)
 			open += capacity;
@@ -39,6 +48,17 @@
 	return level < LW_LEVEL_OPEN ? (uint32_t)level : LW_LEVEL_OPEN;
 }
 
+/* lw_place_limited() - whether a server of @service names how many requests a second it takes. */
+bool lw_place_limited(const lw_place_t *p, const char *service, uint64_t now_us)
+{
+	for (const lw_place_service_t *s = p->services; s; s = s->next)
+		for (const lw_place_host_t *h = s->hosts; h; h = h->next)
+			if (strcmp(s->name, service) == 0 && lw_place_usable(h, now_us) &&
+			    h->load.notice.limited)
+				return true;
+	return false;
+}
+
 /*
  * lw_place_tell() - add the level of @s to what is passed on up the call graph
  * by a request that ran there for @work_us.
--- a/src/probe.c
+++ b/src/probe.c
@@ -27,7 +27,7 @@
 	lw_notice_said_t said = lw_httphead_notice(h);
 
 	if (lw_str_eq_c(id, p->server_id) && p->heard)
-		p->heard(p->heard_ctx, &said);
+		p->heard(p->heard_ctx, &said, p->began_us);
 	if (lw_httphead_find(h, LW_HEADER_NOT_RUN).ptr)
 		return true;
 	if (h->status == 200 && lw_str_eq_c(id, p->server_id))
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -176,8 +176,7 @@
 		      lw_proxyset_retryterms(set));
 	p->engine.quarantine = lw_quarantine_new();
 	lw_gate_init(&p->engine.gate, &p->hub, p->engine.quarantine);
-	p->engine.gate.noticed = lw_proxy_announce;
-	p->engine.gate.noticed_ctx = p;
+	lw_proxy_notice_init(p);
 	lw_proxy_crash_init(p);
 	p->engine.hotpath = lw_hotpath_new();
 	p->engine.mesh = lw_mesh_new(&p->hub, &p->engine.gate, &lw_proxy_mesh_ops, p);
--- a/src/proxy_int.h
+++ b/src/proxy_int.h
@@ -47,6 +47,10 @@
 	lw_probe_t probe; /* while its entry is missing */
 	ev_timer lease_step; /* likewise */
 	uint64_t round_us; /* when the server was last asked and others told */
+	lw_probe_t limit_probe; /* while the server names a limit and is not heard */
+	uint64_t limit_asked_us; /* when it was last asked for that */
+	lw_notice_limit_t told_limit; /* as others and the log heard it last */
+	uint64_t told_invalid; /* answers with a limit that is no number, as logged last */
 	lw_quotakeeper_t *keeper; /* of limits, should other nodes take this one for one */
 	char quota_keeper[LW_QUOTA_KEEPERS][LW_NAME_MAX]; /* mesh addresses; empty: none */
 	uint64_t quota_node; /* digest of this node's address */
@@ -65,6 +69,9 @@
 void lw_proxy_lease_init(lw_proxy_t *p);
 void lw_proxy_lease_missing(lw_proxy_t *p);
 void lw_proxy_announce(void *ctx);
+void lw_proxy_heard(void *ctx, const lw_notice_said_t *said, uint64_t sent_us);
+void lw_proxy_notice_init(lw_proxy_t *p);
+const char *lw_proxy_health_path(const lw_proxy_t *p);
 void lw_proxy_lease_found(lw_proxy_t *p, uint64_t born_ms);
 void lw_proxy_quota_init(lw_proxy_t *p);
 void lw_proxy_quota_terms(lw_proxy_t *p);
--- a/src/proxylease.c
+++ b/src/proxylease.c
@@ -37,12 +37,18 @@
 	       ev->leaving);
 }
 
-static void ask_server(lw_proxy_t *p)
+/* lw_proxy_health_path() - where the backend server here answers health checks; may be empty. */
+const char *lw_proxy_health_path(const lw_proxy_t *p)
 {
 	const lw_fleet_service_t *s =
 		p->engine.conf ? lw_fleetconf_service(p->engine.conf, p->set->service) : NULL;
 
-	lw_probe_check(&p->probe, s ? s->health : "");
+	return s ? s->health : "";
+}
+
+static void ask_server(lw_proxy_t *p)
+{
+	lw_probe_check(&p->probe, lw_proxy_health_path(p));
 }
 
 /* the store is read by this node itself as long as the entry is missing */
@@ -114,28 +120,12 @@
 	lw_mesh_vouch(p->engine.mesh, "", 0);
 }
 
-/* the server announced something in a health check */
-static void on_heard(void *ctx, const lw_notice_said_t *said)
-{
-	lw_proxy_t *p = ctx;
-
-	lw_gate_heard(&p->engine.gate, said);
-}
-
-/* lw_proxy_announce() - what the server announces has changed: those that may send it requests hear now. */
-void lw_proxy_announce(void *ctx)
-{
-	lw_proxy_t *p = ctx;
-
-	lw_mesh_announce(p->engine.mesh);
-}
-
 /* lw_proxy_lease_init() - the lease is held until the list says otherwise. */
 void lw_proxy_lease_init(lw_proxy_t *p)
 {
 	lw_lease_found(&p->lease);
 	lw_probe_init(&p->probe, &p->hub);
-	p->probe.heard = on_heard;
+	p->probe.heard = lw_proxy_heard;
 	p->probe.heard_ctx = p;
 	ev_timer_init(&p->lease_step, on_step, 0, STEP_S);
 	p->lease_step.data = p;
--- a/src/proxystats.c
+++ b/src/proxystats.c
@@ -130,6 +130,15 @@
 	gauge(f, "lw_gate_running", "requests at the backend server", s->load.running);
 	gauge(f, "lw_gate_queued", "requests that wait for it", s->load.queued);
 	gauge(f, "lw_gate_limit", "most requests given to it at once", s->load.limit);
+	counter(f, "lw_gate_paced_total", "handed back for the limit that it names", s->gate.paced);
+	counter(f, "lw_server_limit_invalid_total", "answers with a limit that is no number",
+		s->gate.invalid_limits);
+	gauge(f, "lw_server_limited", "1: the backend server names a limit",
+	      s->load.notice.limited);
+	fprintf(f,
+		"# HELP lw_server_limit_per_s requests a second that it takes; 0 also without one\n"
+		"# TYPE lw_server_limit_per_s gauge\nlw_server_limit_per_s %.3f\n",
+		s->load.notice.limited ? s->load.notice.limit_per_s : 0);
 	gauge(f, "lw_gate_service_us", "average time a request runs", s->load.service_us);
 	gauge(f, "lw_gate_level", "first rank refused (8000: none)", s->level);
 	fprintf(f, "# HELP lw_gate_wait_seconds wait in front of the backend server\n"
--- a/src/proxystatus.c
+++ b/src/proxystatus.c
@@ -38,6 +38,8 @@
 			       "other_zone",
 		state_of(h, now_us), h->load.running, h->load.queued, h->load.limit,
 		h->load.service_us / 1000, h->load.level, h->load.failing, h->inflight);
+	if (h->load.notice.limited)
+		fprintf(f, "takes_per_s=%.1f ", h->load.notice.limit_per_s);
 	if (h->load_us)
 		fprintf(f, "news_ms=%" PRIu64 "\n", (now_us - h->load_us) / 1000);
 	else
--- a/src/wirenames.h
+++ b/src/wirenames.h
@@ -17,6 +17,7 @@
 	LW_HEADER_LOAD, /* in answers: running, waiting, slots */
 	LW_HEADER_INSTANCE, /* in answers: id of the backend server */
 	LW_HEADER_LEAVING, /* in answers: the backend server leaves */
+	LW_HEADER_LIMIT, /* in answers: requests a second that it takes from all hosts */
 	LW_HEADER_CREDENTIAL, /* the key of the caller's organisation */
 	LW_HEADER_ORGANISATION, /* for backend servers: the organisation that holds the key */
 	LW_HEADER_COUNT
--- a/tests/decide_place.c
+++ b/tests/decide_place.c
@@ -146,17 +146,20 @@
 	return NULL;
 }
 
-/* [leaves ID born N] among the words: what the node's backend server announces */
+/* [leaves ID born N] or [takes PER_S] among the words: what the node's backend server announces */
 static lw_notice_t notice_of(const words_t *a)
 {
+	if (has(a, "takes"))
+		return (lw_notice_t){ lw_notice_server(word(a, 1)), 0, false, true,
+				      atof(word(a, a->n - 1)) };
 	for (int i = 7; i + 3 < a->n; i++)
 		if (strcmp(word(a, i), "leaves") == 0)
 			return (lw_notice_t){ lw_notice_server(word(a, i + 1)),
-					      (uint64_t)num(a, i + 3), true };
+					      (uint64_t)num(a, i + 3), true, false, 0 };
 	return (lw_notice_t){ 0 };
 }
 
-/* told ID RUNNING QUEUED LIMIT SERVICE_MS AT [leaving] [leaves ID born N] */
+/* told ID RUNNING QUEUED LIMIT SERVICE_MS AT [leaving] [leaves ID born N | takes PER_S] */
 static void do_told(world_t *w, const words_t *a)
 {
 	lw_load_t load = { .running = (uint32_t)num(a, 2),
--- a/tests/explain.sh
+++ b/tests/explain.sh
@@ -29,6 +29,7 @@
 "$CTL" explain 0000 "$DIR/hala-a-1.log" >"$tmp/none" 2>&1 || rc=$?
 echo "exit $rc" >>"$tmp/none"
 "$CTL" explain f3851beff31e91fb "$DIR/over_limit.log" >"$tmp/over_limit"
+"$CTL" explain m0-43 "$DIR/server_limit.log" >"$tmp/server_limit"
 rc=0
 "$CTL" check "$DIR/shared_key.json" 2>&1 | sed 's/^[^:]*: //' >"$tmp/shared_key" || true
 "$CTL" check "$DIR/shared_key.json" >/dev/null 2>&1 || rc=$?
@@ -40,6 +41,7 @@
 same "a request that is held back" "$DIR/held.txt" "$tmp/held"
 same "one node's log on standard input" "$DIR/one_node.txt" "$tmp/stdin"
 same "a request that is over the limit of its organisation" "$DIR/over_limit.txt" "$tmp/over_limit"
+same "a request that the servers' limits leave no room for" "$DIR/server_limit.txt" "$tmp/server_limit"
 same "a configuration in which two organisations hold one key" "$DIR/shared_key.txt" "$tmp/shared_key"
 same "an id without lines" "$DIR/none.txt" "$tmp/none"
 rm -r "$tmp"
--- a/tests/test_notice.c
+++ b/tests/test_notice.c
@@ -4,6 +4,7 @@
 
 #include "../platform/names.h"
 #include "lwtest.h"
+#include "pace.h"
 #include "place.h"
 
 #define ADDR  "10.0.0.1:80"
@@ -66,9 +67,9 @@
 	lw_load_t load = { .limit = 9 };
 
 	if (what == NODE_LEAVING)
-		load.notice = (lw_notice_t){ lw_notice_server("i-1"), 1000, true };
+		load.notice = (lw_notice_t){ lw_notice_server("i-1"), 1000, true, false, 0 };
 	if (what == NODE_OTHER)
-		load.notice = (lw_notice_t){ lw_notice_server("i-1"), 900, true };
+		load.notice = (lw_notice_t){ lw_notice_server("i-1"), 900, true, false, 0 };
 	return load;
 }
 
@@ -134,6 +135,186 @@
 	CU_ASSERT_EQUAL(bad, 0);
 }
 
+static void test_limit_in_head(void)
+{
+	static const char *const none[] = { "-1",  "nan", "1e400", "",	    "0x10", "5, 7",
+					    "inf", "1.",  ".5",	   "1.2.3", "+3",   " " };
+	char head[600], digits[401];
+
+	CU_ASSERT(said_by("HTTP/1.1 200 X\r\nServer-Limit: 15.7\r\n").limited);
+	CU_ASSERT_DOUBLE_EQUAL(said_by("H\r\nserver-limit:15.7\r\n").limit_per_s, 15.7, 1e-9);
+	CU_ASSERT(said_by("H\r\nServer-Limit: 0\r\n").limited);
+	for (size_t i = 0; i < sizeof(none) / sizeof(none[0]); i++) {
+		snprintf(head, sizeof(head), "H\r\nServer-Limit: %s\r\n", none[i]);
+		CU_ASSERT_FALSE(said_by(head).limited);
+		CU_ASSERT(said_by(head).limit_invalid);
+	}
+	memset(digits, '9', 400);
+	digits[400] = '\0';
+	snprintf(head, sizeof(head), "H\r\nServer-Limit: %s\r\n", digits);
+	CU_ASSERT(said_by(head).limit_invalid);
+	CU_ASSERT_FALSE(said_by("H\r\nServer-Limit: 1\r\nServer-Limit: 2\r\n").limited);
+	CU_ASSERT_FALSE(
+		said_by("H\r\nServer-Limit: 1\r\nServer-Limit: 2\r\nServer-Limit: 3\r\n").limited);
+	CU_ASSERT_FALSE(said_by("H\r\nA: 1\r\n").limit_invalid);
+}
+
+/* requests of a run: the first ones are sent together, the others after as many answers */
+#define ASKED	 5
+#define TOGETHER 3
+/* none, a lower and a higher limit */
+#define WORDS 3
+
+static lw_notice_said_t word(uint32_t number)
+{
+	static const double limits[WORDS] = { 0, 5, 8 };
+
+	return (lw_notice_said_t){ .limited = number > 0, .limit_per_s = limits[number] };
+}
+
+/* the @k-th order in which @n answers may come */
+static void order_of(uint32_t k, uint32_t n, uint32_t *out)
+{
+	uint32_t left[ASKED];
+
+	for (uint32_t i = 0; i < n; i++)
+		left[i] = i;
+	for (uint32_t i = 0; i < n; i++) {
+		uint32_t at = k % (n - i);
+
+		k /= n - i;
+		out[i] = left[at];
+		memmove(&left[at], &left[at + 1], (n - i - 1 - at) * sizeof(left[0]));
+	}
+}
+
+static double bound(const lw_notice_limit_t *l)
+{
+	return l->on ? l->per_s : 1e9;
+}
+
+/* whether an older word raised the limit over a newer one, or the last word does not count */
+static bool play_limits(uint32_t words, uint32_t order)
+{
+	uint32_t said[ASKED], at[ASKED];
+	lw_notice_limit_t l = { 0 };
+	lw_notice_said_t w;
+	uint32_t newest = 0;
+
+	for (int i = 0; i < ASKED; i++, words /= WORDS)
+		said[i] = words % WORDS;
+	order_of(order, ASKED, at);
+	for (uint32_t i = 0; i < ASKED; i++) {
+		uint32_t n = at[i];
+		uint32_t sent = n < TOGETHER ? 0 : n - TOGETHER + 1;
+		double before = bound(&l);
+
+		if (sent > i)
+			return true; /* cannot be: answered before it was sent */
+		w = word(said[n]);
+		/* an answer comes a microsecond after what it allows to be sent */
+		lw_notice_limit_hear(&l, &w, 10 * sent + 5, 10 * (i + 1));
+		if (bound(&l) > before && n < newest && said[newest] > 0 &&
+		    bound(&l) > word(said[newest]).limit_per_s)
+			return false;
+		newest = n > newest ? n : newest;
+	}
+	w = word(said[ASKED - 1]);
+	lw_notice_limit_hear(&l, &w, 10 * ASKED + 5, 10 * ASKED + 20);
+	return l.on == w.limited && l.per_s == w.limit_per_s;
+}
+
+/* Guards against a limit that is lifted by an answer which is older than it, or that holds for good. */
+static void test_limit_in_any_order(void)
+{
+	uint32_t bad = 0;
+
+	for (uint32_t words = 0; words < 243; words++)
+		for (uint32_t order = 0; order < 120; order++)
+			bad += !play_limits(words, order);
+	CU_ASSERT_EQUAL(bad, 0);
+}
+
+/* Guards against a process that starts anew and takes what others remember for newer than the server's word. */
+static void test_limit_told_by_others(void)
+{
+	lw_notice_limit_t l = { 0 };
+	lw_notice_said_t none = { 0 };
+
+	CU_ASSERT(lw_notice_limit_told(&l, 8));
+	CU_ASSERT(lw_notice_limit_told(&l, 5));
+	CU_ASSERT_FALSE(lw_notice_limit_told(&l, 9));
+	CU_ASSERT_DOUBLE_EQUAL(l.per_s, 5, 1e-9);
+	CU_ASSERT(lw_notice_limit_hear(&l, &none, 10, 20));
+	CU_ASSERT_FALSE(l.on);
+	CU_ASSERT_FALSE(lw_notice_limit_told(&l, 5));
+}
+
+/* arrivals of the last seconds, by a tenth of a second */
+#define TENTHS	       10
+#define SPAN_TEN       (4 * TENTHS)
+#define RUN_TEN	       3000
+#define STEP_US	       100000
+#define ALLOWED(limit) (1.5 * (limit)*4 + 5)
+
+/* Guards against more than a server takes, also as the limit changes and its node starts anew. */
+static void test_pace_in_any_span(void)
+{
+	static uint32_t came[RUN_TEN];
+	uint32_t seed = 7, bad = 0;
+	lw_pace_t p = { 0 };
+	double limit = 8, highest[RUN_TEN];
+
+	lw_pace_set(&p, true, limit, 0);
+	for (uint32_t t = 0; t < RUN_TEN; t++) {
+		uint64_t now = (uint64_t)(t + 1) * STEP_US;
+		uint32_t in_span = 0;
+		double top = 0;
+
+		seed = seed * 1664525u + 1013904223u;
+		if ((seed >> 8) % 50 == 0) {
+			limit = (seed >> 16) % 40 / 2.0;
+			lw_pace_set(&p, true, limit, now);
+		} else if ((seed >> 8) % 50 == 1) {
+			p = (lw_pace_t){ 0 };
+			lw_pace_set(&p, true, limit, now);
+		}
+		came[t] = 0;
+		for (uint32_t asked = (seed >> 12) % 9; asked && lw_pace_ready(&p, now); asked--) {
+			lw_pace_take(&p, now);
+			came[t]++;
+		}
+		highest[t] = limit;
+		for (uint32_t i = 0; i < SPAN_TEN && i <= t; i++) {
+			in_span += came[t - i];
+			top = highest[t - i] > top ? highest[t - i] : top;
+		}
+		bad += in_span > ALLOWED(top);
+	}
+	CU_ASSERT_EQUAL(bad, 0);
+}
+
+/* Guards against a limit that is kept by letting in far less. */
+static void test_pace_is_used(void)
+{
+	lw_pace_t p = { 0 };
+	uint32_t started = 0;
+
+	lw_pace_set(&p, true, 15.7, 0);
+	for (uint64_t now = 0; now < 20000000; now += 20000)
+		for (; lw_pace_ready(&p, now); started++)
+			lw_pace_take(&p, now);
+	CU_ASSERT(started >= 0.95 * 15.7 * 20);
+	CU_ASSERT_EQUAL(lw_pace_slots(&p, 250000), 4);
+	lw_pace_set(&p, true, 0, 20000000);
+	CU_ASSERT_FALSE(lw_pace_ready(&p, 900000000));
+	CU_ASSERT(lw_pace_wait_ms(&p, 0, 900000000) > 60000);
+	CU_ASSERT_EQUAL(lw_pace_slots(&p, 250000), 1);
+	lw_pace_set(&p, false, 0, 900000000);
+	CU_ASSERT(lw_pace_ready(&p, 900000000));
+	CU_ASSERT_EQUAL(lw_pace_wait_ms(&p, 50, 900000000), 0);
+}
+
 /* suite_notice() - registers the suite. */
 void suite_notice(void)
 {
@@ -141,4 +322,9 @@
 
 	CU_add_test(s, "leaving_in_head", test_leaving_in_head);
 	CU_add_test(s, "leaving_in_any_order", test_leaving_in_any_order);
+	CU_add_test(s, "limit_in_head", test_limit_in_head);
+	CU_add_test(s, "limit_in_any_order", test_limit_in_any_order);
+	CU_add_test(s, "limit_told_by_others", test_limit_told_by_others);
+	CU_add_test(s, "pace_in_any_span", test_pace_in_any_span);
+	CU_add_test(s, "pace_is_used", test_pace_is_used);
 }
