--- a/Makefile
+++ b/Makefile
@@ -97,7 +97,7 @@
 	sh tests/faults.sh
 	SIM=$(BUILD)/lwsim sh tests/sim.sh
 	LWPROXY=$(BUILD)/lwproxy python3 tests/mesh/run.py
-	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1,2,18,1001,2002 --seconds 8
+	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1,2,18,1001,2002,3001 --seconds 8
 
 lint:
 	@sh tools/lint.sh
@@ -116,7 +116,7 @@
 	$(BUILD)/orgbench
 
 soak: all
-	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1-50,1001-1050,2001-2050 --seconds 15
+	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1-50,1001-1050,2001-2050,3001-3050 --seconds 15
 
 fuzz: deps
 	@sh tools/fuzz.sh
--- /dev/null
+++ b/tests/soak/announcing.py
@@ -0,0 +1,113 @@
+"""Servers in the soak that announce in their answers alone that they leave, or how many
+requests a second they take; checked by what each node had passed on."""
+import asyncio
+import time
+
+DRAIN_S = 2.0
+SLACK_S = 0.3
+CONTACT_S = 3.0
+TOLD_S = 0.5
+SPAN_S = 4.0
+LIMITS = [0, 0.5, 2, 5, 10]
+
+
+def allowed(limit):
+    return 1.5 * limit * SPAN_S + 5
+
+
+class Announcing:
+    """The steps, and what servers announced to whom. A node's next process knows nothing."""
+
+    def __init__(self, soak):
+        self.soak = soak
+        self.process = {}  # request id -> process of the node where it began
+        self.told = {}  # (process, server's id, kind) -> time
+        self.touched = []  # (time, ip) of what excuses a node
+        self.named = []  # [server's id, server, begin, end, highest limit]
+        self.left = 0
+
+    def sent(self, rid, node):
+        self.process[rid] = (node.ip, node.proc.pid)
+
+    def answered(self, rid, a):
+        by = a.body.split(b" ")[0].decode("latin-1")
+        for kind in ("server-leaving", "server-limit"):
+            if a.head.get(kind):
+                self.told.setdefault((self.process[rid], by, kind), time.monotonic())
+
+    def free(self, server):
+        return not server.says and not server.draining
+
+    async def leave(self, node, rng):
+        """A server says that it leaves, its entry does not; then its next process comes."""
+        old = node.server
+        others = [n for n in self.soak.f.nodes[old.service] if self.free(n.server)]
+        if not self.free(old) or len(others) < 3:
+            return
+        old.says = ["Server-Leaving: 1"]
+        self.left += 1
+        self.soak.note(f"{old.id} says that it leaves")
+        await asyncio.sleep(DRAIN_S + 1 + rng.random() * 3)
+        old.stop()
+        self.soak.f.store.remove("servers/" + old.id)
+        await asyncio.sleep(0.2)
+        old.id, old.says = f"{old.id}-", []
+        await old.start()
+        self.soak.f.register(old)
+        self.soak.note(f"new {old.id}")
+
+    async def limit(self, node, rng):
+        """A server names a limit for some seconds, and another one meanwhile."""
+        server = node.server
+        if not self.free(server):
+            return
+        limits = [rng.choice(LIMITS) for _ in range(2)]
+        span = [server.id, server, time.monotonic(), None, max(limits)]
+        self.named.append(span)
+        for limit in limits:
+            if server.id != span[0] or server.draining:
+                break
+            server.says = [f"Server-Limit: {limit}"]
+            self.soak.note(f"{server.id} takes {limit} a second")
+            await asyncio.sleep(2 + rng.random() * 4)
+        span[3] = time.monotonic()
+        if server.id == span[0]:
+            server.says = []
+        self.soak.note(f"{span[0]} takes any")
+
+    def calm(self, ip, since, until):
+        return not any(i == ip and since < t < until for t, i in self.touched)
+
+    def check(self):
+        self.check_left()
+        for span in self.named:
+            self.check_named(*span)
+
+    def check_left(self):
+        """A request sent late to a leaving server, by what its node had passed on."""
+        for node in self.soak.f.all():
+            for at, rid in node.server.ran:
+                process = self.process.get(rid)
+                by = self.ran_at(rid, at)
+                told = self.told.get((process, by, "server-leaving"))
+                sent = self.soak.asked[rid][2] if rid in self.soak.asked else 0
+                if told and sent > told + DRAIN_S + SLACK_S and self.calm(process[0], told, at):
+                    self.soak.fail(f"{rid}: sent {sent - told:.2f} s after its node had passed "
+                                   f"on that {by} leaves")
+
+    def ran_at(self, rid, at):
+        """The id that the server had when it ran the request."""
+        runs = self.soak.runs.get(rid, [])
+        return min(runs, key=lambda r: abs(r[0] - at))[2] if runs else None
+
+    def check_named(self, sid, server, begin, end, limit):
+        times = []
+        for at, rid in server.ran:
+            process = self.process.get(rid)
+            told = self.told.get((process, sid, "server-limit"))
+            if (told and begin + CONTACT_S <= at <= end and at >= max(told, begin) + TOLD_S and
+                    self.calm(process[0], told, at)):
+                times.append(at)
+        worst = max((sum(t <= u < t + SPAN_S for u in times) for t in times), default=0)
+        if worst > allowed(limit):
+            self.soak.fail(f"{sid} takes {limit} a second and got {worst} in {SPAN_S:.0f} s")
--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -35,6 +35,8 @@
         self.faults.append(f"{time.monotonic() - self.begin:.2f} {what}")
         if ip:
             self.disturbed[ip] = time.monotonic()
+            if self.announcing:
+                self.announcing.touched.append((time.monotonic(), ip))
         if store:
             self.store_disturbed = time.monotonic()
 
@@ -280,7 +282,7 @@
     async def drain(self, node, _rng):
         """A server leaves and another takes its place at the same address."""
         old = node.server
-        if old.draining or sum(not n.server.draining for n in self.f.nodes[old.service]) < 2:
+        if old.draining or old.says or sum(not n.server.draining for n in self.f.nodes[old.service]) < 2:
             return
         old.draining = True
         self.f.register(old)
@@ -310,6 +312,8 @@
         # no node is disturbed: what is known of requests and of the store must hold
         ends = [self.bad_request, self.store_copy, self.store_copy, self.change, self.drain,
                 self.drain, self.hangup, self.server_fault]
+        if self.announcing:
+            mixed += [self.announcing.leave] * 3 + [self.announcing.limit] * 4
         running = []
         at = rolled = 0.0
         while at < self.seconds:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,7 +9,8 @@
 bytes; the store goes silent, refuses and forgets (series.py). Every third seed
 draws planned work only: whatever a server has begun must be answered then. Seeds
 from 1000 on draw requests that end servers, and returns of the store from a copy, seeds
-from 2000 on organisations (tenancy.py). A seed draws the same series each time."""
+from 2000 on organisations (tenancy.py), seeds from 3000 on servers that announce in their
+answers that they leave or what they take (announcing.py). A seed draws the same series each time."""
 import argparse
 import asyncio
 import os
@@ -22,6 +23,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "mesh"))
 import fleet as fl  # noqa: E402
 import standin  # noqa: E402
+from announcing import Announcing  # noqa: E402
 from crashes import Crashes  # noqa: E402
 from series import DRAIN_S, Series  # noqa: E402
 from tenancy import Tenancy, open_routes, tenants  # noqa: E402
@@ -46,6 +48,8 @@
 ENDS_SEEDS = 1000
 # seeds from here on draw organisations, one of them with a limit
 TENANCY_SEEDS = 2000
+# seeds from here on draw servers that announce something in their answers
+ANNOUNCING_SEEDS = 3000
 # a fifth of the requests of a planned seed must be fit to be judged
 JUDGED_SHARE = 0.2
 
@@ -56,9 +60,12 @@
         self.chaos_rng = random.Random(f"chaos {seed}")  # of the series of faults alone
         self.seconds = seconds
         self.net = net
-        self.planned = seed % 3 == 0 and not ENDS_SEEDS <= seed < TENANCY_SEEDS
+        self.planned = (seed % 3 == 0 and seed < ANNOUNCING_SEEDS and
+                        not ENDS_SEEDS <= seed < TENANCY_SEEDS)
         self.ends = ENDS_SEEDS <= seed < TENANCY_SEEDS
-        self.tenancy = Tenancy(seed, self.fail) if seed >= TENANCY_SEEDS else None
+        self.tenancy = (Tenancy(seed, self.fail)
+                        if TENANCY_SEEDS <= seed < ANNOUNCING_SEEDS else None)
+        self.announcing = Announcing(self) if seed >= ANNOUNCING_SEEDS else None
         self.copying, self.copies, self.ended_servers = False, 0, 0
         self.broken = []
         self.asked = {}  # id -> (kind, node, time)
@@ -159,6 +166,8 @@
                     c = node.caller()
                     await c.open()
                 self.asked[rid] = (kind, node, time.monotonic())
+                if self.announcing:
+                    self.announcing.sent(rid, node)
                 order = kind.endswith("put")
                 a = await c.ask("POST" if order else "GET", f"/{kind}/{rid}", rid,
                                 body=b"order" * 20 if order else b"",
@@ -190,6 +199,8 @@
         self.outcome[rid] = a.status
         if self.tenancy:
             self.tenancy.check_answer(rid, a.status)
+        if self.announcing:
+            self.announcing.answered(rid, a)
         self.ended[rid] = (time.monotonic(),
                            a.whole and a.head.get("x-server-stamp") == "st-" + rid)
         if self.settled:
@@ -319,6 +330,8 @@
             if self.tenancy:
                 self.tenancy.check_servers([n.server for n in self.f.all()])
             self.check_drains()
+            if self.announcing:
+                self.announcing.check()
             for n in self.f.all():
                 if n.proc.poll() is not None:
                     self.fail(f"{n.ip}: ended by itself with {n.proc.returncode}")
@@ -364,9 +377,11 @@
         if not s.broken:
             shutil.rmtree(s.f.dir)
         kind = ("planned" if s.planned else "ends" if s.ends else
-                "organisations" if s.tenancy else "mixed")
+                "organisations" if s.tenancy else "announcing" if s.announcing else "mixed")
         if s.ends:
             kind += f", {s.ended_servers} servers ended, {s.copies} copies"
+        if s.announcing:
+            kind += f", {s.announcing.left} said to leave, {len(s.announcing.named)} limits"
         print(f"{'FAILED' if s.broken else 'passed'} seed {seed} ({kind}): {requests} requests, "
               f"{s.judged} judged for planned work, {len(s.terms)} stops, "
               f"{len(s.faults)} steps, late by {s.late * 1000:.0f} ms at most, "
