The settings of lwproxy outlive main()

Cause, from the core of the second: the settings were a local of main(). While main() had returned and exit() ran the destructors of libraries over its frame, the thread that reads the store took the store's address from there, it was none any more, and no connection could be made of it.

lwnode, lwctl: looked through for the same; lwnode copies its settings.

--- a/src/lwproxy.c
+++ b/src/lwproxy.c
@@ -29,7 +29,8 @@
 	struct arg_lit *check = arg_lit0(NULL, "check", "check the settings and exit");
 	void *table[] = { cli.help, cli.version, config, check, cli.end };
 	const char *path;
-	lw_proxyset_t set;
+	/* outlives main(): other threads use it while the process exits */
+	static lw_proxyset_t set;
 	int rc;
 
 	lw_proxy_mask_signals(SIG_BLOCK);
