--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	src/tomlkeys.c src/linux/clock.c src/linux/sock.c
 # the streaming node, lwproxy
 PROXY_SRC = src/proxyset.c src/hub.c src/bytebuf.c src/httphead.c src/call.c src/fleetconf.c \
-	src/serverset.c src/mailbox.c src/admit.c src/level.c src/hotpath.c src/hotwork.c src/hots.c src/waitq.c src/notice.c src/pace.c src/bconn.c src/gate.c src/gatejob.c src/gateconn.c src/gatecrash.c src/fingerprint.c src/quarantine.c src/place.c src/placelist.c src/placelevel.c src/lease.c src/probe.c src/proxylease.c \
+	src/serverset.c src/mailbox.c src/admit.c src/level.c src/hotpath.c src/hotwork.c src/hots.c src/waitq.c src/notice.c src/pace.c src/bconn.c src/gate.c src/gatejob.c src/gateconn.c src/gatecrash.c src/gatenotice.c src/fingerprint.c src/quarantine.c src/place.c src/placelist.c src/placelevel.c src/lease.c src/probe.c src/proxylease.c \
 	src/retrylimit.c src/retryrule.c src/comeback.c src/meshframe.c src/mesh.pb-c.c src/mesh.c src/meshlink.c src/meshcall.c src/meshnews.c src/meshsuspects.c src/meshdocs.c src/meshask.c src/meshpast.c src/meshkept.c src/meshfate.c \
 	src/organisation.c src/credential.c src/quota.c src/quotawindow.c src/quotabucket.c src/quotakeeper.c src/quotachoice.c src/meshquota.c src/proxyquota.c src/exchange.c src/exchadmit.c src/exchattempt.c src/exchdetain.c src/exchoutcome.c src/caller.c src/callerread.c src/callerreply.c src/feed.c src/spread.c src/revdoc.c src/docfetch.c src/histogram.c src/routestats.c src/proxystats.c src/proxystatus.c src/explain.c src/stopplan.c src/proxynews.c src/proxynotice.c src/proxycrash.c src/proxystop.c src/proxy.c
 PLATFORM_SRC = platform/names.c platform/fields.c platform/documents.c platform/store.c platform/platform.c
--- a/src/gate.c
+++ b/src/gate.c
@@ -174,15 +174,6 @@
 	lw_gate_dispatch(g);
 }
 
-/* the limit that was heard of is kept from now on */
-static void set_pace(lw_gate_t *g, uint64_t server)
-{
-	lw_pace_set(&g->pace, g->named.on, g->named.per_s, g->hub->now_us);
-	g->notice.server = server;
-	g->notice.limited = g->named.on;
-	g->notice.limit_per_s = g->named.per_s;
-}
-
 static lw_fail_t refusal(const lw_gate_t *g, const lw_admit_state_t *st, const lw_ask_t *ask)
 {
 	if (lw_gate_leaving(g) && (!ask->target.len || lw_str_eq_c(ask->target, g->server_id)))
@@ -213,16 +204,6 @@
 	};
 }
 
-/* what the sender knows of the backend server, before that was heard here */
-static void take_word(lw_gate_t *g, const lw_notice_t *told)
-{
-	if (!told->limited || g->named.heard_us ||
-	    (g->server_id[0] && !lw_notice_is_of(told, g->server_id, g->server_born_ms)))
-		return;
-	if (lw_notice_limit_told(&g->named, told->limit_per_s))
-		set_pace(g, told->server);
-}
-
 /* what servers ended under is given to this one alone, or not at all */
 static bool may_be_given(const lw_gate_t *g, lw_quarantine_verdict_t verdict,
 			 const lw_fingerprint_t *print)
@@ -251,7 +232,7 @@
 
 	lw_fingerprinter_begin(&print, ask->head, g->hub->names->header[LW_HEADER_ORGANISATION]);
 	lw_fingerprinter_body(&print, body, fin);
-	take_word(g, &ask->notice);
+	lw_gate_take_word(g, &ask->notice);
 	verdict = lw_quarantine_verdict(g->quarantine, &print.value, g->hub->now_us);
 	lw_level_arrival(&g->level, ask->rank);
 	if (!ev_is_active(&g->step))
@@ -296,7 +277,8 @@
 	return g->by_id ? g->hub->now_us - g->by_id->came_us + 1 : 0;
 }
 
-static void hand_back_queue(lw_gate_t *g, lw_fail_t why)
+/* lw_gate_hand_back() - what waits goes back unrun. */
+void lw_gate_hand_back(lw_gate_t *g, lw_fail_t why)
 {
 	lw_waiter_t *w;
 
@@ -317,7 +299,7 @@
 	g->down_until_us = g->hub->now_us + DOWN_US;
 	lw_log(LW_LOG_backend_error, "server=%s why=no_connection queued=%zu", g->server_id,
 	       g->queue.len);
-	hand_back_queue(g, LW_FAIL_NO_SERVER);
+	lw_gate_hand_back(g, LW_FAIL_NO_SERVER);
 	lw_gate_look_down(g);
 }
 
@@ -328,14 +310,7 @@
 void lw_gate_refuse(lw_gate_t *g)
 {
 	g->refusing = true;
-	hand_back_queue(g, LW_FAIL_LEAVING);
-}
-
-static void forget_notice(lw_gate_t *g)
-{
-	memset(&g->notice, 0, sizeof(g->notice));
-	memset(&g->named, 0, sizeof(g->named));
-	lw_pace_set(&g->pace, false, 0, g->hub->now_us);
+	lw_gate_hand_back(g, LW_FAIL_LEAVING);
 }
 
 /* what was learned of the process before says nothing of the new one */
@@ -348,7 +323,7 @@
 	g->since_told = 0;
 	/* what others told before the first list is of this process, unless they named another */
 	if (g->server_id[0] || !lw_notice_is_of(&g->notice, server->id, server->born_ms))
-		forget_notice(g);
+		lw_gate_forget_notice(g);
 }
 
 /*
@@ -374,41 +349,12 @@
 	lw_gate_set_leaving(g, server->draining);
 }
 
-static void heard_leaving(lw_gate_t *g)
-{
-	g->notice.leaving = true;
-	lw_log(LW_LOG_server_leaving, "server=%s by=answer", g->server_id);
-	hand_back_queue(g, LW_FAIL_LEAVING);
-	if (g->noticed)
-		g->noticed(g->noticed_ctx);
-}
-
-/*
- * lw_gate_heard() - the process of the backend server says this of itself in the
- * answer to a request sent at @sent_us. That it leaves holds for good: an answer
- * without it is an older one.
- */
-void lw_gate_heard(lw_gate_t *g, const lw_notice_said_t *said, uint64_t sent_us)
-{
-	g->stats.invalid_limits += said->limit_invalid;
-	if (lw_notice_limit_hear(&g->named, said, sent_us, g->hub->now_us))
-		set_pace(g, g->notice.server);
-	if (said->leaving && !g->notice.leaving)
-		heard_leaving(g);
-}
-
-/* lw_gate_leaving() - whether the backend server takes no new work, as the list or its answers say. */
-bool lw_gate_leaving(const lw_gate_t *g)
-{
-	return g->leaving || g->notice.leaving;
-}
-
 /* lw_gate_set_leaving() - whether the list says that the backend server takes no new work. */
 void lw_gate_set_leaving(lw_gate_t *g, bool leaving)
 {
 	g->leaving = leaving;
 	if (leaving)
-		hand_back_queue(g, LW_FAIL_LEAVING);
+		lw_gate_hand_back(g, LW_FAIL_LEAVING);
 }
 
 static lw_job_t *job_by_id(const lw_gate_t *g, lw_str_t id)
