Tell what a whole fleet did: summaries of nodes in the log, lwfleet

What control costs each role, the calls to the store by reason and the time until the last host has a configuration could not be had for a fleet: metrics pages go with their processes, and eleven kept logs say nothing of the last of 985 hosts.

The parsing of log lines moves from explain.c to logline.c, for both.

--- a/src/evloop.c
+++ b/src/evloop.c
@@ -29,6 +29,7 @@
 	(void)loop;
 	(void)revents;
 	evloop->suspended_us = 0;
+	evloop->iterations++;
 	if (boot - evloop->now_us > mono - evloop->mono_us && clock_gap > SUSPEND_MIN_US)
 		evloop->suspended_us = clock_gap;
 	else if (mono - evloop->mono_us > ITERATION_MAX_US)
--- a/src/evloop.h
+++ b/src/evloop.h
@@ -41,6 +41,7 @@
 	ev_timer tick;
 	uint64_t mono_us; /* monotonic time at the start of this iteration */
 	uint64_t longest_iteration_us; /* since the process started */
+	uint64_t iterations; /* since the process started */
 	lw_evloop_hook_t tick_hooks[LW_EVLOOP_HOOKS_MAX];
 	size_t ntick;
 	lw_evloop_hook_t flush_hooks[LW_EVLOOP_HOOKS_MAX];
--- a/src/explain.c
+++ b/src/explain.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "call.h"
+#include "logline.h"
 #include "xalloc.h"
 
 #define CAP_FIRST  16
@@ -55,57 +56,6 @@
 	e->id = xstrdup(id);
 }
 
-/*
- * Copies the value of @key in "key=value ..." to @dst; returns false if there is
- * none.
- */
-static bool field(const char *fields, const char *key, char *dst, size_t len)
-{
-	size_t klen = strlen(key);
-
-	for (const char *p = fields; p && *p; p = strchr(p, ' ')) {
-		size_t n;
-
-		while (*p == ' ')
-			p++;
-		if (strncmp(p, key, klen) != 0 || p[klen] != '=')
-			continue;
-		p += klen + 1;
-		n = strcspn(p, " ");
-		if (n >= len)
-			n = len - 1;
-		memcpy(dst, p, n);
-		dst[n] = '\0';
-		return true;
-	}
-	return false;
-}
-
-static uint64_t number(const char *fields, const char *key)
-{
-	char value[VALUE_MAX];
-
-	return field(fields, key, value, sizeof(value)) ? strtoull(value, NULL, 10) : 0;
-}
-
-/*
- * "Mon DD HH:MM:SS.mmm" in milliseconds within the year; every month counts as 31
- * days
- */
-static uint64_t stamp_ms(const char *stamp)
-{
-	static const char months[] = "JanFebMarAprMayJunJulAugSepOctNovDec";
-	char month[4] = "";
-	unsigned day = 0, h = 0, m = 0, s = 0, ms = 0;
-	const char *at;
-
-	if (sscanf(stamp, "%3s %u %u:%u:%u.%u", month, &day, &h, &m, &s, &ms) != 6)
-		return 0;
-	at = strstr(months, month);
-	return ((((uint64_t)(at ? (at - months) / 3 : 0) * 31 + day) * 24 + h) * 60 + m) * 60000 +
-	       s * 1000 + ms;
-}
-
 /*
  * Returns whether @id is the request @root or a call made for it: the id of a
  * call is the id of its request, a dot and a suffix. @depth is set to the nesting
@@ -134,35 +84,30 @@
 }
 
 /*
- * lw_explain_add() - adds @line if it belongs to the request. Text before
- * "<priority>" is ignored, and so is a line in any other format. Also counts the
- * lines that a node reports as dropped.
+ * lw_explain_add() - adds @line if it belongs to the request. A line in another
+ * format is ignored. Also counts the lines that a node reports as dropped.
  */
 void lw_explain_add(lw_explain_t *e, const char *source, const char *line)
 {
-	const char *head = strchr(line, '<');
-	const char *stamp = head ? strchr(head, '>') : NULL;
-	const char *event = stamp ? strstr(stamp, "]: E") : NULL;
-	const char *name = event ? strchr(event + 4, ' ') : NULL;
-	const char *fields = name ? strchr(name + 1, ' ') : NULL;
+	lw_logline_t found;
 	char id[1024];
 	lw_explain_line_t *l;
 	uint32_t depth;
 
-	if (!fields)
+	if (!lw_logline_parse(&found, line))
 		return;
-	if (strncmp(name + 1, "log_dropped", 11) == 0)
-		e->dropped += number(fields, "lines");
-	if (!field(fields, "id", id, sizeof(id)) || !is_part_of(id, e->id, &depth))
+	if (lw_str_eq_c(found.event, "log_dropped"))
+		e->dropped += lw_logline_number(found.fields, "lines");
+	if (!lw_logline_field(found.fields, "id", id, sizeof(id)) || !is_part_of(id, e->id, &depth))
 		return;
 	l = new_line(e);
-	l->at_ms = stamp_ms(stamp + 1);
+	l->at_ms = found.at_ms;
 	l->seq = e->nlines;
 	l->depth = depth;
 	l->source = xstrdup(source);
-	l->stamp = xstrndup(stamp + 1, strcspn(stamp + 1, "."));
-	l->event = xstrndup(name + 1, (size_t)(fields - name - 1));
-	l->fields = xstrndup(fields + 1, strcspn(fields + 1, "\r\n"));
+	l->stamp = xstrndup(found.stamp.ptr, found.stamp.len);
+	l->event = xstrndup(found.event.ptr, found.event.len);
+	l->fields = xstrndup(found.fields, strcspn(found.fields, "\r\n"));
 }
 
 /*
@@ -231,9 +176,9 @@
 {
 	char why[VALUE_MAX];
 
-	if (!l || !field(l->fields, "why", why, sizeof(why)))
+	if (!l || !lw_logline_field(l->fields, "why", why, sizeof(why)))
 		return -1;
-	if (is_full(why) && number(l->fields, "server_limit"))
+	if (is_full(why) && lw_logline_number(l->fields, "server_limit"))
 		snprintf(why, sizeof(why), "server_limit");
 	for (size_t i = 0; i < sizeof(reasons) / sizeof(reasons[0]); i++)
 		if (strcmp(reasons[i].why, why) == 0)
@@ -249,9 +194,9 @@
 
 		if (l->depth || strcmp(l->event, "request_ended") != 0)
 			continue;
-		if (number(l->fields, "status") == 503)
+		if (lw_logline_number(l->fields, "status") == 503)
 			return "not run; the caller was told when to come back";
-		return number(l->fields, "maybe_ran") ? "it may have run" : "not run";
+		return lw_logline_number(l->fields, "maybe_ran") ? "it may have run" : "not run";
 	}
 	return "answered by its server, or still under way";
 }
@@ -274,7 +219,7 @@
 		fprintf(out, "%s.%03" PRIu64 "  %*s%s  [%s] %s\n", l->stamp, l->at_ms % 1000,
 			indent, "", l->event, l->source, l->fields);
 	}
-	if (cause && field(cause->fields, "service", service, sizeof(service)))
+	if (cause && lw_logline_field(cause->fields, "service", service, sizeof(service)))
 		fprintf(out, "decided at: %s level %u, service %s\n",
 			cause->depth ? "a call," : "the request itself,", cause->depth, service);
 	if (reason >= 0)
--- a/src/log.h
+++ b/src/log.h
@@ -23,6 +23,8 @@
 	  "lines about single requests were dropped to bound the volume; counters include them")   \
 	X(1006, stop_step, LOG_INFO,                                                               \
 	  "a stopping process takes its next step; the fields give the work still in progress")    \
+	X(1007, node_summary, LOG_INFO,                                                            \
+	  "what this node did since its start and holds now; lwfleet adds these up over a fleet")  \
 	X(1100, settings_invalid, LOG_ERR, "settings file rejected; the node does not start")      \
 	X(1101, args_invalid, LOG_ERR, "command line rejected")                                    \
 	X(1200, config_accepted, LOG_NOTICE, "a newer valid configuration is in force")            \
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -134,6 +134,15 @@
 	return &m->stats;
 }
 
+/* lw_mesh_count_links() - counts the open connections that this node opened and accepted. */
+void lw_mesh_count_links(const lw_mesh_t *m, uint32_t *outgoing, uint32_t *incoming)
+{
+	*outgoing = 0;
+	*incoming = 0;
+	for (const lw_link_t *l = m->links; l; l = l->next)
+		++*(l->outgoing ? outgoing : incoming);
+}
+
 /*
  * Marks a connection as silent: no data arrives although responses are due. The peer may be
  * suspended, or a device between the hosts has lost track of the connection. New requests
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -112,6 +112,7 @@
 			  const lw_quota_usage_t *uses, size_t n);
 void lw_mesh_connect(lw_mesh_t *m, const char *node);
 const lw_mesh_stats_t *lw_mesh_stats(const lw_mesh_t *m);
+void lw_mesh_count_links(const lw_mesh_t *m, uint32_t *outgoing, uint32_t *incoming);
 const char *lw_mesh_control_name(size_t kind);
 uint64_t lw_mesh_control_bytes(const lw_mesh_stats_t *s);
 
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -103,6 +103,7 @@
 
 	lw_proxy_reconnect_lost(p);
 	publish_stats(p);
+	lw_proxy_summary_tick(p);
 	if (lw_proxystats_status_wanted())
 		write_status(p);
 }
@@ -184,6 +185,7 @@
 	p->engine.overload = lw_overload_new();
 	p->engine.mesh = lw_mesh_new(&p->evloop, &p->engine.gate, &lw_proxy_mesh_ops, p);
 	p->callers = lw_callers_new(&p->engine);
+	lw_proxy_summary_init(p);
 	watch_signals(p);
 	lw_evloop_on_tick(&p->evloop, on_tick, p);
 	st = listen_all(p);
@@ -195,6 +197,7 @@
 	       set->callers, set->backend);
 	lw_proxy_mask_signals(SIG_UNBLOCK);
 	ev_run(p->evloop.loop, 0);
+	lw_proxy_summary_log(p);
 	lw_log(LW_LOG_stopped, "active=%u", p->engine.active);
 	lw_log_flush();
 	return LW_OK;
--- a/src/proxy_int.h
+++ b/src/proxy_int.h
@@ -58,6 +58,8 @@
 	uint32_t quota_number[LW_QUOTA_COORDINATORS]; /* number of the newest report to each */
 	bool quota_alone; /* no coordinator replies, as last logged */
 	ev_timer quota_timer; /* runs while the configuration has organisations */
+	uint64_t started_us; /* boot time */
+	uint64_t summary_us; /* boot time of the last summary in the log */
 	uint64_t born_ms; /* start of the backend server's process, Unix time; 0: unknown */
 } lw_proxy_t;
 
@@ -85,6 +87,9 @@
 			     const lw_quota_grant_t *told, size_t n);
 void lw_proxy_read_store_for(lw_proxy_t *p, uint64_t us, lw_storereader_reason_t why);
 void lw_proxy_reconnect_lost(lw_proxy_t *p);
+void lw_proxy_summary_init(lw_proxy_t *p);
+void lw_proxy_summary_tick(lw_proxy_t *p);
+void lw_proxy_summary_log(lw_proxy_t *p);
 uint32_t lw_proxy_update_age_ms(void *ctx);
 void lw_proxy_on_term(struct ev_loop *loop, ev_signal *w, int revents);
 
