--- a/src/fanout.c
+++ b/src/fanout.c
@@ -7,6 +7,11 @@
 
 #include "xalloc.h"
 
+/* each step of the nodes that read the store in turn is longer than the one before it */
+#define TURN_STEP_GROWTH 1.5
+/* steps in which the nodes that are not listed follow the others */
+#define UNLISTED_STEPS 4
+
 typedef struct lw_member {
 	const char *backend;
 	const char *zone;
@@ -71,13 +76,19 @@
 	return n;
 }
 
-static void add_child(lw_fanout_t *s, const char *backend)
+/* adds @backend to the list @at of @n addresses that has room for @most */
+static void add_address(char (*at)[LW_NAME_MAX], size_t *n, size_t most, const char *backend)
 {
-	for (size_t i = 0; i < s->nchildren; i++)
-		if (strcmp(s->child[i], backend) == 0)
+	for (size_t i = 0; i < *n; i++)
+		if (strcmp(at[i], backend) == 0)
 			return;
-	if (s->nchildren < LW_FANOUT_CHILDREN_MAX)
-		lw_str_copy(s->child[s->nchildren++], LW_NAME_MAX, lw_str_c(backend));
+	if (*n < most)
+		lw_str_copy(at[(*n)++], LW_NAME_MAX, lw_str_c(backend));
+}
+
+static void add_child(lw_fanout_t *s, const char *backend)
+{
+	add_address(s->child, &s->nchildren, LW_FANOUT_CHILDREN_MAX, backend);
 }
 
 /* the children of node @at among the @n nodes of a zone, in both trees */
@@ -93,16 +104,25 @@
 	}
 }
 
-/*
- * The children of node @self among the head nodes of the zones; the readers
- * are above the first heads.
- */
-static void add_heads(lw_fanout_t *s, const lw_member_t **heads, size_t n, const lw_member_t *self,
-		      bool reads)
+static bool is_child(const lw_fanout_t *s, const char *backend)
+{
+	for (size_t i = 0; i < s->nchildren; i++)
+		if (strcmp(s->child[i], backend) == 0)
+			return true;
+	return false;
+}
+
+/* the roots of the trees over the head nodes of the zones, but for the children of @self */
+static void add_roots(lw_fanout_t *s, const lw_member_t **heads, size_t n, const lw_member_t *self)
+{
+	for (size_t i = 0; i < n && i < LW_FANOUT_DEGREE; i++)
+		if (heads[i] != self && !is_child(s, heads[i]->backend))
+			add_address(s->root, &s->nroots, LW_FANOUT_ROOTS_MAX, heads[i]->backend);
+}
+
+/* the children of node @self among the head nodes of the zones */
+static void add_heads(lw_fanout_t *s, const lw_member_t **heads, size_t n, const lw_member_t *self)
 {
-	for (size_t i = 0; reads && i < n && i < LW_FANOUT_DEGREE; i++)
-		if (heads[i] != self)
-			add_child(s, heads[i]->backend);
 	for (size_t at = 0; at < n; at++) {
 		size_t first = (at + 1) * LW_FANOUT_DEGREE;
 
@@ -127,14 +147,70 @@
 }
 
 /*
- * A delay derived from the address, so that the updates read by the first
- * nodes reach the others before all of them read the store.
+ * A delay derived from the address: a large part of a fleet that is cut off
+ * from the others does not read the store in the same moment.
  */
 static uint32_t stagger_ms(const char *backend)
 {
 	return (uint32_t)(XXH3_64bits(backend, strlen(backend)) % LW_FANOUT_STAGGER_MS);
 }
 
+/*
+ * How much longer than the substitutes the node of @rank waits before it
+ * reads the store although it hears other nodes, which have no newer update
+ * either. Twice as many nodes as before begin in each step, and each step is
+ * longer by half. So a part of the fleet whose first nodes are cut off has a
+ * reader soon, and an outage of the store, in which no node can know that the
+ * others fail as well, costs few calls: after t seconds about 4 (1 + t/0.4)^1.7
+ * nodes call, whatever the size of the fleet.
+ */
+static uint32_t turn_ms(uint32_t rank)
+{
+	double step = LW_FANOUT_SUBSTITUTES_MS;
+	double sum = 0;
+
+	for (uint64_t n = LW_FANOUT_READERS + LW_FANOUT_SUBSTITUTES; n <= rank; n *= 2) {
+		sum += step;
+		step *= TURN_STEP_GROWTH;
+	}
+	return (uint32_t)sum;
+}
+
+static void set_turn(lw_fanout_t *s, uint32_t turn)
+{
+	s->turn = turn;
+	s->read_after_ms = LW_FANOUT_STALE_MS + turn_ms(turn);
+}
+
+/*
+ * A place behind the @n nodes that are listed. Many nodes may be in this case, as when a whole
+ * fleet starts: half of them come last, a quarter one step earlier, and so on.
+ */
+static uint32_t turn_of_unlisted(uint32_t n, const char *backend)
+{
+	uint64_t digest = XXH3_64bits(backend, strlen(backend));
+	uint32_t step = UNLISTED_STEPS;
+
+	while (step && !(digest & 1)) {
+		digest >>= 1;
+		step--;
+	}
+	return (LW_FANOUT_READERS + LW_FANOUT_SUBSTITUTES + n) << step;
+}
+
+/*
+ * lw_fanout_keep_turn() - a node that is no longer listed keeps the turn that it had in the
+ * plan @before. If the entries of a whole fleet lapse, its nodes are all unlisted, and must not
+ * wait longer than before to read the store.
+ */
+void lw_fanout_keep_turn(lw_fanout_t *s, const lw_fanout_t *before)
+{
+	if (s->ranked || !before->ranked)
+		return;
+	set_turn(s, before->turn);
+	s->ranked = true;
+}
+
 /*
  * lw_fanout_plan() - the role of the node of the backend server at @backend
  * in @zone. While the server is not listed, other nodes do not count on this
@@ -153,9 +229,10 @@
 
 	memset(out, 0, sizeof(*out));
 	out->rank = listed ? rank_of(m, n, backend) : LW_FANOUT_NO_RANK;
-	out->read_after_ms = LW_FANOUT_STALE_MS;
-	if (!lw_fanout_is_reader_or_substitute(out))
-		out->read_after_ms += LW_FANOUT_SUBSTITUTES_MS + stagger_ms(backend);
+	out->alone_read_after_ms =
+		LW_FANOUT_STALE_MS + LW_FANOUT_SUBSTITUTES_MS + stagger_ms(backend);
+	out->ranked = listed;
+	set_turn(out, listed ? out->rank : turn_of_unlisted((uint32_t)n, backend));
 	while (strcmp(m[self].backend, backend) != 0)
 		self++;
 	for (size_t at = 1; at <= n; at++) {
@@ -167,8 +244,10 @@
 			add_zone(out, &m[begin], at - begin, self - begin);
 		begin = at;
 	}
-	add_heads(out, first, nzones, &m[self], lw_fanout_is_reader(out));
-	add_heads(out, last, nzones, &m[self], lw_fanout_is_reader(out));
+	add_heads(out, first, nzones, &m[self]);
+	add_heads(out, last, nzones, &m[self]);
+	add_roots(out, first, nzones, &m[self]);
+	add_roots(out, last, nzones, &m[self]);
 	free(last);
 	free(first);
 	free(m);
--- a/src/fanout.h
+++ b/src/fanout.h
@@ -24,15 +24,28 @@
 #define LW_FANOUT_SUBSTITUTES 2
 /* Maximum number of children of a node in one tree. */
 #define LW_FANOUT_DEGREE 6
-/* A node can be a reader, and an inner node of two trees in its zone and of two between zones. */
-#define LW_FANOUT_CHILDREN_MAX (6 * LW_FANOUT_DEGREE)
+/* A node can be an inner node of two trees in its zone and of two between zones. */
+#define LW_FANOUT_CHILDREN_MAX (4 * LW_FANOUT_DEGREE)
+/* The roots of the trees: the first and the last nodes of the first zones. */
+#define LW_FANOUT_ROOTS_MAX (2 * LW_FANOUT_DEGREE)
 
 /* The role of one node. */
 typedef struct lw_fanout {
 	uint32_t rank; /* among all nodes: readers come first, then substitutes */
-	uint32_t read_after_ms; /* age of the last update at which the node reads the store */
+	/*
+	 * place in the order in which nodes without updates read the store: the rank, or one
+	 * behind all ranks
+	 */
+	uint32_t turn;
+	bool ranked; /* turn is a rank, of this plan or of an earlier one */
+	/* age of the last update at which the node reads the store while it hears other nodes */
+	uint32_t read_after_ms;
+	uint32_t alone_read_after_ms; /* the same while it hears none */
 	char child[LW_FANOUT_CHILDREN_MAX][LW_NAME_MAX]; /* addresses of backend servers */
 	size_t nchildren;
+	/* the roots of the trees that are no children, for updates that this node has read itself */
+	char root[LW_FANOUT_ROOTS_MAX][LW_NAME_MAX];
+	size_t nroots;
 } lw_fanout_t;
 
 /*
@@ -46,13 +59,16 @@
 #define LW_FANOUT_ASK_NODES 3
 /* nodes other than the substitutes wait this much longer before they read the store, ms */
 #define LW_FANOUT_SUBSTITUTES_MS 200
-/* and distribute their reads over this time, ms */
+/* nodes that hear no other node distribute their reads over this time, ms */
 #define LW_FANOUT_STAGGER_MS 300
+/* a node that has asked others for this time without an answer hears none, ms */
+#define LW_FANOUT_ALONE_MS 400
 /* rank of a node whose backend server is not listed: it is neither reader nor substitute */
 #define LW_FANOUT_NO_RANK UINT32_MAX
 
 void lw_fanout_plan(const lw_serverlist_t *sl, const char *backend, const char *zone,
 		    lw_fanout_t *out);
+void lw_fanout_keep_turn(lw_fanout_t *s, const lw_fanout_t *before);
 bool lw_fanout_is_reader(const lw_fanout_t *s);
 bool lw_fanout_is_reader_or_substitute(const lw_fanout_t *s);
 
--- a/src/lw.pb-c.h
+++ b/src/lw.pb-c.h
@@ -77,11 +77,11 @@
   char *route;
   ProtobufCBinaryData body;
   /*
-   * the user request's id, for history checks
+   * id of the user request, for checks of the request history
    */
   char *trace_id;
   /*
-   * an earlier attempt with this key ended unknown
+   * retry: an earlier attempt with this key had an unknown outcome
    */
   protobuf_c_boolean repeat;
   /*
@@ -89,11 +89,11 @@
    */
   char *sender;
   /*
-   * its start; with request_id names the attempt
+   * start of the sending process; identifies the attempt together with request_id
    */
   uint64_t sender_incarnation;
   /*
-   * calls between the user's request and this one
+   * number of calls between the user request and this request
    */
   uint32_t depth;
 };
@@ -117,7 +117,7 @@
   uint32_t retries_used;
   protobuf_c_boolean no_retry;
   /*
-   * the answering node's start
+   * start of the replying process
    */
   uint64_t incarnation;
 };
@@ -127,7 +127,7 @@
 
 
 /*
- * A heartbeat, and its answer. Both sides tell their state.
+ * A heartbeat or its reply. Both nodes send their state.
  */
 struct  Lw__Ping
 {
@@ -145,9 +145,9 @@
 
 
 /*
- * What became of an attempt (sender_incarnation and request_id), or of an
- * idempotency key (route and idempotency_key)? An attempt never seen is
- * refused from then on, so that the asker may treat it as not run.
+ * Queries the outcome of an attempt (sender_incarnation and request_id) or of an
+ * idempotency key (route and idempotency_key). An attempt that the receiver has
+ * never seen is rejected from then on, so that the sender may treat it as not executed.
  */
 struct  Lw__Query
 {
@@ -180,7 +180,7 @@
 
 
 /*
- * Fetch the configuration document the answering node has in force.
+ * Requests the configuration document in use at the receiving node.
  */
 struct  Lw__ConfigRequest
 {
@@ -196,7 +196,7 @@
 {
   ProtobufCMessage base;
   /*
-   * 0: nothing newer
+   * 0: there is no newer version
    */
   uint64_t version;
   /*
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -63,6 +63,11 @@
 	 * at @at_us
 	 */
 	void (*store_read)(void *ctx, const char *node, uint64_t at_us);
+	/*
+	 * a status of @node arrived; @read_store: that node cannot reach the store and asks
+	 * this one to read it
+	 */
+	void (*status_received)(void *ctx, const char *node, bool read_store);
 	/*
 	 * another node reported what it knows of a suspect request; returns the record to
 	 * forward to other nodes at once, or NULL
@@ -105,7 +110,9 @@
 void lw_mesh_broadcast_status(lw_mesh_t *m);
 void lw_mesh_set_lapsed_server(lw_mesh_t *m, const char *server, uint64_t born_ms);
 void lw_mesh_send_state(lw_mesh_t *m, const char *node);
-void lw_mesh_request_status(lw_mesh_t *m, uint32_t nodes);
+uint32_t lw_mesh_request_status(lw_mesh_t *m, uint32_t nodes);
+void lw_mesh_ask_for_state(lw_mesh_t *m, const char *node);
+void lw_mesh_delegate_reading(lw_mesh_t *m, uint32_t nodes);
 void lw_mesh_report_crash(lw_mesh_t *m, uint64_t process, const lw_fingerprint_t *prints, size_t n);
 void lw_mesh_broadcast_suspect(lw_mesh_t *m, const lw_suspect_t *s);
 bool lw_mesh_report_quota(lw_mesh_t *m, const char *coordinator, uint64_t node, uint32_t number,
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -2217,7 +2217,7 @@
   (ProtobufCMessageInit) lw__failed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__status__field_descriptors[10] =
+static const ProtobufCFieldDescriptor lw__status__field_descriptors[11] =
 {
   {
     "is_reply",
@@ -2339,6 +2339,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "read_store",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Status, read_store),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__status__field_indices_by_name[] = {
   9,   /* field[9] = fetches */
@@ -2349,6 +2361,7 @@
   5,   /* field[5] = link */
   1,   /* field[1] = load */
   2,   /* field[2] = news_age_ms */
+  10,   /* field[10] = read_store */
   8,   /* field[8] = servers_hash */
   3,   /* field[3] = servers_revision */
 };
@@ -2356,7 +2369,7 @@
 {
   { 1, 0 },
   { 3, 1 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor lw__status__descriptor =
 {
@@ -2366,7 +2379,7 @@
   "Lw__Status",
   "lw",
   sizeof(Lw__Status),
-  10,
+  11,
   lw__status__field_descriptors,
   lw__status__field_indices_by_name,
   2,  lw__status__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -48,26 +48,26 @@
 
 typedef enum _Lw__DocumentKind {
   /*
-   * as the store has it
+   * as stored
    */
   LW__DOCUMENT_KIND__DOCUMENT_CONFIG = 0,
   /*
-   * Servers, without its revision
+   * a Servers message without its revision
    */
   LW__DOCUMENT_KIND__DOCUMENT_SERVERS = 1
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LW__DOCUMENT_KIND)
 } Lw__DocumentKind;
 typedef enum _Lw__FateKind {
   /*
-   * it may have run
+   * it may have been executed
    */
   LW__FATE_KIND__FATE_GONE = 0,
   /*
-   * never received, and never will be taken
+   * never received, and rejected if it still arrives
    */
   LW__FATE_KIND__FATE_NEVER = 1,
   /*
-   * it runs or is over; its outcome comes over this connection
+   * it is being executed or finished; its outcome is sent over this connection
    */
   LW__FATE_KIND__FATE_MOVED = 2
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LW__FATE_KIND)
@@ -76,15 +76,18 @@
 /* --- messages --- */
 
 /*
- * A service that refuses user requests from a rank on.
+ * An overloaded service that rejects user requests from a certain rank on.
  */
 struct  Lw__Hot
 {
   ProtobufCMessage base;
   char *service;
+  /*
+   * admission level: the lowest rank that is rejected
+   */
   uint32_t level;
   /*
-   * time that the request and its calls ran there
+   * execution time of the request and its calls there
    */
   uint32_t work_us;
 };
@@ -94,7 +97,7 @@
 
 
 /*
- * A level that the sender has news of, for all nodes.
+ * The admission level of a service as known to the sender, forwarded to all nodes.
  */
 struct  Lw__Heard
 {
@@ -102,7 +105,7 @@
   char *service;
   uint32_t level;
   /*
-   * of that news
+   * age of the level
    */
   uint32_t age_ms;
 };
@@ -112,7 +115,7 @@
 
 
 /*
- * What a process of a backend server announces of itself in its answers.
+ * Self-announcement of a backend server process in its response headers.
  */
 struct  Lw__Notice
 {
@@ -122,14 +125,17 @@
    */
   uint64_t server;
   /*
-   * start of the process; 0: not told
+   * start of the process; 0: not announced
    */
   uint64_t born_ms;
   protobuf_c_boolean leaving;
   /*
-   * to so many requests a second from all hosts
+   * the server accepts at most limit_per_s
    */
   protobuf_c_boolean limited;
+  /*
+   * requests per second from all hosts
+   */
   double limit_per_s;
 };
 #define LW__NOTICE__INIT \
@@ -138,72 +144,72 @@
 
 
 /*
- * What a node tells of the backend server beside it, with every answer.
+ * Load of the node's backend server, sent with every Answer, Failed and Status.
  */
 struct  Lw__Load
 {
   ProtobufCMessage base;
   /*
-   * requests at the backend server
+   * requests in progress at the backend server
    */
   uint32_t running;
   /*
-   * requests that wait in the node
+   * requests queued in the node
    */
   uint32_t queued;
   /*
-   * most requests sent to the backend server at once
+   * maximum number of concurrent requests at the backend server
    */
   uint32_t limit;
   /*
-   * average time a request runs there
+   * average execution time of a request there
    */
   uint32_t service_us;
   /*
-   * takes no new work
+   * accepts no new work
    */
   protobuf_c_boolean leaving;
   size_t n_heard;
   Lw__Heard **heard;
   /*
-   * services on the request's path that refuse some work
+   * overloaded services on the call path of the request
    */
   size_t n_hots;
   Lw__Hot **hots;
   /*
-   * in force at the sender
+   * version in use at the sender
    */
   uint64_t config_version;
   /*
-   * a call made for the request failed
+   * a call made on behalf of the request failed
    */
   protobuf_c_boolean call_failed;
   /*
-   * first rank it refuses
+   * admission level: the lowest rank that the node rejects
    */
   uint32_t level;
   /*
-   * per mille of the repeats allowed that those calls use
+   * share of the retry allowance used by the calls made on behalf of the request, in per mille
    */
   uint32_t retry_used;
   /*
-   * time the request ran; 0: it did not, or is not over
+   * execution time of the request; 0: not executed or not finished
    */
   uint32_t ran_us;
   /*
-   * the backend server takes no connection
+   * the backend server accepts no connections
    */
   protobuf_c_boolean down;
   /*
-   * per mille of its requests that failed of late
+   * share of the server's recent requests that failed, in per mille
    */
   uint32_t failing;
   /*
-   * levels of calls below the request
+   * levels of nested calls below the request
    */
   uint32_t depth;
   /*
-   * none: the server announces nothing
+   * absent: the server announces nothing
    */
   Lw__Notice *notice;
 };
@@ -220,23 +226,23 @@
   ProtobufCMessage base;
   uint32_t stream;
   /*
-   * left when sent
+   * time left when the frame is queued
    */
   uint32_t deadline_ms;
   /*
-   * longest useful wait before it starts
+   * maximum useful queueing time before execution starts
    */
   uint32_t queue_ms;
   /*
-   * of the user request it is part of; the lowest is the most urgent
+   * rank of the user request it belongs to; the lowest is the most urgent
    */
   uint32_t rank;
   /*
-   * until the user request misses its latency objective
+   * time until the user request misses its latency objective
    */
   uint32_t target_left_ms;
   /*
-   * it, or a request it is part of, was sent before
+   * retry: this request, or one that it belongs to, was sent before
    */
   protobuf_c_boolean repeat;
   /*
@@ -249,7 +255,7 @@
   ProtobufCBinaryData head;
   ProtobufCBinaryData request_id;
   /*
-   * id of the backend server it is meant for
+   * id of the intended backend server
    */
   ProtobufCBinaryData target;
   /*
@@ -261,7 +267,7 @@
    */
   protobuf_c_boolean fin;
   /*
-   * of the target, as far as the sender knows
+   * last announcement of the target known to the sender
    */
   Lw__Notice *notice;
 };
@@ -305,7 +311,7 @@
 
 
 /*
- * The receiver of a body took so many bytes more.
+ * Flow control: the receiver of a body consumed this many more bytes.
  */
 struct  Lw__Credit
 {
@@ -329,7 +335,7 @@
 
 
 /*
- * The request ended without a complete answer.
+ * The request ended without a complete response.
  */
 struct  Lw__Failed
 {
@@ -353,60 +359,64 @@
   protobuf_c_boolean is_reply;
   Lw__Load *load;
   /*
-   * since the store was read, by the sender or by another node
+   * time since the last known read of the store, by the sender or another node
    */
   uint32_t news_age_ms;
   /*
-   * of the list of backend servers it has
+   * revision of the sender's list of backend servers
    */
   uint64_t servers_revision;
   /*
-   * of the sender's process
+   * random id of the sender's process
    */
   uint64_t incarnation;
   /*
-   * the sender's backend server lives though its entry lapsed; empty: no
+   * id of the sender's backend server, which is alive although its lease expired; empty: no such case
    */
   char *lapsed_id;
   /*
-   * start of that server's process
+   * start of the process of that server
    */
   uint64_t lapsed_born_ms;
   /*
-   * drawn by the side that opened the connection; names it
+   * random id of the connection, chosen by the node that opened it
    */
   uint64_t link;
   /*
-   * of the list of backend servers it has; 0: it has none
+   * hash of the sender's list of backend servers; 0: it has none
    */
   uint64_t servers_hash;
   /*
-   * it asks for documents by Fetch; an older node is sent whole ones
+   * the sender cannot reach the store, and asks the receiver to read it
+   */
+  protobuf_c_boolean read_store;
+  /*
+   * the sender requests documents by Fetch; nodes of older versions are sent whole documents
    */
   protobuf_c_boolean fetches;
 };
 #define LW__STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__status__descriptor) \
-    , 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
- * Asks for a piece of a document that the peer has in a newer version.
+ * Requests a chunk of a document that the peer has in a newer version.
  */
 struct  Lw__Fetch
 {
   ProtobufCMessage base;
   Lw__DocumentKind kind;
   /*
-   * that the sender has begun to fetch; 0: whatever is newest
+   * version whose transfer has started; 0: the newest
    */
   uint64_t version;
   /*
-   * hash of the version the sender has; 0: none
+   * hash of the version that the sender has; 0: none
    */
   uint64_t against;
   /*
-   * in the encoded form
+   * offset in the encoded form
    */
   uint32_t offset;
 };
@@ -416,8 +426,8 @@
 
 
 /*
- * A part of a document in its encoded form: compressed by zstd with the version
- * that the asker has, if the sender has it too, as prefix.
+ * A chunk of a document in its encoded form, which is compressed by zstd. The
+ * requester's version serves as prefix (reference data) if the sender has it, too.
  */
 struct  Lw__Piece
 {
@@ -425,15 +435,15 @@
   Lw__DocumentKind kind;
   uint64_t version;
   /*
-   * hash of that prefix; 0: without one
+   * hash of that prefix; 0: no prefix
    */
   uint64_t against;
   /*
-   * of the document
+   * hash of the document
    */
   uint64_t hash;
   /*
-   * of the document
+   * length of the document, in bytes
    */
   uint32_t length;
   uint32_t encoded_length;
@@ -446,25 +456,25 @@
 
 
 /*
- * What became of requests sent over a connection that has gone silent or was
- * lost? Asked on another connection to the same node, and again on a further one
- * when that is silent or lost, too. A request never received is refused from then
- * on; one that is not named is ended.
+ * Queries the outcomes of requests sent over a connection that went silent or was
+ * lost. Sent on another connection to the same node, and again on a further one if
+ * that one becomes silent or is lost, too. A request that was never received is
+ * rejected from then on; a request that is not named is cancelled.
  */
 struct  Lw__FateQuery
 {
   ProtobufCMessage base;
   /*
-   * the requests were sent over, wherever they are now
+   * connection that the requests were first sent over
    */
   uint64_t link;
   /*
-   * their ids there
+   * their stream ids on that connection
    */
   size_t n_streams;
   uint32_t *streams;
   /*
-   * of the sender's questions: an older one that comes late changes nothing
+   * sequence number of the sender's queries: an older query that arrives late has no effect
    */
   uint64_t number;
 };
@@ -477,12 +487,12 @@
 {
   ProtobufCMessage base;
   /*
-   * as in the question
+   * stream id as in the query
    */
   uint32_t stream;
   Lw__FateKind kind;
   /*
-   * stream on the connection the answer came by
+   * stream id on the connection that carries this frame
    */
   uint32_t moved_to;
 };
@@ -496,7 +506,7 @@
   ProtobufCMessage base;
   uint64_t link;
   /*
-   * of the process that tells
+   * random id of the replying process
    */
   uint64_t incarnation;
   size_t n_fates;
@@ -508,7 +518,7 @@
 
 
 /*
- * The list of backend servers, as of a revision of the store.
+ * An entry of the list of backend servers.
  */
 struct  Lw__ServerEntry
 {
@@ -520,7 +530,7 @@
   uint32_t slots;
   protobuf_c_boolean draining;
   /*
-   * start of its process; 0: not told
+   * start of its process; 0: unknown
    */
   uint64_t born_ms;
 };
@@ -529,6 +539,9 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * The list of backend servers at a revision of the store.
+ */
 struct  Lw__Servers
 {
   ProtobufCMessage base;
@@ -542,7 +555,7 @@
 
 
 /*
- * The configuration document the sender has in force.
+ * The configuration document in use at the sender.
  */
 struct  Lw__Config
 {
@@ -556,8 +569,8 @@
 
 
 /*
- * What the sender knows of a request under which backend servers ended. Ages are
- * in ms and 0 stands for never.
+ * What the sender knows of a request during which backend servers crashed. Ages
+ * are in ms; 0 means never.
  */
 struct  Lw__Suspect
 {
@@ -568,24 +581,24 @@
   uint64_t head;
   uint64_t whole;
   /*
-   * processes that ended with it in hand
+   * processes that crashed while they executed it
    */
   size_t n_ends;
   uint64_t *ends;
   /*
-   * that ended their servers
+   * number of trials during which the server crashed
    */
   uint32_t trials;
   /*
-   * of the newest end, plus one
+   * age of the newest crash, plus one
    */
   uint32_t ended_age_ms;
   /*
-   * it is held back for so long
+   * remaining time for which the request is rejected
    */
   uint32_t held_ms;
   /*
-   * of an answer, plus one
+   * age of the last response to it, plus one
    */
   uint32_t cleared_age_ms;
 };
@@ -595,7 +608,7 @@
 
 
 /*
- * A backend server ended with these requests in hand.
+ * A backend server crashed while it executed these requests.
  */
 struct  Lw__ServerEnded
 {
@@ -624,7 +637,7 @@
 
 
 /*
- * What the sender was asked for by an organisation, and let in, since its last report.
+ * Requests of an organisation that the sender received and admitted since its last report.
  */
 struct  Lw__QuotaUse
 {
@@ -635,7 +648,7 @@
   uint64_t org;
   uint32_t asked;
   /*
-   * less those that came to nothing
+   * minus those refunded because they were not executed
    */
   int32_t admitted;
 };
@@ -645,7 +658,7 @@
 
 
 /*
- * To a keeper of limits, which answers each with QuotaTerms.
+ * Usage report to a quota coordinator, which replies with QuotaTerms.
  */
 struct  Lw__QuotaReport
 {
@@ -654,7 +667,7 @@
   size_t n_uses;
   Lw__QuotaUse **uses;
   /*
-   * digest of the sender's address: the same when its process starts anew
+   * digest of the sender's address, which does not change when its process restarts
    */
   uint64_t node;
 };
@@ -668,11 +681,11 @@
   ProtobufCMessage base;
   uint64_t org;
   /*
-   * of its requests
+   * share of its requests to admit, in per mille
    */
   uint32_t admit_permille;
   /*
-   * requests a second at all nodes, in thousandths; 0: not told
+   * requests per second at all nodes, in thousandths; 0: unknown
    */
   uint32_t demand_milli;
 };
@@ -682,13 +695,13 @@
 
 
 /*
- * Organisations that are not named are not limited now.
+ * Organisations that are not named are currently not limited.
  */
 struct  Lw__QuotaTerms
 {
   ProtobufCMessage base;
   /*
-   * of the report
+   * number of the report
    */
   uint32_t number;
   size_t n_terms;
--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -165,7 +165,7 @@
 lw_link_t *lw_link_to(lw_mesh_t *m, const char *node);
 void lw_mesh_push_config(lw_link_t *l, uint64_t version, uint64_t now);
 typedef void (*lw_link_fn)(lw_link_t *l, const void *ctx);
-void lw_mesh_each_random(lw_mesh_t *m, uint32_t nodes, lw_link_fn fn, const void *ctx);
+uint32_t lw_mesh_each_random(lw_mesh_t *m, uint32_t nodes, lw_link_fn fn, const void *ctx);
 bool lw_link_usable(const lw_link_t *l);
 void lw_mesh_send_known_suspects(lw_link_t *l);
 void lw_mesh_on_suspects(lw_link_t *l, const Lw__Suspects *w);
--- a/src/meshstatus.c
+++ b/src/meshstatus.c
@@ -48,11 +48,8 @@
 	return lw_revdoc_version(servers_document(m));
 }
 
-/*
- * lw_mesh_send_status() - sends this node's state to the peer; @is_reply: the peer need not
- * reply.
- */
-void lw_mesh_send_status(lw_link_t *l, bool is_reply)
+/* sends this node's state; @read_store: the peer is asked to read the store */
+static void send_state(lw_link_t *l, bool is_reply, bool read_store)
 {
 	lw_load_t own;
 	lw_meshframe_load_t load;
@@ -71,11 +68,21 @@
 	status.lapsed_id = l->mesh->lapsed_id;
 	status.lapsed_born_ms = l->mesh->lapsed_born_ms;
 	status.link = l->outgoing ? l->name : 0;
+	status.read_store = read_store;
 	f.body_case = LW__MESH_FRAME__BODY_STATUS;
 	f.status = &status;
 	lw_link_send(l, &f);
 }
 
+/*
+ * lw_mesh_send_status() - sends this node's state to the peer; @is_reply: the peer need not
+ * reply.
+ */
+void lw_mesh_send_status(lw_link_t *l, bool is_reply)
+{
+	send_state(l, is_reply, false);
+}
+
 /* sends the configuration to a node of an older version that is not known to have it */
 static void send_config(lw_link_t *l, uint64_t version)
 {
@@ -181,6 +188,7 @@
 		l->rejects_requests = lw_meshclosed_has(&l->mesh->closed_links, w->link);
 	}
 	apply_peer_documents(l, w);
+	l->mesh->ops->status_received(l->mesh->ctx, l->node, w->read_store);
 	if (!w->is_reply)
 		lw_mesh_send_status(l, true);
 }
@@ -232,22 +240,23 @@
 
 /*
  * lw_mesh_each_random() - calls @fn for connections to @nodes connected nodes, chosen at
- * random.
+ * random; returns how many there were.
  */
-void lw_mesh_each_random(lw_mesh_t *m, uint32_t nodes, lw_link_fn fn, const void *ctx)
+uint32_t lw_mesh_each_random(lw_mesh_t *m, uint32_t nodes, lw_link_fn fn, const void *ctx)
 {
-	uint32_t left = 0;
+	uint32_t left = 0, called = 0;
 
 	for (const lw_link_t *l = m->links; l; l = l->next)
 		left += lw_link_usable(l);
-	for (lw_link_t *l = m->links; l && nodes; l = l->next) {
+	for (lw_link_t *l = m->links; l && called < nodes; l = l->next) {
 		if (!lw_link_usable(l))
 			continue;
-		if (lw_evloop_random(m->evloop, left--) < nodes) {
+		if (lw_evloop_random(m->evloop, left--) < nodes - called) {
 			fn(l, ctx);
-			nodes--;
+			called++;
 		}
 	}
+	return called;
 }
 
 static void request_status(lw_link_t *l, const void *ctx)
@@ -256,10 +265,37 @@
 	lw_mesh_send_status(l, false);
 }
 
-/* lw_mesh_request_status() - requests the state of @nodes connected nodes, chosen at random. */
-void lw_mesh_request_status(lw_mesh_t *m, uint32_t nodes)
+/*
+ * lw_mesh_request_status() - requests the state of @nodes connected nodes, chosen at random;
+ * returns how many were asked.
+ */
+uint32_t lw_mesh_request_status(lw_mesh_t *m, uint32_t nodes)
+{
+	return lw_mesh_each_random(m, nodes, request_status, NULL);
+}
+
+/* lw_mesh_ask_for_state() - requests the state of @node, to which a connection may be opened. */
+void lw_mesh_ask_for_state(lw_mesh_t *m, const char *node)
+{
+	lw_link_t *l = lw_link_to(m, node);
+
+	if (l && l->peer_incarnation)
+		lw_mesh_send_status(l, false);
+}
+
+static void delegate_reading(lw_link_t *l, const void *ctx)
+{
+	(void)ctx;
+	send_state(l, true, true);
+}
+
+/*
+ * lw_mesh_delegate_reading() - asks @nodes connected nodes, chosen at random, to read the
+ * store.
+ */
+void lw_mesh_delegate_reading(lw_mesh_t *m, uint32_t nodes)
 {
-	lw_mesh_each_random(m, nodes, request_status, NULL);
+	lw_mesh_each_random(m, nodes, delegate_reading, NULL);
 }
 
 /*
--- a/src/proxy_int.h
+++ b/src/proxy_int.h
@@ -12,6 +12,7 @@
 #include "quotacoord.h"
 #include "revdoc.h"
 #include "fanout.h"
+#include "join.h"
 
 typedef struct lw_proxy {
 	lw_proxy_settings_t *set;
@@ -35,6 +36,9 @@
 	uint64_t urgent_read_us; /* time of the last urgent read of the store */
 	uint64_t peer_read_us; /* time of the last reported store read by another node */
 	char peer_read_from[LW_NAME_MAX]; /* the node that reported the read at peer_read_us */
+	uint64_t peer_heard_us; /* time of the last status of another node */
+	lw_join_t join; /* until the first documents are there */
+	ev_timer join_timer; /* runs until then */
 	uint64_t forwarded_us; /* store_read_us when it was last forwarded to other nodes */
 	uint64_t read_until_us; /* this node keeps reading the store at least until then */
 	bool reads_store; /* this node reads the store at present */
@@ -65,6 +69,12 @@
 
 extern const lw_mesh_ops_t lw_proxy_mesh_ops;
 lw_status_t lw_proxy_start_store_reader(lw_proxy_t *p);
+void lw_proxy_update_reading(lw_proxy_t *p);
+void lw_proxy_join_init(lw_proxy_t *p);
+void lw_proxy_join_update(lw_proxy_t *p);
+void lw_proxy_join_status(lw_proxy_t *p, const char *node, bool read_store);
+void lw_proxy_join_node_lost(lw_proxy_t *p, const char *node);
+bool lw_proxy_joined(const lw_proxy_t *p);
 void lw_proxy_refresh_list(void *ctx);
 const lw_suspect_t *lw_proxy_merge_suspect(void *ctx, const lw_suspect_t *told);
 size_t lw_proxy_list_suspects(void *ctx, const lw_suspect_t **out, size_t most);
--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -3,6 +3,8 @@
  * other nodes, forwards updates to other nodes, and decides whether this node
  * reads the store itself.
  */
+#include <string.h>
+
 #include "linux/clock.h"
 #include "log.h"
 #include "proxy_int.h"
@@ -28,6 +30,8 @@
  * one of them is too old, us
  */
 #define QUERY_INTERVAL_US 100000
+/* a list of fewer servers may be the first part of that of a large fleet */
+#define SHORT_LIST 64
 /* the documents, as numbered in mesh frames */
 #define DOCUMENT_CONFIG	 LW__DOCUMENT_KIND__DOCUMENT_CONFIG
 #define DOCUMENT_SERVERS LW__DOCUMENT_KIND__DOCUMENT_SERVERS
@@ -50,18 +54,31 @@
 	return age_us / 1000 < UINT32_MAX ? (uint32_t)(age_us / 1000) : UINT32_MAX;
 }
 
-/* Forwards the update to this node's children in the fan-out tree. */
-static void forward_update(lw_proxy_t *p)
+static void send_state_to(lw_proxy_t *p, const char (*backend)[LW_NAME_MAX], size_t n)
 {
 	char node[LW_NAME_MAX];
 
-	p->forwarded_us = p->store_read_us;
-	for (size_t i = 0; i < p->fanout.nchildren; i++) {
-		lw_place_node_addr(node, sizeof(node), p->fanout.child[i], p->set->mesh_port);
+	for (size_t i = 0; i < n; i++) {
+		lw_place_node_addr(node, sizeof(node), backend[i], p->set->mesh_port);
 		lw_mesh_send_state(p->engine.mesh, node);
 	}
 }
 
+/*
+ * Forwards the update to this node's children in the fan-out trees; to the
+ * roots of all trees as well if this node reads the store for others, as an
+ * elected reader or in place of one.
+ */
+static void forward_update(lw_proxy_t *p)
+{
+	bool reads = p->reads_store && p->reads_why <= LW_STOREREADER_STALE;
+
+	p->forwarded_us = p->store_read_us;
+	if (reads)
+		send_state_to(p, p->fanout.root, p->fanout.nroots);
+	send_state_to(p, p->fanout.child, p->fanout.nchildren);
+}
+
 /*
  * Keeps the list as a document to send to other nodes; returns false if it has
  * the same servers as the list in use.
@@ -112,6 +129,7 @@
 static void apply_servers(lw_proxy_t *p, lw_serverlist_t *sl, const char *from)
 {
 	const lw_place_host_t *self;
+	lw_fanout_t before;
 	bool known;
 
 	if (p->servers && sl->revision <= p->servers->revision) {
@@ -152,7 +170,9 @@
 	p->server_was_listed |= known;
 	lw_serverlist_free(p->servers);
 	p->servers = sl;
+	before = p->fanout;
 	lw_fanout_plan(sl, p->set->backend, p->set->zone, &p->fanout);
+	lw_fanout_keep_turn(&p->fanout, &before);
 	lw_proxy_quota_update_servers(p, sl);
 	forward_update(p);
 }
@@ -160,6 +180,19 @@
 static void update_ready(lw_proxy_t *p)
 {
 	lw_callers_set_ready(p->callers, p->engine.conf && p->engine.place.nhosts);
+	lw_proxy_join_update(p);
+}
+
+/*
+ * Whether this node, which reads the store now for the reason @why, lets
+ * others retry first while the store does not answer.
+ */
+static bool defers(const lw_proxy_t *p, lw_storereader_reason_t why)
+{
+	if (why == LW_STOREREADER_START)
+		return p->join.nseeds && !lw_join_is_seed(&p->join);
+	return why == LW_STOREREADER_STALE && p->servers &&
+	       !lw_fanout_is_reader_or_substitute(&p->fanout);
 }
 
 /* Starts or continues to read the store, for the reason @why. */
@@ -168,9 +201,8 @@
 	if (p->servers && lw_storereader_is_idle(&p->store_reader))
 		lw_mailbox_put(&p->store_reader.in_use, lw_serverlist_copy(p->servers));
 	lw_storereader_start(&p->store_reader, why);
-	lw_storereader_set_deferring(&p->store_reader,
-				     why == LW_STOREREADER_STALE && p->servers &&
-					     !lw_fanout_is_reader_or_substitute(&p->fanout));
+	lw_storereader_set_deferring(&p->store_reader, defers(p, why));
+	lw_storereader_set_for_others(&p->store_reader, lw_join_is_seed(&p->join));
 	/*
 	 * several reasons may apply at once: log only a new reason that outlasts
 	 * the others
@@ -205,17 +237,45 @@
 	start_reading(p, why);
 }
 
+/* whether the last update from another node is so old that this node reads the store itself */
+static bool news_too_old(const lw_proxy_t *p)
+{
+	uint64_t now = p->evloop.now_us;
+	bool alone = now > p->peer_heard_us + LW_FANOUT_ALONE_MS * 1000;
+	uint32_t after_ms = p->fanout.read_after_ms;
+
+	if (alone && p->fanout.alone_read_after_ms < after_ms)
+		after_ms = p->fanout.alone_read_after_ms;
+	return now > p->peer_read_us + (uint64_t)after_ms * 1000;
+}
+
+/* a reader; while the fleet starts and no server is listed yet, the seeds */
+static bool reads_for_all(const lw_proxy_t *p)
+{
+	if (!p->servers->nservers)
+		return lw_join_is_seed(&p->join);
+	return lw_fanout_is_reader(&p->fanout);
+}
+
 /*
- * A reader always reads the store. Any other node reads only while it receives no
- * reports of reads by other nodes. Its own reads do not count: the node would
- * stop, wait in vain for reads by others, and start again.
+ * lw_proxy_update_reading() - starts or stops reading the store. A reader
+ * always reads it. Any other node reads only while it receives no reports of
+ * reads by other nodes. Its own reads do not count: the node would stop, wait in
+ * vain for reads by others, and start again.
  */
-static void update_reading(lw_proxy_t *p)
+void lw_proxy_update_reading(lw_proxy_t *p)
 {
 	uint64_t now = p->evloop.now_us;
-	bool old = now > p->peer_read_us + (uint64_t)p->fanout.read_after_ms * 1000;
+	bool old = news_too_old(p);
 
-	if (lw_fanout_is_reader(&p->fanout))
+	if (!lw_proxy_joined(p)) {
+		if (lw_join_reads_store(&p->join, now))
+			start_reading(p, LW_STOREREADER_START);
+		else
+			stop_reading(p);
+		return;
+	}
+	if (reads_for_all(p))
 		start_reading(p, LW_STOREREADER_ELECTED);
 	else if (old)
 		lw_proxy_read_store_for(
@@ -242,7 +302,7 @@
 		p->store_read_us = lw_storereader_last_read_us(&p->store_reader);
 		forward_update(p);
 	}
-	update_reading(p);
+	lw_proxy_update_reading(p);
 }
 
 /* callbacks of the mesh */
@@ -288,6 +348,7 @@
 	lw_log(LW_LOG_node_lost, "node=%s used=%d", node, used);
 	lw_place_node_lost(&p->engine.place, node, used, p->evloop.now_us);
 	lw_proxy_quota_node_lost(p, node);
+	lw_proxy_join_node_lost(p, node);
 }
 
 static uint64_t mesh_config_version(void *ctx)
@@ -357,6 +418,14 @@
 		forward_update(p);
 }
 
+static void mesh_status_received(void *ctx, const char *node, bool read_store)
+{
+	lw_proxy_t *p = ctx;
+
+	p->peer_heard_us = p->evloop.now_us;
+	lw_proxy_join_status(p, node, read_store);
+}
+
 const lw_mesh_ops_t lw_proxy_mesh_ops = {
 	.load = mesh_load,
 	.server_alive = mesh_liveness_asserted,
@@ -371,6 +440,7 @@
 	.servers_confirmed = mesh_servers_confirmed,
 	.news_age_ms = lw_proxy_update_age_ms,
 	.store_read = mesh_store_read,
+	.status_received = mesh_status_received,
 	.quota_report = lw_proxy_quota_on_report,
 	.quota_terms = lw_proxy_quota_on_reply,
 	.suspect_received = lw_proxy_merge_suspect,
@@ -408,6 +478,31 @@
 	lw_place_each_suspect(&p->engine.place, reconnect, p);
 }
 
+/*
+ * Asks other nodes for their state. A node that has just started is connected to few nodes, and
+ * nobody forwards updates to it before its backend server is listed: it opens connections to
+ * others. While a whole fleet starts the list is short, and all nodes would choose the same few;
+ * then those that the node is connected to suffice.
+ */
+static void ask_others(lw_proxy_t *p)
+{
+	uint32_t asked = lw_mesh_request_status(p->engine.mesh, LW_FANOUT_ASK_NODES);
+	char node[LW_NAME_MAX];
+
+	if (!p->servers || !p->servers->nservers)
+		return;
+	if (asked && p->servers->nservers < SHORT_LIST)
+		return;
+	for (; asked < LW_FANOUT_ASK_NODES; asked++) {
+		uint32_t n = lw_evloop_random(&p->evloop, (uint32_t)p->servers->nservers);
+
+		lw_place_node_addr(node, sizeof(node), p->servers->servers[n].addr,
+				   p->set->mesh_port);
+		if (strcmp(node, p->mesh_addr) != 0)
+			lw_mesh_connect(p->engine.mesh, node);
+	}
+}
+
 /*
  * Asks other nodes for their last store read once the last read that another node
  * reported is too old, which does not happen while reports of the readers arrive.
@@ -420,10 +515,10 @@
 
 	(void)revents;
 	if (!left) {
-		lw_mesh_request_status(p->engine.mesh, LW_FANOUT_ASK_NODES);
+		ask_others(p);
 		left = QUERY_INTERVAL_US;
 	}
-	update_reading(p);
+	lw_proxy_update_reading(p);
 	ev_timer_set(w, (double)left / 1e6, 0);
 	ev_timer_start(loop, w);
 }
@@ -446,9 +541,8 @@
 	ev_async_start(p->evloop.loop, &p->reader_wakeup);
 	lw_storereader_init(&p->store_reader, p->set);
 	p->peer_read_us = p->evloop.now_us;
+	p->peer_heard_us = p->evloop.now_us;
 	lw_fanout_plan(&(lw_serverlist_t){ 0 }, p->set->backend, p->set->zone, &p->fanout);
-	p->reads_store = true;
-	p->reads_why = LW_STOREREADER_START;
 	ev_timer_init(&p->query_timer, on_query_timer, LW_FANOUT_ASK_MS / 1000.0, 0);
 	p->query_timer.data = p;
 	ev_timer_start(p->evloop.loop, &p->query_timer);
@@ -459,5 +553,6 @@
 	p->store_reader.servers = (lw_mailbox_t){ .release = free_servers,
 						  .loop = p->evloop.loop,
 						  .wake = &p->reader_wakeup };
+	lw_proxy_join_init(p);
 	return p->platform->start_store_reader(&p->store_reader);
 }
--- a/src/proxyset.c
+++ b/src/proxyset.c
@@ -7,7 +7,6 @@
 #include "log.h"
 
 #include "settings.h"
-#include "tomlkeys.h"
 
 #define KS(t, k, kind, field)                                    \
 	{                                                        \
@@ -26,6 +25,7 @@
 	KS("listen", "ready", LW_KEY_NAME, ready),
 	KS("listen", "metrics", LW_KEY_NAME, metrics),
 	KS("listen", "mesh_port", LW_KEY_U32, mesh_port),
+	KS("listen", "seeds", LW_KEY_NAMES, seeds),
 	KS("store", "address", LW_KEY_NAME, store),
 	KS("terms", "heartbeat_s", LW_KEY_DOUBLE, heartbeat_s),
 	KS("terms", "drain_s", LW_KEY_DOUBLE, drain_s),
@@ -97,6 +97,9 @@
 	for (size_t i = 0; i < sizeof(addrs) / sizeof(addrs[0]); i++)
 		if (lw_addr_split(addrs[i], host, sizeof(host), &port))
 			return lw_error(LW_ERR_SETTINGS, "%s: %s", name, lw_error_last());
+	for (uint32_t i = 0; i < s->seeds.n; i++)
+		if (lw_addr_split(s->seeds.at[i], host, sizeof(host), &port))
+			return lw_error(LW_ERR_SETTINGS, "%s: %s", name, lw_error_last());
 	return LW_OK;
 }
 
--- a/src/proxyset.h
+++ b/src/proxyset.h
@@ -4,9 +4,9 @@
 
 #include <stdint.h>
 
-#include "platconf.h"
 #include "retrylimit.h"
 #include "status.h"
+#include "tomlkeys.h"
 
 typedef struct lw_proxy_settings {
 	/* [host] */
@@ -21,6 +21,8 @@
 	char ready[LW_NAME_MAX]; /* readiness checks of the platform */
 	char metrics[LW_NAME_MAX]; /* empty: not served */
 	uint32_t mesh_port; /* for frames from other nodes; the same on all hosts */
+	/* nodes to ask at the start, "ip:port"; the port is not used: mesh_port is the same */
+	lw_names_t seeds;
 	/* [store] */
 	char store[LW_NAME_MAX]; /* "ip:port" */
 	/* [terms] */
--- a/src/storereader.c
+++ b/src/storereader.c
@@ -11,14 +11,13 @@
 /* entries that expired during an outage are back within this time after it, us */
 #define OUTAGE_RECOVERY_US 2100000
 
-/* lw_storereader_init() - initialises the state; reading is enabled. */
+/* lw_storereader_init() - initialises the state; reading is disabled. */
 void lw_storereader_init(lw_storereader_t *r, const lw_proxy_settings_t *set)
 {
 	pthread_condattr_t steady;
 
 	memset(r, 0, sizeof(*r));
 	r->set = set;
-	r->enabled = 1;
 	pthread_mutex_init(&r->lock, NULL);
 	/* monotonic, as a change of the wall-clock time must not extend a pause */
 	pthread_condattr_init(&steady);
@@ -81,6 +80,21 @@
 	return __atomic_load_n(&r->deferring, __ATOMIC_RELAXED);
 }
 
+/*
+ * lw_storereader_set_for_others() - request loop: sets whether other nodes wait for what this
+ * one reads while the store is still empty.
+ */
+void lw_storereader_set_for_others(lw_storereader_t *r, bool for_others)
+{
+	__atomic_store_n(&r->for_others, for_others, __ATOMIC_RELAXED);
+}
+
+/* lw_storereader_is_for_others() - reader thread: whether other nodes wait for it. */
+bool lw_storereader_is_for_others(const lw_storereader_t *r)
+{
+	return __atomic_load_n(&r->for_others, __ATOMIC_RELAXED);
+}
+
 /*
  * lw_storereader_wait_started() - reader thread: waits until reading is enabled. Returns
  * true if it was disabled, so that the reader's state is outdated.
--- a/src/tomlkeys.c
+++ b/src/tomlkeys.c
@@ -10,7 +10,6 @@
 #include <string.h>
 
 #include "lwstr.h"
-#include "platconf.h"
 #include "tomlshim.h"
 #include "xalloc.h"
 
@@ -67,6 +66,28 @@
 	return LW_OK;
 }
 
+/* a longer list is cut: the names are alternatives */
+static lw_status_t set_names(const struct walk *w, const lw_key_spec_t *k, const lw_toml_node_t *v)
+{
+	lw_names_t *names = (lw_names_t *)(void *)(w->into + k->off);
+	lw_str_t str;
+
+	names->n = 0;
+	for (size_t i = 0; i < lw_toml_len(v) && i < LW_NAMES_MAX; i++) {
+		if (!lw_toml_str(lw_toml_at(v, i), &str.ptr, &str.len) || str.len >= LW_NAME_MAX)
+			break;
+		lw_str_copy(names->at[names->n++], LW_NAME_MAX, str);
+	}
+	if (lw_toml_type(v) == LW_TOML_ARRAY &&
+	    (names->n == lw_toml_len(v) || names->n == LW_NAMES_MAX))
+		return LW_OK;
+	return lw_error(
+		LW_ERR_SETTINGS,
+		"%s line %d: [%s] %s must be a list of strings of up to 63 bytes; write e.g. "
+		"%s = [\"a\", \"b\"]",
+		w->name, lw_toml_line(v), k->table, k->key, k->key);
+}
+
 static lw_status_t set_key(const struct walk *w, const lw_key_spec_t *k, const lw_toml_node_t *v)
 {
 	switch (k->kind) {
@@ -74,6 +95,8 @@
 		return set_u32(w, k, v);
 	case LW_KEY_DOUBLE:
 		return set_double(w, k, v);
+	case LW_KEY_NAMES:
+		return set_names(w, k, v);
 	case LW_KEY_NAME:
 		break;
 	}
--- a/src/tomlkeys.h
+++ b/src/tomlkeys.h
@@ -5,14 +5,25 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "platconf.h"
 #include "status.h"
 
 typedef enum lw_key_kind {
 	LW_KEY_NAME, /* char[LW_NAME_MAX], 1 to 63 bytes */
 	LW_KEY_U32,
 	LW_KEY_DOUBLE,
+	LW_KEY_NAMES, /* lw_names_t */
 } lw_key_kind_t;
 
+/* Most names in a list of names. */
+#define LW_NAMES_MAX 8
+
+/* A list of names. */
+typedef struct lw_names {
+	uint32_t n;
+	char at[LW_NAMES_MAX][LW_NAME_MAX];
+} lw_names_t;
+
 typedef struct lw_key_spec {
 	const char *table;
 	const char *key;
--- a/tests/decide.h
+++ b/tests/decide.h
@@ -12,6 +12,7 @@
 #include "bytebuf.h"
 #include "fleetconf.h"
 #include "overload.h"
+#include "join.h"
 #include "lease.h"
 #include "level.h"
 #include "place.h"
@@ -32,6 +33,9 @@
 	lw_serverset_t *entries;
 	lw_lease_t lease;
 	lw_quarantine_t *quarantine;
+	lw_join_t join;
+	long join_ms; /* time of the next step of the start */
+	bool join_reads;
 	lw_serverlist_t list;
 	lw_waitq_t queue;
 	struct {
@@ -58,6 +62,7 @@
 extern const command_t decide_place_commands[];
 extern const command_t decide_lease_commands[];
 extern const command_t decide_spread_commands[];
+extern const command_t decide_join_commands[];
 extern const command_t decide_quarantine_commands[];
 extern const lw_retryallowance_t decide_retry_terms;
 
--- a/tests/decide_spread.c
+++ b/tests/decide_spread.c
@@ -114,21 +114,31 @@
 	return i;
 }
 
-/* node @i forwards what it got at hop @at to its children; true if that reached a new node */
+/* node @i sends what it got at hop @at to another one; true if that one did not have it */
+static bool send_to(fleet_t *f, size_t i, const char *backend, uint32_t at)
+{
+	size_t to = by_address(f, backend);
+
+	f->between += to % f->zones != i % f->zones;
+	if (f->reached[to])
+		return false;
+	f->reached[to] = at + 1;
+	f->hops = at;
+	return true;
+}
+
+/*
+ * node @i forwards what it got at hop @at to its children, and to the roots of the trees if
+ * it has read it itself; true if that reached a new node
+ */
 static bool forward(fleet_t *f, size_t i, uint32_t at)
 {
 	bool any_new = false;
 
-	for (size_t c = 0; c < f->plan[i].nchildren; c++) {
-		size_t to = by_address(f, f->plan[i].child[c]);
-
-		f->between += to % f->zones != i % f->zones;
-		if (f->reached[to])
-			continue;
-		f->reached[to] = at + 1;
-		f->hops = at;
-		any_new = true;
-	}
+	for (size_t c = 0; at == 1 && c < f->plan[i].nroots; c++)
+		any_new |= send_to(f, i, f->plan[i].root[c], at);
+	for (size_t c = 0; c < f->plan[i].nchildren; c++)
+		any_new |= send_to(f, i, f->plan[i].child[c], at);
 	return any_new;
 }
 
@@ -157,8 +167,11 @@
 	fleet_begin(&f);
 	spread(&f);
 	for (size_t i = 0; i < f.n; i++) {
-		if (f.plan[i].nchildren > most)
-			most = (uint32_t)f.plan[i].nchildren;
+		size_t sends = f.plan[i].nchildren;
+
+		sends += lw_fanout_is_reader(&f.plan[i]) ? f.plan[i].nroots : 0;
+		if (sends > most)
+			most = (uint32_t)sends;
 		alive += !is_frozen(&f, i);
 		reached += f.reached[i] && !is_frozen(&f, i);
 	}
@@ -167,9 +180,49 @@
 	fleet_end(&f);
 }
 
+/*
+ * read-by-one ZONES NODES FROM: dissemination of what only the node at position FROM of the
+ * list has read, in place of the readers
+ */
+static void do_read_by_one(world_t *w, const words_t *a)
+{
+	fleet_t f = { .zones = (size_t)num(a, 1) };
+	uint32_t reached = 0;
+
+	f.n = f.zones * (size_t)num(a, 2);
+	fleet_begin(&f);
+	for (size_t i = 0; i < f.n; i++)
+		f.reached[i] = i == (size_t)num(a, 3);
+	spread(&f);
+	for (size_t i = 0; i < f.n; i++)
+		reached += f.reached[i] != 0;
+	emit(w, "%u of %zu hear, %u hops", reached, f.n, f.hops);
+	fleet_end(&f);
+}
+
+/*
+ * turns ZONES NODES MS...: how many nodes have begun to read the store MS after the last
+ * update, while they hear others that have none either
+ */
+static void do_turns(world_t *w, const words_t *a)
+{
+	fleet_t f = { .zones = (size_t)num(a, 1) };
+
+	f.n = f.zones * (size_t)num(a, 2);
+	fleet_begin(&f);
+	for (int t = 3; t < a->n; t++) {
+		uint32_t begun = 0;
+
+		for (size_t i = 0; i < f.n; i++)
+			begun += lw_fanout_is_reader(&f.plan[i]) ||
+				 f.plan[i].read_after_ms <= (uint32_t)num(a, t);
+		emit(w, "%ld ms: %u of %zu", num(a, t), begun, f.n);
+	}
+	fleet_end(&f);
+}
+
 const command_t decide_spread_commands[] = {
-	{ "readers", do_readers },
-	{ "reader-unlisted", do_reader_unlisted },
-	{ "spread", do_spread },
-	{ NULL, NULL },
+	{ "read-by-one", do_read_by_one }, { "turns", do_turns },
+	{ "readers", do_readers },	   { "reader-unlisted", do_reader_unlisted },
+	{ "spread", do_spread },	   { NULL, NULL },
 };
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -57,6 +57,7 @@
 ready = "{self.ip}:{READY}"
 metrics = "{self.ip}:{METRICS}"
 mesh_port = {MESH}
+seeds = [{", ".join(f'"{n.server.ip}:1"' for n in self.fleet.all()[:self.fleet.seeds])}]
 [store]
 address = "{self.store_address()}"
 [terms]
@@ -140,7 +141,7 @@
 class Fleet:
     """`layout` is {service: count}; the nodes are self.nodes[service][i]."""
 
-    def __init__(self, net, layout, slots=16, rules=None, relays=False, tenants=None):
+    def __init__(self, net, layout, slots=16, rules=None, relays=False, tenants=None, seeds=0):
         self.dir = tempfile.mkdtemp(prefix="lwmesh-")
         self.store = standin.Store()
         self.net = net
@@ -149,6 +150,7 @@
         self.rules = rules
         self.tenants = tenants  # in each configuration; None: the key is left out
         self.beats = None
+        self.seeds = seeds  # the first nodes, which the others ask when they start
         number = 0
         for service, count in layout.items():
             self.nodes[service] = []
--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -19,6 +19,7 @@
 import moves  # noqa: E402,F401
 import news  # noqa: E402,F401
 import organisations  # noqa: E402,F401
+import starts  # noqa: E402,F401
 import stops  # noqa: E402,F401
 import stores  # noqa: E402,F401
 from fleet import Fleet, route, until  # noqa: E402
