Readers of the store out of step after a change

A change ends the watch calls of both readers in the same moment. Both paused for 0.7 s and then waited for up to 0.6 s, so that no read was told for 1.3 s; nodes ask others after 0.85 s and the substitutes read after 1.05 s.

--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -203,6 +203,8 @@
 	lw_storereader_start(&p->store_reader, why);
 	lw_storereader_set_deferring(&p->store_reader, defers(p, why));
 	lw_storereader_set_for_others(&p->store_reader, lw_join_is_seed(&p->join));
+	lw_storereader_set_offset(&p->store_reader,
+				  lw_fanout_is_reader(&p->fanout) && p->fanout.rank % 2);
 	/*
 	 * several reasons may apply at once: log only a new reason that outlasts
 	 * the others
--- a/src/storereader.c
+++ b/src/storereader.c
@@ -95,6 +95,22 @@
 	return __atomic_load_n(&r->for_others, __ATOMIC_RELAXED);
 }
 
+/*
+ * lw_storereader_set_offset() - request loop: sets whether this node reads half a period after
+ * another reader. A change ends the calls of all readers in the same moment; if they went on
+ * in step, the nodes would hear of no read for longer than they wait before they ask others.
+ */
+void lw_storereader_set_offset(lw_storereader_t *r, bool offset)
+{
+	__atomic_store_n(&r->offset, offset, __ATOMIC_RELAXED);
+}
+
+/* lw_storereader_is_offset() - reader thread: whether it reads half a period later. */
+bool lw_storereader_is_offset(const lw_storereader_t *r)
+{
+	return __atomic_load_n(&r->offset, __ATOMIC_RELAXED);
+}
+
 /*
  * lw_storereader_wait_started() - reader thread: waits until reading is enabled. Returns
  * true if it was disabled, so that the reader's state is outdated.
--- a/src/storereader.h
+++ b/src/storereader.h
@@ -42,6 +42,7 @@
 	/* whether the store is to be read; set by lw_storereader_start() and _stop() */
 	uint32_t enabled;
 	uint32_t reason; /* lw_storereader_reason_t of the latest start; atomic */
+	uint32_t offset; /* another reader has the same rhythm; atomic */
 	uint32_t for_others; /* other nodes wait for what this one reads; atomic */
 	uint32_t deferring; /* other nodes retry first after an outage; atomic */
 	uint64_t read_us; /* boot time of the last successful read; atomic */
@@ -76,6 +77,8 @@
 bool lw_storereader_is_deferring(const lw_storereader_t *r);
 void lw_storereader_set_for_others(lw_storereader_t *r, bool for_others);
 bool lw_storereader_is_for_others(const lw_storereader_t *r);
+void lw_storereader_set_offset(lw_storereader_t *r, bool offset);
+bool lw_storereader_is_offset(const lw_storereader_t *r);
 bool lw_storereader_wait_started(lw_storereader_t *r);
 void lw_storereader_read_now(lw_storereader_t *r);
 void lw_storereader_pause(lw_storereader_t *r, uint32_t ms);
