An answer that ends a connection is not overtaken by a reset

A node that had answered with Connection: close closed the socket at once.

The node ends its direction, discards what still arrives and closes when the caller does, after a second at the latest (RFC 9112, 9.6).

--- a/src/caller.c
+++ b/src/caller.c
@@ -14,6 +14,10 @@
 #define IDLE_DEFAULT_MS	   15000
 /* when the node stops, a connection is closed once it has had no request for this long, us */
 #define IDLE_GRACE_US 500000
+/* bytes discarded per read */
+#define DISCARD_BYTES 16384
+/* how long a connection that this node has ended stays open for the caller to close it, ms */
+#define LINGER_MS 1000
 /* file descriptors reserved for peers, the backend server and files */
 #define FDS_RESERVED 700
 
@@ -29,6 +33,8 @@
 
 	if (c->closed)
 		return;
+	if (c->lingering)
+		full = false;
 	if (!full && !c->eof)
 		events |= EV_READ;
 	if (lw_bytebuf_len(&c->out))
@@ -72,6 +78,34 @@
 	}
 }
 
+/*
+ * Everything is sent: end the connection, but keep reading until the caller closes it, too. The
+ * kernel resets a connection that is closed with unread bytes or gets more of them later, and
+ * the reset overtakes the answer: a caller that sent further requests, or is still sending a
+ * body that was rejected, would get no answer at all.
+ */
+static void linger(lw_caller_t *c)
+{
+	if (c->eof || c->reset_on_close || shutdown(c->fd, SHUT_WR)) {
+		lw_caller_close(c);
+		return;
+	}
+	c->lingering = true;
+	c->since_us = c->set->evloop->now_us;
+	lw_bytebuf_free(&c->in);
+	lw_caller_watch(c);
+}
+
+/* discard what the caller sends until it closes the connection */
+static void discard(lw_caller_t *c)
+{
+	char bytes[DISCARD_BYTES];
+	ssize_t n = recv(c->fd, bytes, sizeof(bytes), 0);
+
+	if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR))
+		lw_caller_close(c);
+}
+
 /*
  * lw_caller_flush() - write as much as the kernel accepts; the rest follows when the socket is
  * writable.
@@ -100,7 +134,8 @@
 		if (taken && c->x)
 			lw_exchange_credit(c->x, taken);
 		if (c->closing) {
-			lw_caller_close(c);
+			if (!c->lingering)
+				linger(c);
 			return;
 		}
 	}
@@ -118,6 +153,10 @@
 	lw_caller_t *c = w->data;
 
 	(void)loop;
+	if (c->lingering) {
+		discard(c);
+		return;
+	}
 	if (revents & EV_READ)
 		lw_caller_readable(c);
 	if (!c->closed && (revents & EV_WRITE))
@@ -170,6 +209,11 @@
 {
 	uint64_t quiet_ms = (now - c->since_us) / 1000;
 
+	if (c->lingering) {
+		if (quiet_ms > LINGER_MS)
+			lw_caller_close(c);
+		return;
+	}
 	if (c->state == CALLER_HEAD && lw_bytebuf_len(&c->in)) {
 		if (quiet_ms > cs->limits.header_timeout_ms) {
 			cs->stats.head_timeouts++;
--- a/src/caller_int.h
+++ b/src/caller_int.h
@@ -35,6 +35,7 @@
 	bool ready_only;
 	bool eof;
 	bool closing; /* close once out is empty */
+	bool lingering; /* everything is sent; what still arrives is discarded */
 	bool keep; /* the connection stays open after the request */
 	bool is_head;
 	bool chunked_answer;
--- a/tests/mesh/standin.py
+++ b/tests/mesh/standin.py
@@ -164,6 +164,7 @@
         self.born = None  # start of its process, Unix ms; None: not reported
         self.checks = 0  # health checks answered
         self.mute = False  # health checks get no answer
+        self.more_load = ""  # further figures of its load report
         self.says = []  # header lines added to all its answers, also to health checks
         self.open = []
 
@@ -265,7 +266,8 @@
 
     def write(self, writer, status, rid, data, extra=(), length=None):
         lines = [f"HTTP/1.1 {status} X", f"X-Request-Id: {rid}", "X-Server-Stamp: st-" + rid,
-                 f"X-Server-Load: {self.running},0,{self.slots}", "Keep-Alive: timeout=10"]
+                 f"X-Server-Load: {self.running},0,{self.slots}{self.more_load}",
+                 "Keep-Alive: timeout=10"]
         if length != "none":
             lines.append(f"Content-Length: {len(data) if length is None else length}")
         lines += [*self.says, *extra]
