Retries foresee what requests need: the failing share and the requests by rank

A leaf whose servers shed 55 of 100 calls at random lost half of the most urgent requests although a fifth of the allowance was unused, and a third of the retries went to others. Traced in the model of a wide fleet (tests/sim/shedding_leaf_wide.toml, one fifth of 985 hosts): ranks were admitted by the retries that had been asked for, which are few when the fault begins, so the first second went to any rank; requests that had got retries lost them when the threshold moved; a second with few urgent requests left its part unused.

Now the lowest ranks that may be carried through follow from the first attempts by rank and from the share of the last thirty attempts that failed; a request on which retries were spent goes before the others; what is left of the window may be spent at up to one and a half times the mean rate; a call is resent six times at most instead of four. Retries are summed over the window and the slice before it, so that any ten seconds stay within the allowance also when they come in two bursts; with that the parts are 0.92 (0.80) of the last level and 0.95 (0.90) of all.

--- a/src/exchadmit.c
+++ b/src/exchadmit.c
@@ -303,7 +303,7 @@
 	if (!resolve_route(x, req, &org) || !admit(x, org))
 		return NULL;
 	compose_head(x, req->head);
-	lw_retrylimit_count_request(&x->service->retries, &e->place.retry_allowance,
+	lw_retrylimit_count_request(&x->service->retries, &e->place.retry_allowance, x->rank,
 				    e->evloop->now_us);
 	if (x->repeat)
 		lw_retrylimit_count_retry(&x->service->retries, &e->place.retry_allowance,
--- a/src/exchoutcome.c
+++ b/src/exchoutcome.c
@@ -9,6 +9,8 @@
 static bool take_retry(lw_exchange_t *x)
 {
 	lw_engine_t *e = x->engine;
+	lw_gate_parent_t parent = { 0 };
+	bool nested = x->parent_id.len && lw_gate_parent(&e->gate, x->parent_id, &parent);
 	lw_retryposition_t at = {
 		.nodes = e->place.nsharing,
 		.above = x->call_depth,
@@ -16,11 +18,14 @@
 		.rank = x->rank,
 		.urgent = lw_fleetconf_most_urgent(e->conf, x->rank / LW_RANKS_PER_PRIORITY),
 		.used_below = lw_overload_retry_used(e->overload, x->route),
+		.begun = parent.call_retried,
 	};
 
 	if (lw_retrylimit_take(&x->service->retries, &e->place.retry_allowance, &at,
 			       e->evloop->now_us)) {
 		e->stats.retries++;
+		if (nested)
+			lw_gate_note_retry(&e->gate, x->parent_id);
 		return true;
 	}
 	e->stats.retries_denied++;
--- a/src/gate.c
+++ b/src/gate.c
@@ -389,7 +389,7 @@
 
 	if (!j)
 		return false;
-	*out = (lw_gate_parent_t){ j->rank, j->repeat, j->target_us };
+	*out = (lw_gate_parent_t){ j->rank, j->repeat, j->call_retried, j->target_us };
 	return true;
 }
 
@@ -420,6 +420,15 @@
 		j->call_failed = true;
 }
 
+/* lw_gate_note_retry() - record that a nested call of request @parent_id is retried. */
+void lw_gate_note_retry(lw_gate_t *g, lw_str_t parent_id)
+{
+	lw_job_t *j = job_by_id(g, parent_id);
+
+	if (j)
+		j->call_retried = true;
+}
+
 /* a rate limit is equivalent to a single slot that each request occupies for 1/rate seconds */
 static lw_level_input_t level_input(const lw_gate_t *g)
 {
--- a/src/gate.h
+++ b/src/gate.h
@@ -100,6 +100,7 @@
 typedef struct lw_gate_parent {
 	uint32_t rank;
 	bool repeat; /* the parent request is a retry */
+	bool call_retried; /* a nested call of it was retried */
 	uint64_t target_us; /* when the user request misses its latency objective */
 } lw_gate_parent_t;
 
@@ -116,5 +117,6 @@
 bool lw_gate_parent(const lw_gate_t *g, lw_str_t id, lw_gate_parent_t *out);
 void lw_gate_note_call(lw_gate_t *g, lw_str_t parent_id, const lw_load_t *load);
 void lw_gate_note_failure(lw_gate_t *g, lw_str_t parent_id);
+void lw_gate_note_retry(lw_gate_t *g, lw_str_t parent_id);
 
 #endif
--- a/src/gate_int.h
+++ b/src/gate_int.h
@@ -42,6 +42,7 @@
 	uint32_t rank;
 	bool repeat;
 	bool call_failed; /* a nested call failed */
+	bool call_retried; /* a nested call was retried */
 	uint32_t depth; /* levels of nested calls below it that were reported */
 	uint32_t retry_used; /* share of the retry allowance that those calls used, per mille */
 	lw_path_levels_t hots; /* reported by the answers to its nested calls */
--- a/src/retrylimit.c
+++ b/src/retrylimit.c
@@ -6,15 +6,13 @@
 /*
  * Parts of the fleet's allowance that a node decides on. A retry counts again
  * at every service that its calls lead to, so the parts of all depths of a
- * call chain together stay below the whole. The leaf, the last service of the
+ * call chain together stay near the whole. The leaf, the last service of the
  * chain, where most faults occur, has the larger part. The depths above share
  * the rest, but only while the calls below use little of the allowance; every
  * answer reports what they use. So a fault of the leaf alone may use nearly
- * all of the allowance: in the model of a leaf that sheds half of its calls
- * (shedding_leaf.toml) 90.2% of the urgent requests meet their latency
- * objective, with a part of 0.60 only 85.7% (mean of four seeds).
+ * all of the allowance.
  */
-#define LEAF_PART	  0.80
+#define LEAF_PART	  0.92
 #define UPPER_DEPTHS_PART 0.30
 #define SINGLE_DEPTH_PART 0.38
 /*
@@ -24,29 +22,44 @@
  */
 #define USED_BELOW_MAX 550
 /*
- * The part of the leaf that requests of other than the most urgent
- * priority may use; the lowest ranks go first in any case. While two of three
- * servers lost four of ten answers, 837 of 27,945 requests failed with 0.30
- * and 612 with 0.75; 0.60 leaves more for the most urgent requests in the
- * second before ranks decide.
+ * The part of the leaf that requests of other than the most urgent priority
+ * may use; the lowest ranks go first in any case. What is left serves the most
+ * urgent requests until the share of attempts that fail is known.
  */
 #define LEAF_OTHERS_PART 0.60
 /*
  * Below this part of its share a node retries any request. Above it, it
  * retries only the lowest ranks, as many as the share permits: a request with
  * five calls of which half fail needs several retries to succeed, so retries
- * that are distributed over all requests save hardly any. In the model
- * (shedding_leaf.toml) 90.3% of the urgent requests meet their latency
- * objective, with retries distributed over all requests 84.7% (mean of three
- * seeds).
+ * that are distributed over all requests save hardly any.
  */
-#define ANY_RANK_PART 0.10
+#define ANY_RANK_PART 0.05
 /* the part of a slice's share that the lowest ranks together may use */
 #define SLICE_TARGET_PART 0.95
-/* weight of a new slice in the moving averages of the retries asked for */
-#define WANTED_EWMA 0.5
+/*
+ * The share of a slice is larger than the mean by up to this factor while
+ * most of the window's share is unused: most faults are shorter than a window.
+ */
+#define HASTE 1.5
+/*
+ * What the share of attempts that fail is based on: of the attempts before,
+ * each new one keeps this part, and each new slice this one. So it follows
+ * within some 30 attempts when a fault begins, and is forgotten soon where few
+ * attempts are made.
+ */
+#define KEPT_PER_ATTEMPT 0.97
+#define KEPT_PER_SLICE	 0.5
+/* of the first attempts by rank each new slice keeps this part */
+#define RANKS_KEPT 0.9
+/* highest share of attempts that counts as failing: with all of them no retry would help */
+#define FAILING_MAX 0.9
+/*
+ * A request on which retries were spent counts like one of a rank lower by
+ * this factor: the retries are lost if it fails in the end.
+ */
+#define BEGUN_RANK_DIVISOR 4
 /* limit of all retries, including first requests made by the execution of a retry */
-#define ALL_RETRIES_PART 0.9
+#define ALL_RETRIES_PART 0.95
 
 /*
  * A fault reduces the number of requests of the service behind it, because
@@ -54,22 +67,34 @@
  * allowance is based on the requests of this window, the previous window, or
  * the one half a window before, whichever has most. Older windows count with
  * this factor, as this node may have had a larger share of the fleet's
- * requests then. In a fault of 8.5 s in which 55% of the calls of a leaf were
- * shed this raised the number of retries from 2187 to 2465.
+ * requests then.
  */
 #define OLDER_PART 0.9
 
+static uint32_t bin_of(uint32_t rank)
+{
+	uint32_t bin = rank / LW_RETRY_BIN;
+
+	return bin < LW_RETRY_BINS ? bin : LW_RETRY_BINS - 1;
+}
+
 static lw_retryslice_t *slice_at(lw_retrylimit_t *l, uint64_t number)
 {
 	return &l->slices[number % LW_RETRY_KEPT];
 }
 
-static void decay_wanted(lw_retrylimit_t *l)
+static void count_attempt(lw_retrylimit_t *l)
 {
-	l->wanted += WANTED_EWMA * (l->wanted_now - l->wanted);
-	l->wanted_now = 0;
+	l->sent = l->sent * KEPT_PER_ATTEMPT + 1;
+	l->failed *= KEPT_PER_ATTEMPT;
+}
+
+static void begin_slice(lw_retrylimit_t *l)
+{
+	l->sent *= KEPT_PER_SLICE;
+	l->failed *= KEPT_PER_SLICE;
 	for (int i = 0; i < LW_RETRY_BINS; i++)
-		l->wanted_by_rank[i] *= (float)(1 - WANTED_EWMA);
+		l->by_rank[i] *= RANKS_KEPT;
 }
 
 static void advance(lw_retrylimit_t *l, const lw_retryallowance_t *t, uint64_t now_us)
@@ -83,7 +108,7 @@
 	while (l->newest < slice) {
 		l->newest++;
 		*slice_at(l, l->newest) = (lw_retryslice_t){ 0 };
-		decay_wanted(l);
+		begin_slice(l);
 	}
 }
 
@@ -102,6 +127,18 @@
 	return sum;
 }
 
+/*
+ * Adds the retries of the slice before a window: a window that begins within that slice must stay
+ * within the allowance as well.
+ */
+static void add_slice_before(lw_retrylimit_t *l, lw_retryslice_t *sum)
+{
+	const lw_retryslice_t *before = slice_at(l, l->newest + LW_RETRY_KEPT - LW_RETRY_SLICES);
+
+	sum->retries += before->retries;
+	sum->own += before->own;
+}
+
 /* the number of requests that the allowance is based on */
 static double base_requests(lw_retrylimit_t *l, uint32_t now)
 {
@@ -112,11 +149,14 @@
 	return now > older ? now : older;
 }
 
-/* lw_retrylimit_count_request() - a request of the service was sent for the first time. */
-void lw_retrylimit_count_request(lw_retrylimit_t *l, const lw_retryallowance_t *t, uint64_t now_us)
+/* lw_retrylimit_count_request() - a request of @rank was sent to the service for the first time. */
+void lw_retrylimit_count_request(lw_retrylimit_t *l, const lw_retryallowance_t *t, uint32_t rank,
+				 uint64_t now_us)
 {
 	advance(l, t, now_us);
 	slice_at(l, l->newest)->requests++;
+	count_attempt(l);
+	l->by_rank[bin_of(rank)]++;
 }
 
 /*
@@ -168,37 +208,41 @@
 	return at->urgent ? LEAF_PART : LEAF_OTHERS_PART;
 }
 
-/* the part of the retries asked for recently that were for lower ranks */
-static double part_below(const lw_retrylimit_t *l, uint32_t rank)
+/* first attempts per slice of requests with a lower rank */
+static double sent_below(const lw_retrylimit_t *l, uint32_t rank)
 {
-	uint32_t bin = rank / LW_RETRY_BIN;
-	double below = 0, all = 0;
-
-	if (bin >= LW_RETRY_BINS)
-		bin = LW_RETRY_BINS - 1;
-	for (uint32_t i = 0; i < LW_RETRY_BINS; i++) {
-		all += l->wanted_by_rank[i];
-		if (i < bin)
-			below += l->wanted_by_rank[i];
-	}
-	below += l->wanted_by_rank[bin] * (rank % LW_RETRY_BIN) / LW_RETRY_BIN;
-	return all > 0 ? below / all : 0;
+	uint32_t bin = bin_of(rank);
+	double below = 0;
+
+	for (uint32_t i = 0; i < bin; i++)
+		below += l->by_rank[i];
+	below += l->by_rank[bin] * (rank % LW_RETRY_BIN) / LW_RETRY_BIN;
+	return below * (1 - RANKS_KEPT);
+}
+
+/* retries that a request needs until it succeeds, if as many attempts fail as of late */
+static double needed_each(const lw_retrylimit_t *l)
+{
+	double failing = l->sent > 0 ? l->failed / l->sent : 0;
+
+	if (failing > FAILING_MAX)
+		failing = FAILING_MAX;
+	return failing / (1 - failing);
 }
 
 /* whether a rank is among the lowest ones that @share, of one slice, suffices for */
 static bool rank_admitted(const lw_retrylimit_t *l, uint32_t rank, double share)
 {
-	double wanted = l->wanted > l->wanted_now ? l->wanted : l->wanted_now;
-
-	return part_below(l, rank) * wanted <= SLICE_TARGET_PART * share;
+	return sent_below(l, rank) * needed_each(l) <= SLICE_TARGET_PART * share;
 }
 
-static void count_wanted(lw_retrylimit_t *l, uint32_t rank)
+/* the part of the window's @share that this slice may use */
+static double slice_share(double share, uint32_t used)
 {
-	uint32_t bin = rank / LW_RETRY_BIN;
+	double mean = share / LW_RETRY_SLICES;
+	double hasty = (share - used) * HASTE / LW_RETRY_SLICES;
 
-	l->wanted_now++;
-	l->wanted_by_rank[bin < LW_RETRY_BINS ? bin : LW_RETRY_BINS - 1]++;
+	return mean > hasty ? mean : hasty;
 }
 
 /*
@@ -212,14 +256,18 @@
 	double allowed, share;
 
 	advance(l, t, now_us);
-	count_wanted(l, at->rank);
+	l->failed++;
 	sum = window_sum(l, 0);
+	add_slice_before(l, &sum);
 	allowed = allowance(l, t, sum.requests, at->nodes);
 	share = allowed * own_part(at);
 	if (sum.retries + 1 > allowed * ALL_RETRIES_PART || sum.own + 1 > share)
 		return false;
-	if (sum.own > share * ANY_RANK_PART && !rank_admitted(l, at->rank, share / LW_RETRY_SLICES))
+	if (sum.own > share * ANY_RANK_PART &&
+	    !rank_admitted(l, at->begun ? at->rank / BEGUN_RANK_DIVISOR : at->rank,
+			   slice_share(share, sum.own)))
 		return false;
+	count_attempt(l);
 	slice_at(l, l->newest)->own++;
 	slice_at(l, l->newest)->retries++;
 	return true;
--- a/src/retrylimit.h
+++ b/src/retrylimit.h
@@ -26,6 +26,7 @@
 	uint32_t rank; /* rank of the user request, see level.h; the lowest is the most urgent */
 	bool urgent; /* the user request has the most urgent priority */
 	uint32_t used_below; /* per mille of the allowance that the calls below use, as reported */
+	bool begun; /* retries were already sent for the request that the call belongs to */
 } lw_retryposition_t;
 
 /* Slices per window, and slices that are kept: this window and the previous one. */
@@ -38,19 +39,20 @@
 	uint32_t own; /* retries that this node decided on */
 } lw_retryslice_t;
 
-/* Width of a bin of the ranks that asked for retries, in ranks. */
+/* Width of a bin of ranks, in ranks. */
 #define LW_RETRY_BIN  50
 #define LW_RETRY_BINS (LW_LEVEL_ADMIT_ALL / LW_RETRY_BIN)
 
 typedef struct lw_retrylimit {
 	uint64_t newest; /* number of the newest slice */
 	lw_retryslice_t slices[LW_RETRY_KEPT];
-	double wanted; /* moving average: retries asked for per slice */
-	uint32_t wanted_now; /* retries asked for in the newest slice */
-	float wanted_by_rank[LW_RETRY_BINS]; /* recent ones, by rank */
+	double sent; /* recent attempts, first ones and retries */
+	double failed; /* those of them for which a retry was asked for */
+	float by_rank[LW_RETRY_BINS]; /* recent first attempts, by rank */
 } lw_retrylimit_t;
 
-void lw_retrylimit_count_request(lw_retrylimit_t *l, const lw_retryallowance_t *t, uint64_t now_us);
+void lw_retrylimit_count_request(lw_retrylimit_t *l, const lw_retryallowance_t *t, uint32_t rank,
+				 uint64_t now_us);
 void lw_retrylimit_count_retry(lw_retrylimit_t *l, const lw_retryallowance_t *t, uint64_t now_us);
 uint32_t lw_retrylimit_used(lw_retrylimit_t *l, const lw_retryallowance_t *t, uint32_t nodes,
 			    uint64_t now_us);
--- a/src/retryrule.h
+++ b/src/retryrule.h
@@ -38,16 +38,14 @@
 #define LW_UNDELIVERED_MAX 3
 /*
  * How often a call is resent at most to a backend server that shed it, besides
- * the attempts of the route. Where a server sheds 55% of its requests, a
- * request with four calls succeeds in 68 of 100 cases with four tries per
- * call, and in 90 with six.
+ * the attempts of the route. With it a request with four calls succeeds nearly
+ * always where a server sheds half of its requests; the retry allowance and the
+ * deadline bound the retries.
  */
-#define LW_RESENDS_SHED_MAX 4
+#define LW_RESENDS_SHED_MAX 6
 /*
  * How often an idempotent call is resent at most to a server that lost its
- * answer. Where two of three servers lose four of ten answers, a request with
- * eight calls succeeds in 65 of 100 cases with two tries per call, and in 98
- * with four.
+ * answer. Each of these attempts takes until the answer counts as lost.
  */
 #define LW_RESENDS_BROKEN_MAX 2
 
--- a/src/simfleet.c
+++ b/src/simfleet.c
@@ -73,7 +73,7 @@
 {
 	lw_place_service_t *s = lw_place_service(&q->origin->place, q->kind->service);
 
-	lw_retrylimit_count_request(&s->retries, &r->terms, r->now);
+	lw_retrylimit_count_request(&s->retries, &r->terms, q->rank, r->now);
 	lw_sim_push(r, LW_SIM_TIMEOUT, q->give_up_us, q);
 	send_attempt(r, q, LW_FAIL_NO_SERVER);
 }
@@ -177,6 +177,7 @@
 		.rank = q->rank,
 		.urgent = q->rank < LW_RANKS_PER_PRIORITY,
 		.used_below = lw_overload_retry_used(q->origin->hot, q->kind->name),
+		.begun = q->parent && q->parent->begun,
 	};
 	bool yes;
 
@@ -185,6 +186,8 @@
 		at.rank -= at.rank % LW_RANKS_PER_PRIORITY;
 	yes = lw_retrylimit_take(&q->host->service->retries, &r->terms, &at, r->now);
 
+	if (yes && q->parent)
+		q->parent->begun = true;
 	r->sim->total.retries += yes;
 	return yes;
 }
@@ -418,7 +421,7 @@
 
 	r->sim = s;
 	r->rng = seed * 2654435769u | 1;
-	r->terms = (lw_retryallowance_t){ .ratio = 0.2, .extra = 47, .window_s = 10 };
+	r->terms = (lw_retryallowance_t){ .ratio = 0.2, .extra = s->retry_extra, .window_s = 10 };
 	build_nodes(r);
 	for (size_t i = 0; i < s->nkinds; i++)
 		if (s->kinds[i].rate > 0)
--- a/src/simfleet.h
+++ b/src/simfleet.h
@@ -11,7 +11,7 @@
 
 #define LW_SIM_KINDS_MAX    12
 #define LW_SIM_SERVICES_MAX 8
-#define LW_SIM_SERVERS_MAX  16
+#define LW_SIM_SERVERS_MAX  128
 #define LW_SIM_SECONDS_MAX  120
 
 /* Outcomes of the user requests of one kind. */
@@ -94,6 +94,7 @@
 	double shed_for_s;
 	char shed_service[LW_NAME_MAX];
 	double net_ms; /* one-way delay between nodes */
+	double retry_extra; /* retries allowed in each window besides the share of the requests */
 	lw_sim_policy_t policy;
 	bool without[LW_SIM_MECHANISMS]; /* disabled mechanisms */
 	lw_sim_total_t total;
--- a/src/simfleet_int.h
+++ b/src/simfleet_int.h
@@ -56,6 +56,7 @@
 	lw_path_levels_t hots; /* overloaded services on its call path */
 	uint32_t depth; /* levels of nested calls below it */
 	uint32_t retry_used; /* use of the retry allowance by its calls, per mille */
+	bool begun; /* a retry was sent for one of its calls */
 	bool queued;
 	bool call_failed;
 	bool finished; /* its caller or parent has the outcome */
--- a/src/simload.c
+++ b/src/simload.c
@@ -112,6 +112,7 @@
 	s->burst_at_s = number(root, "burst_at_s", 5);
 	s->burst_for_s = number(root, "burst_for_s", 10);
 	s->net_ms = number(root, "net_ms", 0.5);
+	s->retry_extra = number(root, "retry_extra", 47);
 	s->slow_x = number(root, "slow_x", 1);
 	text(root, "slow_service", s->slow_service);
 	s->shed_part = number(root, "shed_part", 0);
--- a/tests/decide.h
+++ b/tests/decide.h
@@ -29,6 +29,7 @@
 	lw_level_t level;
 	lw_overload_t *hot;
 	lw_retrylimit_t retries;
+	uint32_t attempts; /* of calls during a fault */
 	lw_place_t place;
 	lw_serverset_t *entries;
 	lw_lease_t lease;
--- a/tests/sim.sh
+++ b/tests/sim.sh
@@ -38,6 +38,8 @@
 
 "$SIM" "$DIR/shedding_leaf.toml" --seed 1 >"$tmp/shed"
 "$SIM" "$DIR/shedding_leaf.toml" --seed 1 --policy spread >"$tmp/shed-spread"
+"$SIM" "$DIR/shedding_leaf_wide.toml" --seed 1 >"$tmp/wide"
+"$SIM" "$DIR/shedding_leaf_wide.toml" --seed 1 --policy spread >"$tmp/wide-spread"
 
 check "the same seed gives the same figures" "$(cmp -s "$tmp/full" "$tmp/again" && echo 1 || echo 0)"
 check "1.7-fold burst: goodput far above the naive policy" \
@@ -63,6 +65,10 @@
 	"$(kind register "$tmp/shed") > $(kind register "$tmp/shed-spread") + 3"
 check "leaf servers that shed: no less goodput" \
 	"$(figure goodput "$tmp/shed") >= $(figure goodput "$tmp/shed-spread")"
+check "leaf servers of a wide fleet that shed: more urgent requests in target than with retries for all ranks" \
+	"$(kind register "$tmp/wide") > $(kind register "$tmp/wide-spread") + 3"
+check "leaf servers of a wide fleet that shed: more than half of the urgent requests of the fault served" \
+	"$(kind register "$tmp/wide") > 100 - 8.5 / 30 * 100 / 2"
 rm -r "$tmp"
 echo "sim: $passed passed, $failed failed"
 [ "$failed" = 0 ]
