Shares of less than one retry are drawn among the nodes

With 985 hosts the part of a node for retries above the last level of a call chain is 0.3 of a retry in ten seconds: rounded down, no node ever retried there. At 1,970 hosts the share is half of that.

A node may send the whole part of its share, and one more by a draw with the probability of the rest; the draw follows from a random number of the process and changes with each window.

--- a/src/exchange.h
+++ b/src/exchange.h
@@ -76,6 +76,7 @@
 	lw_quota_t *quota;
 	lw_fleetconf_t *conf; /* current configuration; NULL before the first */
 	uint32_t active;
+	uint32_t lot; /* random number of this process, see retrylimit.h */
 	lw_exchange_t *exchanges; /* oldest first */
 	/* called when a server reports an id other than the one in the server list; may be NULL */
 	void (*on_stale_list)(void *ctx);
--- a/src/exchoutcome.c
+++ b/src/exchoutcome.c
@@ -19,6 +19,7 @@
 		.urgent = lw_fleetconf_most_urgent(e->conf, x->rank / LW_RANKS_PER_PRIORITY),
 		.used_below = lw_overload_retry_used(e->overload, x->route),
 		.begun = parent.call_retried,
+		.lot = e->lot,
 	};
 
 	if (lw_retrylimit_take(&x->service->retries, &e->place.retry_allowance, &at,
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -170,6 +170,7 @@
 	p->platform = platform;
 	lw_evloop_init(&p->evloop, set, platform->names, lw_now_us() ^ (uint64_t)getpid() << 32);
 	p->engine.evloop = &p->evloop;
+	p->engine.lot = lw_evloop_random(&p->evloop, UINT32_MAX);
 	p->engine.on_stale_list = lw_proxy_refresh_list;
 	p->engine.news_age_ms = lw_proxy_update_age_ms;
 	p->engine.ctx = p;
--- a/src/retrylimit.c
+++ b/src/retrylimit.c
@@ -1,6 +1,7 @@
 /* Limits the retries of a node; see retrylimit.h. */
 #include "retrylimit.h"
 
+#include <math.h>
 #include <string.h>
 
 /*
@@ -70,6 +71,8 @@
  * requests then.
  */
 #define OLDER_PART 0.9
+/* fractional part of the golden ratio: its multiples are evenly distributed modulo 1 */
+#define GOLDEN_PART 0.6180339887
 
 static uint32_t bin_of(uint32_t rank)
 {
@@ -245,6 +248,19 @@
 	return mean > hasty ? mean : hasty;
 }
 
+/*
+ * The number of retries that @share permits. In a large fleet the share of a node is less than
+ * one retry. If it were rounded down, no node would ever retry; so a part of the nodes may send
+ * one, drawn anew for each window.
+ */
+static double whole_retries(const lw_retrylimit_t *l, double share, uint32_t lot)
+{
+	double draw =
+		lot / (UINT32_MAX + 1.0) + GOLDEN_PART * (double)(l->newest / LW_RETRY_SLICES);
+
+	return floor(share + draw - floor(draw));
+}
+
 /*
  * lw_retrylimit_take() - true, and counted, if this node may send a retry at
  * position @at in the window that ends now.
@@ -261,7 +277,8 @@
 	add_slice_before(l, &sum);
 	allowed = allowance(l, t, sum.requests, at->nodes);
 	share = allowed * own_part(at);
-	if (sum.retries + 1 > allowed * ALL_RETRIES_PART || sum.own + 1 > share)
+	if (sum.retries + 1 > whole_retries(l, allowed * ALL_RETRIES_PART, at->lot) ||
+	    sum.own + 1 > whole_retries(l, share, at->lot))
 		return false;
 	if (sum.own > share * ANY_RANK_PART &&
 	    !rank_admitted(l, at->begun ? at->rank / BEGUN_RANK_DIVISOR : at->rank,
--- a/src/retrylimit.h
+++ b/src/retrylimit.h
@@ -27,6 +27,7 @@
 	bool urgent; /* the user request has the most urgent priority */
 	uint32_t used_below; /* per mille of the allowance that the calls below use, as reported */
 	bool begun; /* retries were already sent for the request that the call belongs to */
+	uint32_t lot; /* random number of this process, the same in each call */
 } lw_retryposition_t;
 
 /* Slices per window, and slices that are kept: this window and the previous one. */
--- a/src/simfleet.c
+++ b/src/simfleet.c
@@ -178,6 +178,7 @@
 		.urgent = q->rank < LW_RANKS_PER_PRIORITY,
 		.used_below = lw_overload_retry_used(q->origin->hot, q->kind->name),
 		.begun = q->parent && q->parent->begun,
+		.lot = q->origin->lot,
 	};
 	bool yes;
 
@@ -401,6 +402,7 @@
 			if (k == 0 && strcmp(s->slow_service, s->services[i].name) == 0)
 				n->speed /= s->slow_x;
 			n->service_us = SERVICE_FIRST_US;
+			n->lot = (uint32_t)(r->nnodes * 2654435769u);
 			n->hot = lw_overload_new();
 			lw_level_init(&n->level);
 			sl.nservers++;
--- a/src/simfleet_int.h
+++ b/src/simfleet_int.h
@@ -25,6 +25,7 @@
 	uint32_t slots;
 	double speed;
 	double service_us; /* moving average of the service time */
+	uint32_t lot;
 	lw_waitq_t queue;
 	lw_level_t level;
 	lw_place_t place; /* state of the other nodes as known here */
--- a/tests/decide_retry.c
+++ b/tests/decide_retry.c
@@ -97,6 +97,27 @@
 	     asked[1], retries);
 }
 
+/*
+ * retry-fleet NODES REQUESTS AT: on the first of four levels, each node has sent as many requests
+ * in the last window and wants to retry one. Prints how many may, and the allowance.
+ */
+static void do_retry_fleet(world_t *w, const words_t *a)
+{
+	long nodes = num(a, 1), got = 0;
+
+	for (long n = 0; n < nodes; n++) {
+		lw_retrylimit_t l = { 0 };
+		lw_retryposition_t at = { .nodes = (uint32_t)nodes, .below = 3, .urgent = true };
+
+		at.lot = (uint32_t)n * 2654435769u;
+		for (long i = 0; i < num(a, 2); i++)
+			lw_retrylimit_count_request(&l, &decide_retry_terms, 0, ms(a, 3));
+		got += lw_retrylimit_take(&l, &decide_retry_terms, &at, ms(a, 3));
+	}
+	emit(w, "%ld of %.0f", got,
+	     decide_retry_terms.ratio * (double)(nodes * num(a, 2)) + decide_retry_terms.extra);
+}
+
 static lw_fail_t fail_of(const char *name)
 {
 	for (int i = 0; i < LW_FAIL_COUNT; i++)
@@ -237,6 +258,7 @@
 	{ "retry-used", do_retry_used },
 	{ "retry-take", do_retry_take },
 	{ "retry-fault", do_retry_fault },
+	{ "retry-fleet", do_retry_fleet },
 	{ "verdict", do_verdict },
 	{ "comeback", do_comeback },
 	{ "admit", do_admit },
