Ask some servers of a service without entries whether they are alive

A node whose server's lease expired behind a partition says that it is alive to the nodes that are connected to it.

While no server of a service is listed, a node connects to four of those that were, chosen by a hash that differs from node to node, so that each server is asked by its part of the fleet only.

--- a/src/place.h
+++ b/src/place.h
@@ -108,6 +108,9 @@
 void lw_place_node_lost(lw_place_t *p, const char *node, bool used, uint64_t now_us);
 typedef void (*lw_place_node_fn)(void *ctx, const char *node);
 void lw_place_each(const lw_place_t *p, lw_place_node_fn fn, void *ctx, uint64_t now_us);
+/* Hosts of a service without a listed one that a node asks whether they are alive. */
+#define LW_PLACE_LAPSED_ASKED 4
+void lw_place_each_lapsed(const lw_place_t *p, lw_place_node_fn fn, void *ctx);
 void lw_place_each_suspect(const lw_place_t *p, lw_place_node_fn fn, void *ctx);
 bool lw_place_has_rate_limit(const lw_place_t *p, const char *service, uint64_t now_us);
 uint32_t lw_place_level(const lw_place_service_t *s, uint64_t now_us);
--- a/src/placelist.c
+++ b/src/placelist.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "admit.h"
 #include "place.h"
@@ -293,6 +294,60 @@
 				fn(ctx, h->node);
 }
 
+static bool has_listed(const lw_place_service_t *s)
+{
+	for (const lw_place_host_t *h = s->hosts; h; h = h->next)
+		if (h->listed)
+			return true;
+	return false;
+}
+
+/* whether @h comes before @other in the order of this node, which differs from node to node */
+static bool comes_before(const lw_place_host_t *h, const lw_place_host_t *other, uint64_t order)
+{
+	return !other ||
+	       XXH64(h->id, strlen(h->id), order) > XXH64(other->id, strlen(other->id), order);
+}
+
+/* adds @h to the first hosts, @n of which are known */
+static size_t add_first(const lw_place_host_t **first, size_t n, const lw_place_host_t *h,
+			uint64_t order)
+{
+	size_t at = n;
+
+	while (at && comes_before(h, first[at - 1], order))
+		at--;
+	if (at == LW_PLACE_LAPSED_ASKED)
+		return n;
+	n += n < LW_PLACE_LAPSED_ASKED;
+	memmove(&first[at + 1], &first[at], (n - at - 1) * sizeof(*first));
+	first[at] = h;
+	return n;
+}
+
+/*
+ * lw_place_each_lapsed() - call @fn with the nodes of some hosts of each service that has lost
+ * all its entries. Their nodes assert that the servers are alive only to the nodes that are
+ * connected to them: a node that seldom calls the service would take it for gone.
+ */
+void lw_place_each_lapsed(const lw_place_t *p, lw_place_node_fn fn, void *ctx)
+{
+	uint64_t order = XXH64(p->backend, strlen(p->backend), 0);
+
+	for (const lw_place_service_t *s = p->services; s; s = s->next) {
+		const lw_place_host_t *first[LW_PLACE_LAPSED_ASKED];
+		size_t n = 0;
+
+		if (has_listed(s))
+			continue;
+		for (const lw_place_host_t *h = s->hosts; h; h = h->next)
+			if (!h->draining && !h->self)
+				n = add_first(first, n, h, order);
+		for (size_t i = 0; i < n; i++)
+			fn(ctx, first[i]->node);
+	}
+}
+
 /* lw_place_each() - call @fn with the node of each usable host except this one. */
 void lw_place_each(const lw_place_t *p, lw_place_node_fn fn, void *ctx, uint64_t now_us)
 {
--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -474,10 +474,14 @@
 	lw_mesh_connect(p->engine.mesh, node);
 }
 
-/* lw_proxy_reconnect_lost() - tries to reach the nodes that were lost. */
+/*
+ * lw_proxy_reconnect_lost() - tries to reach the nodes that were lost, and nodes of servers whose
+ * leases expired.
+ */
 void lw_proxy_reconnect_lost(lw_proxy_t *p)
 {
 	lw_place_each_suspect(&p->engine.place, reconnect, p);
+	lw_place_each_lapsed(&p->engine.place, reconnect, p);
 }
 
 /*
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -57,8 +57,7 @@
 ready = "{self.ip}:{READY}"
 metrics = "{self.ip}:{METRICS}"
 mesh_port = {MESH}
-seeds = [{", ".join(f'"{n.server.ip}:1"' for n in self.fleet.all()[:self.fleet.seeds])}]
-[store]
+{self.seeds_line()}[store]
 address = "{self.store_address()}"
 [terms]
 heartbeat_s = 1.5
@@ -69,6 +68,11 @@
 retry_window_s = 10
 """
 
+    def seeds_line(self):
+        """Returns the line with the seeds; nothing without seeds, as for older versions."""
+        seeds = ", ".join(f'"{n.server.ip}:1"' for n in self.fleet.all()[:self.fleet.seeds])
+        return f"seeds = [{seeds}]\n" if seeds else ""
+
     def write_settings(self, text):
         path = os.path.join(self.fleet.dir, self.ip + ".toml")
         with open(path, "w", encoding="utf-8") as f:
--- a/tests/mesh/stores.py
+++ b/tests/mesh/stores.py
@@ -161,6 +161,27 @@
     check(sum(n.server.checks for n in backs) < checks + 12, "health checks went on and on")
 
 
+@test({"front": 20, "back": 2}, relays=True)
+async def test_lapsed_leases_of_servers_seldom_used(f):
+    """Guards against a service that is lost to hosts that seldom call it: the hosts of all its
+    servers are partitioned from the store and their leases lapse, while a host that could
+    hear from them that they are alive has no connection to them."""
+    backs = f.nodes["back"]
+    await asyncio.sleep(11)  # unused connections are closed
+    f.store.refused = {n.store_relay.addr[0] for n in backs}
+    await asyncio.sleep(1.5)
+    for n in backs:
+        f.store.remove("servers/" + n.server.id)
+    await asyncio.sleep(3)  # longer than a server that left may be used
+    lost = []
+    for i in range(3):
+        for n in f.nodes["front"]:
+            a = await n.caller().ask("GET", "/leaf/1", f"{n.ip}-{i}")
+            if a.status != 200:
+                lost.append((n.ip, a.status))
+    check(not lost, lost)
+
+
 @test({"front": 2, "back": 3}, relays=True)
 async def test_silent_leaver(f):
     """Guards against work for a server after its drain time when the server left without
