The fleet's control plane on a model: lwspread

tests/spread.sh checks the users' targets at each size, and that calls to the store and what the busiest node handles do not grow with the fleet.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 PLATFORM_SRC = platform/names.c platform/fields.c platform/documents.c platform/store.c platform/platform.c
 LIB_OBJ = $(patsubst src/%.c,$(BUILD)/%.o,$(LIB_SRC) $(PROXY_SRC)) $(BUILD)/tomlshim.o
 PLATFORM_OBJ = $(patsubst platform/%.c,$(BUILD)/platform/%.o,$(PLATFORM_SRC))
-BINS = lwproxy lwsim lwnode lwctl lwburn lwfleet lwload lwstub-config lwstub-backend lwstub-relay
+BINS = lwproxy lwsim lwnode lwctl lwburn lwfleet lwspread lwload lwstub-config lwstub-backend lwstub-relay
 BIN_PATHS = $(addprefix $(BUILD)/,$(BINS))
 
 .PHONY: all deps demo check lint format bench meshbench soak fuzz clean
@@ -70,6 +70,9 @@
 $(BUILD)/lwstub-relay: $(BUILD)/lwstub_relay.o $(BUILD)/liblw.a
 	$(CC) -o $@ $^ $(LDLIBS)
 
+$(BUILD)/lwspread: $(BUILD)/lwspread.o $(BUILD)/spreadsim.o $(BUILD)/liblw.a
+	$(CC) -o $@ $^ $(LDLIBS)
+
 SIM_OBJ = $(patsubst %,$(BUILD)/%.o,lwsim simfleet simserver simqueue simresult simload simplot)
 $(BUILD)/lwsim: $(SIM_OBJ) $(BUILD)/liblw.a
 	$(CC) -o $@ $^ $(LDLIBS) -lcairo
@@ -94,6 +97,7 @@
 	sh tests/e2e.sh
 	sh tests/faults.sh
 	SIM=$(BUILD)/lwsim sh tests/sim.sh
+	SPREAD=$(BUILD)/lwspread sh tests/spread.sh
 	LWPROXY=$(BUILD)/lwproxy python3 tests/mesh/run.py
 	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1,2,18,1001,2002,3001 --seconds 8
 
--- a/src/placelist.c
+++ b/src/placelist.c
@@ -313,16 +313,14 @@
 static size_t add_first(const lw_place_host_t **first, size_t n, const lw_place_host_t *h,
 			uint64_t order)
 {
-	size_t at = n;
+	size_t at = n < LW_PLACE_LAPSED_ASKED ? n : LW_PLACE_LAPSED_ASKED - 1;
 
-	while (at && comes_before(h, first[at - 1], order))
-		at--;
-	if (at == LW_PLACE_LAPSED_ASKED)
+	if (at < n && !comes_before(h, first[at], order))
 		return n;
-	n += n < LW_PLACE_LAPSED_ASKED;
-	memmove(&first[at + 1], &first[at], (n - at - 1) * sizeof(*first));
+	for (; at && comes_before(h, first[at - 1], order); at--)
+		first[at] = first[at - 1];
 	first[at] = h;
-	return n;
+	return n < LW_PLACE_LAPSED_ASKED ? n + 1 : n;
 }
 
 /*
--- a/src/retrylimit.c
+++ b/src/retrylimit.c
@@ -255,8 +255,8 @@
  */
 static double whole_retries(const lw_retrylimit_t *l, double share, uint32_t lot)
 {
-	double draw =
-		lot / (UINT32_MAX + 1.0) + GOLDEN_PART * (double)(l->newest / LW_RETRY_SLICES);
+	uint64_t window = l->newest / LW_RETRY_SLICES;
+	double draw = lot / (UINT32_MAX + 1.0) + GOLDEN_PART * (double)window;
 
 	return floor(share + draw - floor(draw));
 }
