--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,7 +13,9 @@
 then be answered. Seeds from 1000 on draw requests that crash servers, and restores of
 the store from an older copy; seeds from 2000 on draw organisations (tenancy.py); seeds
 from 3000 on draw servers that announce in their responses that they are leaving or
-which rate limit they have (announcing.py). A seed always draws the same series of faults."""
+which rate limit they have (announcing.py). With seeds from 4000 on, the series of the seeds
+from 1 on hits nodes that ask some others when they start instead of reading the store. A
+seed always draws the same series of faults."""
 import argparse
 import asyncio
 import os
@@ -54,6 +56,9 @@
 TENANCY_SEEDS = 2000
 # seeds from here on draw servers that announce a departure or a limit in their responses
 ANNOUNCING_SEEDS = 3000
+# with seeds from here on, nodes that start ask the first ones for their documents
+JOINING_SEEDS = 4000
+JOINING_NODES = 3
 # at least this share of a planned seed's requests must be covered by check_planned()
 JUDGED_SHARE = 0.2
 
@@ -64,6 +69,9 @@
         self.chaos_rng = random.Random(f"chaos {seed}")  # for the series of faults only
         self.seconds = seconds
         self.net = net
+        self.joining = seed >= JOINING_SEEDS
+        if self.joining:
+            seed -= JOINING_SEEDS
         self.planned = (seed % 3 == 0 and seed < ANNOUNCING_SEEDS and
                         not ENDS_SEEDS <= seed < TENANCY_SEEDS)
         self.ends = ENDS_SEEDS <= seed < TENANCY_SEEDS
@@ -94,7 +102,8 @@
         layout = {"front": nodes // 3, "back": nodes - nodes // 3}
         # planned seeds need no relays, see follow()
         self.f = fl.Fleet(net, layout, rules=self.rules(), relays=not self.planned,
-                          tenants=tenants() if self.tenancy else None)
+                          tenants=tenants() if self.tenancy else None,
+                          seeds=JOINING_NODES if self.joining else 0)
         self.crashes = Crashes(self.f, "back", "", take=False)
         for n in self.f.all():
             n.server.behave = self.behave
