--- a/Makefile
+++ b/Makefile
@@ -70,7 +70,9 @@
 $(BUILD)/lwstub-relay: $(BUILD)/lwstub_relay.o $(BUILD)/liblw.a
 	$(CC) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/lwspread: $(BUILD)/lwspread.o $(BUILD)/spreadsim.o $(BUILD)/liblw.a
+SPREAD_OBJ = $(patsubst %,$(BUILD)/%.o,lwspread spreadsim spreadqueue spreadlink spreadread \
+	     spreadnode spreadfigures)
+$(BUILD)/lwspread: $(SPREAD_OBJ) $(BUILD)/liblw.a
 	$(CC) -o $@ $^ $(LDLIBS)
 
 SIM_OBJ = $(patsubst %,$(BUILD)/%.o,lwsim simfleet simserver simqueue simresult simload simplot)
