Retries stop when the allowance of the fleet is used up, as the servers' nodes count it

Traced from the summaries of the nodes: of three nodes that call the shedding leaf, one had got most of the requests when the fault began (34,600 of 43,000), and the two others still counted the window in which they had thousands more: 938 and 1,588 retries for 4,155 and 4,171 requests. A share is the largest of three windows of a node, and the sum of the largest is more than the largest of the sums. It grows with the fleet: each of 985 nodes that sends some 40 requests in ten seconds has, by chance, a window with more than its mean.

The node beside a server counts what reaches it: first attempts in the three windows and retries. It tells these with its load in each answer; a node sums what it has heard in the last second and sends no retry above 0.92 of the allowance.

--- a/src/call.h
+++ b/src/call.h
@@ -14,6 +14,7 @@
 #include "overload.h"
 #include "lwstr.h"
 #include "notice.h"
+#include "retrylimit.h"
 
 /* Flow control window: bytes of one body that may be sent before the receiver grants credit. */
 #define LW_CALL_WINDOW 65536
@@ -57,6 +58,7 @@
 	uint32_t retry_used; /* share of the retry allowance that those calls used, per mille */
 	lw_path_levels_t hots; /* services on the call path that reject some requests */
 	lw_notice_t notice; /* self-announcement of the backend server; server 0: none */
+	lw_arrivals_t arrivals; /* at the backend server */
 } lw_load_t;
 
 /* A request as it is sent to a node or a backend server. */
--- a/src/exchoutcome.c
+++ b/src/exchoutcome.c
@@ -18,6 +18,8 @@
 		.rank = x->rank,
 		.urgent = lw_fleetconf_most_urgent(e->conf, x->rank / LW_RANKS_PER_PRIORITY),
 		.used_below = lw_overload_retry_used(e->overload, x->route),
+		.used_fleet = lw_place_retries_used(x->service, &e->place.retry_allowance,
+						    e->evloop->now_us),
 		.begun = parent.call_retried,
 		.lot = e->lot,
 	};
--- a/src/gate.c
+++ b/src/gate.c
@@ -52,6 +52,7 @@
 	out->retry_used = 0;
 	out->hots.n = 0;
 	out->notice = g->notice.leaving || g->notice.limited ? g->notice : (lw_notice_t){ 0 };
+	lw_retrylimit_arrivals(&g->arrivals, g->retry_allowance, g->evloop->now_us, &out->arrivals);
 }
 
 /*
@@ -458,11 +459,13 @@
 }
 
 /* lw_gate_init() - initialise the gate of the backend server named in the settings. */
-void lw_gate_init(lw_gate_t *g, lw_evloop_t *evloop, lw_quarantine_t *quarantine)
+void lw_gate_init(lw_gate_t *g, lw_evloop_t *evloop, lw_quarantine_t *quarantine,
+		  const lw_retryallowance_t *retry_allowance)
 {
 	memset(g, 0, sizeof(*g));
 	g->evloop = evloop;
 	g->quarantine = quarantine;
+	g->retry_allowance = retry_allowance;
 	g->limit = lw_admit_limit(0);
 	g->service_us = SERVICE_INITIAL_US;
 	ev_timer_init(&g->expiry_timer, on_expiry_timer, 0, EXPIRY_INTERVAL_S);
--- a/src/gate.h
+++ b/src/gate.h
@@ -84,6 +84,8 @@
 	ev_timer level_timer; /* updates the admission level; active while there is work */
 	uint32_t idle_steps;
 	lw_level_t level;
+	const lw_retryallowance_t *retry_allowance;
+	lw_retrylimit_t arrivals; /* requests that were sent to the backend server */
 	struct lw_job *by_id; /* jobs by request id */
 	lw_crash_t crash;
 	lw_quarantine_t *quarantine;
@@ -104,7 +106,8 @@
 	uint64_t target_us; /* when the user request misses its latency objective */
 } lw_gate_parent_t;
 
-void lw_gate_init(lw_gate_t *g, lw_evloop_t *evloop, lw_quarantine_t *quarantine);
+void lw_gate_init(lw_gate_t *g, lw_evloop_t *evloop, lw_quarantine_t *quarantine,
+		  const lw_retryallowance_t *retry_allowance);
 void lw_gate_set_server(lw_gate_t *g, const lw_place_host_t *server);
 void lw_gate_set_leaving(lw_gate_t *g, bool leaving);
 bool lw_gate_leaving(const lw_gate_t *g);
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -295,6 +295,17 @@
 	lw_bconn_queue(j->conn, (lw_str_t){ lw_bytebuf_head(h), j->head_left });
 }
 
+static void count_arrival(const lw_job_t *j)
+{
+	lw_gate_t *g = j->gate;
+
+	if (j->repeat)
+		lw_retrylimit_count_retry(&g->arrivals, g->retry_allowance, j->started_us);
+	else
+		lw_retrylimit_count_request(&g->arrivals, g->retry_allowance, j->rank,
+					    j->started_us);
+}
+
 /* lw_job_start() - send the request to the backend server. */
 void lw_job_start(lw_job_t *j)
 {
@@ -312,6 +323,7 @@
 		return;
 	}
 	g->stats.started++;
+	count_arrival(j);
 	lw_histogram_add(&g->stats.wait, j->started_us - j->arrived_us);
 	lw_bconn_start(j->conn, &conn_ops, j, is_head);
 	if (j->body_length < 0 || j->body_length > LW_CALL_WINDOW)
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &lw__load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lw__arrivals__init
+                     (Lw__Arrivals         *message)
+{
+  static const Lw__Arrivals init_value = LW__ARRIVALS__INIT;
+  *message = init_value;
+}
+size_t lw__arrivals__get_packed_size
+                     (const Lw__Arrivals *message)
+{
+  assert(message->base.descriptor == &lw__arrivals__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lw__arrivals__pack
+                     (const Lw__Arrivals *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lw__arrivals__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lw__arrivals__pack_to_buffer
+                     (const Lw__Arrivals *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lw__arrivals__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lw__Arrivals *
+       lw__arrivals__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lw__Arrivals *)
+     protobuf_c_message_unpack (&lw__arrivals__descriptor,
+                                allocator, len, data);
+}
+void   lw__arrivals__free_unpacked
+                     (Lw__Arrivals *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lw__arrivals__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lw__open__init
                      (Lw__Open         *message)
 {
@@ -1442,7 +1487,7 @@
   (ProtobufCMessageInit) lw__notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__load__field_descriptors[16] =
+static const ProtobufCFieldDescriptor lw__load__field_descriptors[17] =
 {
   {
     "running",
@@ -1636,8 +1681,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "arrivals",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Load, arrivals),
+    &lw__arrivals__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__load__field_indices_by_name[] = {
+  16,   /* field[16] = arrivals */
   7,   /* field[7] = call_failed */
   6,   /* field[6] = config_version */
   8,   /* field[8] = depth */
@@ -1659,7 +1717,7 @@
 {
   { 1, 0 },
   { 13, 11 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor lw__load__descriptor =
 {
@@ -1669,13 +1727,90 @@
   "Lw__Load",
   "lw",
   sizeof(Lw__Load),
-  16,
+  17,
   lw__load__field_descriptors,
   lw__load__field_indices_by_name,
   2,  lw__load__number_ranges,
   (ProtobufCMessageInit) lw__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lw__arrivals__field_descriptors[4] =
+{
+  {
+    "retries",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Arrivals, retries),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Arrivals, requests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests_half",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Arrivals, requests_half),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests_before",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Arrivals, requests_before),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lw__arrivals__field_indices_by_name[] = {
+  1,   /* field[1] = requests */
+  3,   /* field[3] = requests_before */
+  2,   /* field[2] = requests_half */
+  0,   /* field[0] = retries */
+};
+static const ProtobufCIntRange lw__arrivals__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor lw__arrivals__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lw.Arrivals",
+  "Arrivals",
+  "Lw__Arrivals",
+  "lw",
+  sizeof(Lw__Arrivals),
+  4,
+  lw__arrivals__field_descriptors,
+  lw__arrivals__field_indices_by_name,
+  1,  lw__arrivals__number_ranges,
+  (ProtobufCMessageInit) lw__arrivals__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor lw__open__field_descriptors[13] =
 {
   {
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct Lw__Heard Lw__Heard;
 typedef struct Lw__Notice Lw__Notice;
 typedef struct Lw__Load Lw__Load;
+typedef struct Lw__Arrivals Lw__Arrivals;
 typedef struct Lw__Open Lw__Open;
 typedef struct Lw__Answer Lw__Answer;
 typedef struct Lw__Data Lw__Data;
@@ -212,10 +213,39 @@
    * absent: the server announces nothing
    */
   Lw__Notice *notice;
+  Lw__Arrivals *arrivals;
 };
 #define LW__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__load__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, NULL, NULL }
+
+
+/*
+ * Requests that reached the node's backend server.
+ */
+struct  Lw__Arrivals
+{
+  ProtobufCMessage base;
+  /*
+   * in the last window of the retry allowance
+   */
+  uint32_t retries;
+  /*
+   * first attempts in that window,
+   */
+  uint32_t requests;
+  /*
+   * in the one half a window before,
+   */
+  uint32_t requests_half;
+  /*
+   * and in the one before
+   */
+  uint32_t requests_before;
+};
+#define LW__ARRIVALS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lw__arrivals__descriptor) \
+    , 0, 0, 0, 0 }
 
 
 /*
@@ -837,6 +867,25 @@
 void   lw__load__free_unpacked
                      (Lw__Load *message,
                       ProtobufCAllocator *allocator);
+/* Lw__Arrivals methods */
+void   lw__arrivals__init
+                     (Lw__Arrivals         *message);
+size_t lw__arrivals__get_packed_size
+                     (const Lw__Arrivals   *message);
+size_t lw__arrivals__pack
+                     (const Lw__Arrivals   *message,
+                      uint8_t             *out);
+size_t lw__arrivals__pack_to_buffer
+                     (const Lw__Arrivals   *message,
+                      ProtobufCBuffer     *buffer);
+Lw__Arrivals *
+       lw__arrivals__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lw__arrivals__free_unpacked
+                     (Lw__Arrivals *message,
+                      ProtobufCAllocator *allocator);
 /* Lw__Open methods */
 void   lw__open__init
                      (Lw__Open         *message);
@@ -1288,6 +1337,9 @@
 typedef void (*Lw__Load_Closure)
                  (const Lw__Load *message,
                   void *closure_data);
+typedef void (*Lw__Arrivals_Closure)
+                 (const Lw__Arrivals *message,
+                  void *closure_data);
 typedef void (*Lw__Open_Closure)
                  (const Lw__Open *message,
                   void *closure_data);
@@ -1369,6 +1421,7 @@
 extern const ProtobufCMessageDescriptor lw__heard__descriptor;
 extern const ProtobufCMessageDescriptor lw__notice__descriptor;
 extern const ProtobufCMessageDescriptor lw__load__descriptor;
+extern const ProtobufCMessageDescriptor lw__arrivals__descriptor;
 extern const ProtobufCMessageDescriptor lw__open__descriptor;
 extern const ProtobufCMessageDescriptor lw__answer__descriptor;
 extern const ProtobufCMessageDescriptor lw__data__descriptor;
--- a/src/meshframe.c
+++ b/src/meshframe.c
@@ -148,6 +148,12 @@
 	out->load.depth = load->depth;
 	out->load.retry_used = load->retry_used;
 	out->load.notice = lw_meshframe_notice(&out->notice, &load->notice);
+	lw__arrivals__init(&out->arrivals);
+	out->arrivals.retries = load->arrivals.retries;
+	out->arrivals.requests = load->arrivals.requests[0];
+	out->arrivals.requests_half = load->arrivals.requests[1];
+	out->arrivals.requests_before = load->arrivals.requests[2];
+	out->load.arrivals = &out->arrivals;
 	out->load.n_hots = load->hots.n;
 	out->load.hots = out->list;
 	for (uint32_t i = 0; i < load->hots.n; i++) {
@@ -201,6 +207,12 @@
 	out->depth = in->depth;
 	out->retry_used = in->retry_used;
 	out->notice = lw_meshframe_read_notice(in->notice);
+	if (in->arrivals) {
+		out->arrivals.retries = in->arrivals->retries;
+		out->arrivals.requests[0] = in->arrivals->requests;
+		out->arrivals.requests[1] = in->arrivals->requests_half;
+		out->arrivals.requests[2] = in->arrivals->requests_before;
+	}
 	for (size_t i = 0; i < in->n_hots; i++) {
 		lw_service_level_t hot = { .level = in->hots[i]->level,
 					   .work_us = in->hots[i]->work_us };
--- a/src/meshframe.h
+++ b/src/meshframe.h
@@ -27,6 +27,7 @@
 	Lw__Heard levels_wire[LW_MESHFRAME_LEVELS_MAX];
 	Lw__Heard *levels_list[LW_MESHFRAME_LEVELS_MAX];
 	Lw__Notice notice;
+	Lw__Arrivals arrivals;
 } lw_meshframe_load_t;
 
 void lw_meshframe_append(lw_bytebuf_t *out, const Lw__MeshFrame *f);
--- a/src/place.h
+++ b/src/place.h
@@ -116,6 +116,8 @@
 uint32_t lw_place_level(const lw_place_service_t *s, uint64_t now_us);
 void lw_place_add_level(const lw_place_service_t *s, uint32_t work_us, uint64_t now_us,
 			lw_path_levels_t *out);
+uint32_t lw_place_retries_used(const lw_place_service_t *s, const lw_retryallowance_t *t,
+			       uint64_t now_us);
 const lw_place_host_t *lw_place_self(const lw_place_t *p, bool *known);
 
 #endif
--- a/src/placelevel.c
+++ b/src/placelevel.c
@@ -1,4 +1,7 @@
-/* Placement: the admission level of a service as a whole; see place.h. */
+/*
+ * Placement: the admission level of a service as a whole, and the retries that reach it; see
+ * place.h.
+ */
 #include <math.h>
 #include <string.h>
 
@@ -12,6 +15,9 @@
  */
 #define OPEN_LIFT_PRIORITIES 3
 
+/* older reports of arrivals are not used, us */
+#define ARRIVALS_STALE_US 1000000
+
 /* requests per microsecond that @h can execute */
 static double capacity_of(const lw_place_host_t *h)
 {
@@ -76,3 +82,25 @@
 	lw_str_copy(hot.service, sizeof(hot.service), lw_str_c(s->name));
 	lw_path_levels_add(out, &hot);
 }
+
+/*
+ * lw_place_retries_used() - per mille of the retry allowance of @s that all nodes use, estimated
+ * from the recent reports of its hosts. 0: there is none.
+ */
+uint32_t lw_place_retries_used(const lw_place_service_t *s, const lw_retryallowance_t *t,
+			       uint64_t now_us)
+{
+	lw_arrivals_t sum = { 0 };
+	uint32_t usable = 0, known = 0;
+
+	for (const lw_place_host_t *h = s->hosts; h; h = h->next) {
+		if (!lw_place_usable(h, now_us))
+			continue;
+		usable++;
+		if (!h->load_us || now_us - h->load_us > ARRIVALS_STALE_US)
+			continue;
+		known++;
+		lw_arrivals_add(&sum, &h->load.arrivals);
+	}
+	return known ? lw_arrivals_used(&sum, t, (double)known / usable) : 0;
+}
--- a/src/retrylimit.c
+++ b/src/retrylimit.c
@@ -59,6 +59,11 @@
  * this factor: the retries are lost if it fails in the end.
  */
 #define BEGUN_RANK_DIVISOR 4
+/*
+ * Per mille of the fleet's allowance up to which a node retries. What is left covers the retries
+ * that are sent before the reports of the servers' nodes include them.
+ */
+#define FLEET_USED_MAX 920
 /* limit of all retries, including first requests made by the execution of a retry */
 #define ALL_RETRIES_PART 0.95
 
@@ -198,6 +203,47 @@
 	return allowed > 0 ? (uint32_t)(sum.retries * 1000.0 / allowed) : 0;
 }
 
+/*
+ * lw_retrylimit_arrivals() - @out: the requests and retries that @l, in which the node of a
+ * backend server counts what reaches it, has seen.
+ */
+void lw_retrylimit_arrivals(const lw_retrylimit_t *l, const lw_retryallowance_t *t, uint64_t now_us,
+			    lw_arrivals_t *out)
+{
+	lw_retrylimit_t now = *l;
+	lw_retryslice_t sum;
+
+	advance(&now, t, now_us);
+	sum = window_sum(&now, 0);
+	add_slice_before(&now, &sum);
+	out->retries = sum.retries;
+	for (uint32_t i = 0; i < LW_RETRY_WINDOWS; i++)
+		out->requests[i] = window_sum(&now, i * LW_RETRY_SLICES / 2).requests;
+}
+
+/* lw_arrivals_add() - adds the arrivals at @one server to @sum. */
+void lw_arrivals_add(lw_arrivals_t *sum, const lw_arrivals_t *one)
+{
+	sum->retries += one->retries;
+	for (uint32_t i = 0; i < LW_RETRY_WINDOWS; i++)
+		sum->requests[i] += one->requests[i];
+}
+
+/*
+ * lw_arrivals_used() - per mille of the allowance that the retries in @sum have used. @part: the
+ * part of the service's servers that it covers.
+ */
+uint32_t lw_arrivals_used(const lw_arrivals_t *sum, const lw_retryallowance_t *t, double part)
+{
+	uint32_t most = 0;
+	double allowed;
+
+	for (uint32_t i = 0; i < LW_RETRY_WINDOWS; i++)
+		most = sum->requests[i] > most ? sum->requests[i] : most;
+	allowed = t->ratio * most + t->extra * part;
+	return allowed > 0 ? (uint32_t)(sum->retries * 1000.0 / allowed) : 0;
+}
+
 static double own_part(const lw_retryposition_t *at)
 {
 	uint32_t depths = at->above + 1 + at->below;
@@ -277,6 +323,8 @@
 	add_slice_before(l, &sum);
 	allowed = allowance(l, t, sum.requests, at->nodes);
 	share = allowed * own_part(at);
+	if (at->used_fleet > FLEET_USED_MAX)
+		return false;
 	if (sum.retries + 1 > whole_retries(l, allowed * ALL_RETRIES_PART, at->lot) ||
 	    sum.own + 1 > whole_retries(l, share, at->lot))
 		return false;
--- a/src/simfleet.c
+++ b/src/simfleet.c
@@ -177,6 +177,7 @@
 		.rank = q->rank,
 		.urgent = q->rank < LW_RANKS_PER_PRIORITY,
 		.used_below = lw_overload_retry_used(q->origin->hot, q->kind->name),
+		.used_fleet = lw_place_retries_used(q->host->service, &r->terms, r->now),
 		.begun = q->parent && q->parent->begun,
 		.lot = q->origin->lot,
 	};
--- a/src/simfleet_int.h
+++ b/src/simfleet_int.h
@@ -28,6 +28,7 @@
 	uint32_t lot;
 	lw_waitq_t queue;
 	lw_level_t level;
+	lw_retrylimit_t arrivals;
 	lw_place_t place; /* state of the other nodes as known here */
 	lw_overload_t *hot; /* overload of the services on the call paths */
 	char id[LW_NAME_MAX];
--- a/src/simserver.c
+++ b/src/simserver.c
@@ -71,6 +71,7 @@
 	e->server_failed = server_failed;
 	e->retry_after_ms = retry_after_ms;
 	lw_sim_node_load(q->at, &e->load);
+	lw_retrylimit_arrivals(&q->at->arrivals, &r->terms, r->now, &e->load.arrivals);
 	e->load.hots = q->hots;
 	e->load.ran_us = why == LW_FAIL_NONE ? (uint32_t)(r->now - q->started_us) : 0;
 	e->load.depth = q->depth;
@@ -159,6 +160,14 @@
 	return true;
 }
 
+static void count_arrival(run_t *r, sim_node_t *n, const req_t *q)
+{
+	if (q->attempts.reached)
+		lw_retrylimit_count_retry(&n->arrivals, &r->terms, r->now);
+	else
+		lw_retrylimit_count_request(&n->arrivals, &r->terms, q->rank, r->now);
+}
+
 static void dispatch(run_t *r, sim_node_t *n)
 {
 	uint32_t limit = r->sim->policy == LW_SIM_NAIVE ? n->slots : n->limit;
@@ -168,6 +177,7 @@
 
 		if (q->give_up_us <= r->now && r->sim->policy != LW_SIM_NAIVE)
 			continue;
+		count_arrival(r, n, q);
 		if (!shed(r, q))
 			start_work(r, q);
 	}
--- a/tests/decide_retry.c
+++ b/tests/decide_retry.c
@@ -118,6 +118,93 @@
 	     decide_retry_terms.ratio * (double)(nodes * num(a, 2)) + decide_retry_terms.extra);
 }
 
+#define SHIFT_NODES_MAX	 1024
+#define SHIFT_AT_S	 10
+#define SHIFT_BINS	 200
+#define SHIFT_BINS_PER_S 10
+
+/* requests and retries that reached the server, by tenths of a second */
+typedef struct shift_count {
+	double requests[SHIFT_BINS];
+	double retries[SHIFT_BINS];
+} shift_count_t;
+
+static double shift_sum(const double *bin, long from, long n)
+{
+	double sum = 0;
+
+	for (long i = from; i < from + n; i++)
+		sum += i >= 0 ? bin[i] : 0;
+	return sum;
+}
+
+/* the most of the allowance that any window of ten seconds used, in per mille */
+static long shift_used(const shift_count_t *c)
+{
+	long n = SHIFT_BINS / 2;
+	double most = 0;
+
+	for (long from = 0; from + n <= SHIFT_BINS; from++) {
+		double requests = 0, used;
+
+		for (long back = 0; back <= n; back += n / 2) {
+			double sum = shift_sum(c->requests, from - back, n);
+
+			requests = sum > requests ? sum : requests;
+		}
+		used = shift_sum(c->retries, from, n) /
+		       (decide_retry_terms.ratio * requests + decide_retry_terms.extra);
+		most = used > most ? used : most;
+	}
+	return (long)(most * 1000);
+}
+
+/*
+ * retry-shift NODES REQUESTS [to-one] [shares-only]: nodes call a service with one server; all of
+ * them together send as many requests a second, each from a node at random. After ten seconds the
+ * server fails each second attempt. to-one: from then on three quarters of all come from the first
+ * node. shares-only: the nodes don't hear what reaches the server. Prints the most of the
+ * allowance that any ten seconds used, in per mille.
+ */
+static void do_retry_shift(world_t *w, const words_t *a)
+{
+	static lw_retrylimit_t node[SHIFT_NODES_MAX];
+	lw_retrylimit_t server = { 0 };
+	uint32_t nodes = (uint32_t)num(a, 1), random = 1;
+	long all = num(a, 2), attempts = 0;
+	shift_count_t count = { 0 };
+
+	memset(node, 0, sizeof(node));
+
+	for (long i = 0; i < 2 * SHIFT_AT_S * all; i++) {
+		uint64_t now = 1000000 + (uint64_t)i * 1000000 / (uint64_t)all;
+		long bin = i * SHIFT_BINS_PER_S / all;
+		bool failing = i >= SHIFT_AT_S * all;
+		bool moved = failing && has(a, "to-one") && i % 4;
+		uint32_t k = moved ? 0 : (random >> 16) % nodes;
+		lw_retrylimit_t *l = &node[k];
+		lw_retryposition_t at = { .nodes = nodes, .above = 3, .urgent = true };
+
+		at.lot = k * 2654435769u;
+		random = random * 1664525 + 1013904223;
+		lw_retrylimit_count_request(l, &decide_retry_terms, 0, now);
+		lw_retrylimit_count_request(&server, &decide_retry_terms, 0, now);
+		count.requests[bin]++;
+		while (failing && attempts++ % 2 == 0) {
+			lw_arrivals_t seen;
+
+			lw_retrylimit_arrivals(&server, &decide_retry_terms, now, &seen);
+			if (!has(a, "shares-only"))
+				at.used_fleet = lw_arrivals_used(&seen, &decide_retry_terms, 1);
+			if (!lw_retrylimit_take(l, &decide_retry_terms, &at, now))
+				break;
+			lw_retrylimit_count_retry(&server, &decide_retry_terms, now);
+			count.retries[bin]++;
+		}
+	}
+	emit(w, "%ld", shift_used(&count));
+}
+
 static lw_fail_t fail_of(const char *name)
 {
 	for (int i = 0; i < LW_FAIL_COUNT; i++)
@@ -259,6 +346,7 @@
 	{ "retry-take", do_retry_take },
 	{ "retry-fault", do_retry_fault },
 	{ "retry-fleet", do_retry_fleet },
+	{ "retry-shift", do_retry_shift },
 	{ "verdict", do_verdict },
 	{ "comeback", do_comeback },
 	{ "admit", do_admit },
