Log which process a leaving announcement is bound to, and when another is listed

The logs could not tell the hypotheses of the incident apart: E1603 named the id alone, and nothing said that an announcement was dropped. E1603 now has the start time that the list had; the new E1606 says that a list has another start time for a server that leaves, how long after the announcement, and whether it is kept. No decision changes.

A host that was removed and is listed again after a copy is the old one, not a new one.

--- a/src/exchoutcome.c
+++ b/src/exchoutcome.c
@@ -129,7 +129,8 @@
 	lw_load_t path = *load;
 
 	if (x->host && lw_place_load_reported(x->host, load, e->evloop->now_us))
-		lw_log(LW_LOG_server_leaving, "server=%s by=node", x->host->id);
+		lw_log(LW_LOG_server_leaving, "server=%s by=node born_ms=%llu", x->host->id,
+		       (unsigned long long)x->host->born_ms);
 	lw_place_add_level(x->service, load->ran_us, e->evloop->now_us, &path.hots);
 	lw_overload_on_answer(e->overload, x->route, &path.hots, path.depth, e->evloop->now_us);
 	if (served && !x->nested)
@@ -152,8 +153,9 @@
 	lw_notice_fields_t said = { 0 };
 
 	lw_notice_parse_head(&said, a->head, x->engine->evloop->names);
-	if (said.leaving && x->host && lw_place_mark_leaving(x->host))
-		lw_log(LW_LOG_server_leaving, "server=%s by=passed_on", x->host->id);
+	if (said.leaving && x->host && lw_place_mark_leaving(x->host, x->engine->evloop->now_us))
+		lw_log(LW_LOG_server_leaving, "server=%s by=passed_on born_ms=%llu", x->host->id,
+		       (unsigned long long)x->host->born_ms);
 }
 
 static void on_host_replaced(lw_exchange_t *x)
--- a/src/gate.c
+++ b/src/gate.c
@@ -333,6 +333,15 @@
 		lw_gate_reset_notice(g);
 }
 
+/* the list has another start time for the server that announced that it is leaving */
+static void log_leaving_entry(const lw_gate_t *g, const lw_place_host_t *server)
+{
+	lw_log(LW_LOG_leaving_entry_changed,
+	       "server=%s at=gate born_ms=%llu entry_born_ms=%llu age_ms=%llu kept=0", server->id,
+	       (unsigned long long)g->server_born_ms, (unsigned long long)server->born_ms,
+	       (unsigned long long)((g->evloop->now_us - g->leaving_us) / 1000));
+}
+
 /*
  * lw_gate_set_server() - set the registration of the backend server on this host. If the server is
  * leaving, all queued requests are rejected at once.
@@ -345,8 +354,11 @@
 		g->slots = server->slots;
 		g->limit = lw_admit_limit(server->slots);
 	}
-	if (other || (g->server_born_ms && server->born_ms != g->server_born_ms))
+	if (other || (g->server_born_ms && server->born_ms != g->server_born_ms)) {
+		if (!other && g->notice.leaving)
+			log_leaving_entry(g, server);
 		forget_server(g, server);
+	}
 	lw_str_copy(g->server_id, sizeof(g->server_id), lw_str_c(server->id));
 	g->server_born_ms = server->born_ms;
 	g->notice.server = lw_notice_server_digest(server->id);
--- a/src/gate.h
+++ b/src/gate.h
@@ -85,6 +85,7 @@
 	char server_id[LW_NAME_MAX]; /* id of the current backend server on this host */
 	char replaced_id[LW_NAME_MAX]; /* id that the backend server rejected as not its own */
 	lw_notice_t notice; /* self-announcement of the process of server_id */
+	uint64_t leaving_us; /* when it announced that it is leaving */
 	lw_notice_limit_t announced_limit; /* rate limit from that self-announcement */
 	lw_ratelimit_t ratelimit; /* enforces that rate limit */
 	void (*on_notice_change)(void *ctx); /* called when the notice changed */
--- a/src/gatenotice.c
+++ b/src/gatenotice.c
@@ -39,7 +39,9 @@
 static void on_leaving(lw_gate_t *g)
 {
 	g->notice.leaving = true;
-	lw_log(LW_LOG_server_leaving, "server=%s by=answer", g->server_id);
+	g->leaving_us = g->evloop->now_us;
+	lw_log(LW_LOG_server_leaving, "server=%s by=answer born_ms=%llu", g->server_id,
+	       (unsigned long long)g->server_born_ms);
 	lw_gate_reject_queued(g, LW_FAIL_LEAVING);
 	if (g->on_notice_change)
 		g->on_notice_change(g->on_notice_change_ctx);
--- a/src/log.h
+++ b/src/log.h
@@ -122,6 +122,8 @@
 	  "the local backend server crashed with requests in progress; it accepts no connections") \
 	X(1603, server_leaving, LOG_NOTICE,                                                        \
 	  "a backend server announces in its answers that it is leaving; it gets no new requests") \
+	X(1606, leaving_entry_changed, LOG_NOTICE,                                                 \
+	  "the server list has another start time for a backend server that is leaving")           \
 	X(1604, server_limit, LOG_NOTICE,                                                          \
 	  "the local backend server announced or lifted a limit on requests/s from all hosts")     \
 	X(1605, limit_invalid, LOG_WARNING,                                                        \
--- a/src/place.h
+++ b/src/place.h
@@ -28,6 +28,7 @@
 	uint64_t removed_us; /* when its entry was found missing; 0: it is not missing */
 	uint64_t use_until_us; /* until then it may get work although it is not listed */
 	bool draining; /* its process is stopping, by the list or its own answers; never reset */
+	uint64_t draining_us; /* when this node learned that */
 	uint32_t slots;
 	lw_load_t load; /* as reported last by its node */
 	uint64_t load_us; /* time of that report; 0: none */
@@ -50,8 +51,14 @@
 	struct lw_place_service *next;
 } lw_place_service_t;
 
+/* Called when a list has a host @entry for the id of @known, which is draining. */
+typedef void (*lw_place_entry_fn)(void *ctx, const lw_place_host_t *known,
+				  const lw_place_host_t *entry);
+
 typedef struct lw_place {
 	lw_place_service_t *services;
+	lw_place_entry_fn on_leaving_entry; /* may be NULL */
+	void *on_leaving_entry_ctx;
 	char zone[LW_NAME_MAX];
 	char backend[LW_NAME_MAX]; /* address of the backend server on this host */
 	uint32_t mesh_port;
@@ -106,7 +113,7 @@
 void lw_place_request_sent(lw_place_host_t *h);
 void lw_place_request_done(lw_place_host_t *h, bool ok, uint64_t now_us);
 void lw_place_mark_replaced(lw_place_host_t *h, uint64_t now_us);
-bool lw_place_mark_leaving(lw_place_host_t *h);
+bool lw_place_mark_leaving(lw_place_host_t *h, uint64_t now_us);
 bool lw_place_load_reported(lw_place_host_t *h, const lw_load_t *load, uint64_t now_us);
 const lw_place_host_t *lw_place_node_load_reported(lw_place_t *p, const char *node,
 						   const lw_load_t *load, uint64_t now_us);
--- a/src/placelist.c
+++ b/src/placelist.c
@@ -162,6 +162,19 @@
 	return h;
 }
 
+/* reports that @h, which was not listed, has the id of another host that is draining */
+static void report_leaving(const lw_place_t *p, const host_index_t *known, const lw_place_host_t *h)
+{
+	if (!p->on_leaving_entry)
+		return;
+	for (size_t i = first_of_id(known, h->id); i < known->n; i++) {
+		if (strcmp(known->host[i]->id, h->id) != 0)
+			return;
+		if (known->host[i] != h && known->host[i]->draining)
+			p->on_leaving_entry(p->on_leaving_entry_ctx, known->host[i], h);
+	}
+}
+
 static void drop_forgotten(lw_place_t *p, uint64_t now_us)
 {
 	for (lw_place_service_t *s = p->services; s; s = s->next) {
@@ -240,14 +253,19 @@
 		const lw_server_entry_t *e = &sl->servers[i];
 		lw_place_host_t *h = host_find(&known, e);
 
+		bool appears = !h || h->removed_us;
+
 		if (!h)
 			h = host_add(p, e);
+		if (appears)
+			report_leaving(p, &known, h);
 		h->listed = true;
 		h->removed_us = 0;
 		if (e->born_ms)
 			h->born_ms = e->born_ms;
 		/* a drain disappears only in a copy of the store that is older than the drain */
-		h->draining |= e->draining;
+		if (e->draining)
+			lw_place_mark_leaving(h, now_us);
 		p->nhosts++;
 	}
 	free(known.host);
--- a/src/placestate.c
+++ b/src/placestate.c
@@ -56,11 +56,13 @@
  * host gets no new work, whatever its store entry says. False if this was
  * known already.
  */
-bool lw_place_mark_leaving(lw_place_host_t *h)
+bool lw_place_mark_leaving(lw_place_host_t *h, uint64_t now_us)
 {
 	bool changed = !h->draining;
 
 	h->draining = true;
+	if (changed)
+		h->draining_us = now_us;
 	return changed;
 }
 
@@ -75,7 +77,7 @@
 	h->sent = 0;
 	if (!lw_notice_matches(&load->notice, h->id, h->born_ms))
 		memset(&h->load.notice, 0, sizeof(h->load.notice));
-	return h->load.notice.leaving && lw_place_mark_leaving(h);
+	return h->load.notice.leaving && lw_place_mark_leaving(h, now_us);
 }
 
 /*
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -181,6 +181,7 @@
 	lw_proxy_quota_init(p);
 	lw_place_init(&p->engine.place, set->zone, set->backend, set->mesh_port,
 		      lw_proxy_settings_retry_allowance(set));
+	lw_proxy_news_init(p);
 	p->engine.quarantine = lw_quarantine_new();
 	lw_gate_init(&p->engine.gate, &p->evloop, p->engine.quarantine,
 		     &p->engine.place.retry_allowance);
--- a/src/proxy_int.h
+++ b/src/proxy_int.h
@@ -87,6 +87,7 @@
 void lw_proxy_lease_entry_missing(lw_proxy_t *p);
 void lw_proxy_announce(void *ctx);
 void lw_proxy_on_server_notice(void *ctx, const lw_notice_fields_t *said, uint64_t sent_us);
+void lw_proxy_news_init(lw_proxy_t *p);
 void lw_proxy_notice_init(lw_proxy_t *p);
 const char *lw_proxy_health_path(const lw_proxy_t *p);
 void lw_proxy_lease_entry_found(lw_proxy_t *p, uint64_t born_ms);
--- a/src/proxymesh.c
+++ b/src/proxymesh.c
@@ -19,7 +19,8 @@
 		lw_place_node_load_reported(&p->engine.place, node, load, p->evloop.now_us);
 
 	if (leaving)
-		lw_log(LW_LOG_server_leaving, "server=%s by=node", leaving->id);
+		lw_log(LW_LOG_server_leaving, "server=%s by=node born_ms=%llu", leaving->id,
+		       (unsigned long long)leaving->born_ms);
 }
 
 static void mesh_liveness_asserted(void *ctx, const char *node, const char *server,
--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -104,6 +104,25 @@
 	return use_s > 0 ? p->store_read_us + (uint64_t)(use_s * 1e6) : 0;
 }
 
+/* the list has the entry of another process of a server that is leaving */
+static void on_leaving_entry(void *ctx, const lw_place_host_t *known, const lw_place_host_t *entry)
+{
+	const lw_proxy_t *p = ctx;
+
+	lw_log(LW_LOG_leaving_entry_changed,
+	       "server=%s at=placement born_ms=%llu entry_born_ms=%llu age_ms=%llu kept=%d",
+	       known->id, (unsigned long long)known->born_ms, (unsigned long long)entry->born_ms,
+	       (unsigned long long)((p->evloop.now_us - known->draining_us) / 1000),
+	       entry->draining);
+}
+
+/* lw_proxy_news_init() - call after the placement has been initialised. */
+void lw_proxy_news_init(lw_proxy_t *p)
+{
+	p->engine.place.on_leaving_entry = on_leaving_entry;
+	p->engine.place.on_leaving_entry_ctx = p;
+}
+
 /* lw_proxy_apply_servers() - uses the list @sl if it is newer; takes ownership of it. */
 void lw_proxy_apply_servers(lw_proxy_t *p, lw_serverlist_t *sl, const char *from)
 {
--- a/tests/test_notice.c
+++ b/tests/test_notice.c
@@ -81,7 +81,7 @@
 
 	switch (what) {
 	case ANSWER_LEAVING:
-		lw_place_mark_leaving(h);
+		lw_place_mark_leaving(h, now_us);
 		return true;
 	case LIST_READY:
 		apply_list(p, 1000, now_us);
