A leaving announcement holds for every process that may have made it

What callers saw: a request reached a server seconds after that server had said that it leaves, when it had been started anew under its id shortly before.

Cause: an answer names no process. The announcement was bound to the start time that the server list had when it came.

Change: the announcement carries the time at which the node beside the server saw the answer, by the clock of the host on which the server runs (leaving.c). It holds for each entry of that id whose start is not certainly later. Only a newer observation ends it: the node beside the server checks the server's health when the list names another process, twice a second, and an answer to a check sent after the announcement that does not repeat it is of the next process. It is told to all nodes with its time, so that reports may come late or in any order, and nodes in doubt stay connected to hear of it. A new node beside a server makes such a check, too. A start time below that of a draining process is that of an older one.

Why it works: late work needs an entry that ends the announcement, and no entry does any more unless its process started after the announcement by the same clock, with 5 s for a clock that is set back. The next process is not shut out: the check needs one answer.

Older nodes leave the new field of the frame out; their announcements are bound as before, and one that is passed on counts with the clock of the node that passes it on, plus 5 s.

--- a/src/exchoutcome.c
+++ b/src/exchoutcome.c
@@ -1,8 +1,12 @@
 /* Handles the outcome of each attempt: retry on another server, resend, or answer. */
 #include "exchange_int.h"
 
+#include "leavinglog.h"
+#include "linux/clock.h"
 #include "log.h"
 
+/* by how much the clocks of two hosts may differ, ms */
+#define CLOCK_DIFFERENCE_MAX_MS 5000
 /* if no other server has room, a stalled attempt is checked again after this, in seconds */
 #define STALL_RECHECK_S 0.1
 
@@ -128,9 +132,9 @@
 					   e->place.nsharing, e->evloop->now_us);
 	lw_load_t path = *load;
 
-	if (x->host && lw_place_load_reported(x->host, load, e->evloop->now_us))
-		lw_log(LW_LOG_server_leaving, "server=%s by=node born_ms=%llu", x->host->id,
-		       (unsigned long long)x->host->born_ms);
+	if (x->host)
+		lw_leavinglog_host(
+			x->host, lw_place_load_reported(x->host, load, e->evloop->now_us), "node");
 	lw_place_add_level(x->service, load->ran_us, e->evloop->now_us, &path.hots);
 	lw_overload_on_answer(e->overload, x->route, &path.hots, path.depth, e->evloop->now_us);
 	if (served && !x->nested)
@@ -143,19 +147,32 @@
 		lw_gate_note_call(&e->gate, x->parent_id, &path);
 }
 
+/*
+ * When the answer was given that announces that @h is leaving, Unix time of its host, ms. If the
+ * node there runs a version that does not report it: no earlier than that.
+ */
+static uint64_t announced_ms(const lw_place_host_t *h, const lw_load_t *load)
+{
+	const lw_notice_t *n = load ? &load->notice : NULL;
+
+	if (n && n->leaving && n->seen_ms && n->server == lw_notice_server_digest(h->id))
+		return n->seen_ms;
+	return lw_now_unix_ms() + CLOCK_DIFFERENCE_MAX_MS;
+}
+
 /*
  * A node that forwards an answer in which the server announces that it is leaving heeds that
  * announcement from then on, even if neither the store nor the node beside the server can be
  * reached. Otherwise the server would get requests that fail when it exits.
  */
-static void apply_notice(const lw_exchange_t *x, const lw_answer_t *a)
+static void apply_notice(const lw_exchange_t *x, const lw_answer_t *a, const lw_load_t *load)
 {
 	lw_notice_fields_t said = { 0 };
 
 	lw_notice_parse_head(&said, a->head, x->engine->evloop->names);
-	if (said.leaving && x->host && lw_place_mark_leaving(x->host, x->engine->evloop->now_us))
-		lw_log(LW_LOG_server_leaving, "server=%s by=passed_on born_ms=%llu", x->host->id,
-		       (unsigned long long)x->host->born_ms);
+	if (said.leaving && x->host &&
+	    lw_place_mark_leaving(x->host, announced_ms(x->host, load), x->engine->evloop->now_us))
+		lw_leavinglog_host(x->host, LW_LEAVING_BEGAN, "passed_on");
 }
 
 static void on_host_replaced(lw_exchange_t *x)
@@ -284,7 +301,7 @@
 
 	if (x->dead)
 		return;
-	apply_notice(x, a);
+	apply_notice(x, a, load);
 	if (load)
 		apply_load(x, load, fin && a->status < 500);
 	if (a->status >= 500 && !(load && load->call_failed) &&
--- a/src/gate.c
+++ b/src/gate.c
@@ -36,7 +36,7 @@
 	out->leaving = lw_gate_leaving(g) || g->exiting || g->evloop->peers_notified;
 	out->down = g->evloop->now_us < g->down_until_us;
 	out->machine_percent = lw_machine_percent(&g->machine, g->evloop->now_us);
-	out->notice = g->notice.leaving || g->notice.limited ? g->notice : (lw_notice_t){ 0 };
+	lw_gate_report_notice(g, &out->notice);
 	lw_retrylimit_arrivals(&g->arrivals, g->retry_allowance, g->evloop->now_us, &out->arrivals);
 }
 
@@ -315,7 +315,7 @@
 }
 
 /* nothing known about the previous process applies to the new one */
-static void forget_server(lw_gate_t *g, const lw_place_host_t *server)
+static void forget_server(lw_gate_t *g)
 {
 	g->replaced_id[0] = '\0';
 	g->down_until_us = 0;
@@ -325,21 +325,6 @@
 	g->started_since_report = 0;
 	lw_gate_forget_kinds(g);
 	lw_handback_reset(&g->handback);
-	/*
-	 * a notice received from other nodes before the first server list is about this process,
-	 * unless it names a different one
-	 */
-	if (g->server_id[0] || !lw_notice_matches(&g->notice, server->id, server->born_ms))
-		lw_gate_reset_notice(g);
-}
-
-/* the list has another start time for the server that announced that it is leaving */
-static void log_leaving_entry(const lw_gate_t *g, const lw_place_host_t *server)
-{
-	lw_log(LW_LOG_leaving_entry_changed,
-	       "server=%s at=gate born_ms=%llu entry_born_ms=%llu age_ms=%llu kept=0", server->id,
-	       (unsigned long long)g->server_born_ms, (unsigned long long)server->born_ms,
-	       (unsigned long long)((g->evloop->now_us - g->leaving_us) / 1000));
 }
 
 /*
@@ -349,23 +334,24 @@
 void lw_gate_set_server(lw_gate_t *g, const lw_place_host_t *server)
 {
 	bool other = strcmp(g->server_id, server->id) != 0;
+	bool restarted = !other && g->server_born_ms && server->born_ms != g->server_born_ms;
 
 	if (server->slots && server->slots != g->slots) {
 		g->slots = server->slots;
 		g->limit = lw_admit_limit(server->slots);
 	}
-	if (other || (g->server_born_ms && server->born_ms != g->server_born_ms)) {
-		if (!other && g->notice.leaving)
-			log_leaving_entry(g, server);
-		forget_server(g, server);
-	}
+	if (other || restarted)
+		forget_server(g);
+	if (other)
+		lw_gate_server_changed(g, server);
+	else if (restarted)
+		lw_gate_process_changed(g, server);
 	lw_str_copy(g->server_id, sizeof(g->server_id), lw_str_c(server->id));
 	g->server_born_ms = server->born_ms;
 	g->notice.server = lw_notice_server_digest(server->id);
 	g->notice.born_ms = server->born_ms;
-	/* also reported to nodes that restart, whatever the store contains by then */
-	g->notice.leaving |= server->draining;
-	lw_gate_set_leaving(g, server->draining);
+	g->list_draining |= server->list_draining;
+	lw_gate_set_leaving(g, server->list_draining);
 }
 
 /*
--- a/src/gate.h
+++ b/src/gate.h
@@ -78,14 +78,22 @@
 	double service_us; /* moving average of the execution time */
 	double longest_us; /* longest recent execution time */
 	uint64_t longest_at_us; /* when that execution ended; the value decays from then on */
-	bool leaving; /* the server list says that the backend server accepts no new work */
+	bool leaving; /* the backend server accepts no new work, by the server list or its lease */
+	bool list_draining; /* the list has said that its process is draining */
 	uint64_t down_until_us; /* it accepted no connection; no attempt is made until then */
 	bool exiting; /* this node is about to exit */
 	uint64_t server_born_ms; /* start time of its process; 0: unknown */
 	char server_id[LW_NAME_MAX]; /* id of the current backend server on this host */
 	char replaced_id[LW_NAME_MAX]; /* id that the backend server rejected as not its own */
-	lw_notice_t notice; /* self-announcement of the process of server_id */
-	uint64_t leaving_us; /* when it announced that it is leaving */
+	lw_notice_t notice; /* self-announcement of the backend server with server_id */
+	uint64_t leaving_us; /* when it last announced that it is leaving; 0: never */
+	/*
+	 * another process than the one that was listed then may run: the next answer decides
+	 * whether the announcement still holds
+	 */
+	bool process_in_doubt;
+	uint64_t
+		accepting_us; /* when an answer resolved that doubt: it accepts work; 0: none did */
 	lw_notice_limit_t announced_limit; /* rate limit from that self-announcement */
 	lw_ratelimit_t ratelimit; /* enforces that rate limit */
 	void (*on_notice_change)(void *ctx); /* called when the notice changed */
@@ -129,6 +137,8 @@
 void lw_gate_set_leaving(lw_gate_t *g, bool leaving);
 bool lw_gate_leaving(const lw_gate_t *g);
 void lw_gate_on_notice(lw_gate_t *g, const lw_notice_fields_t *said, uint64_t sent_us);
+void lw_gate_on_accepting(lw_gate_t *g, uint64_t sent_us);
+void lw_gate_report_notice(const lw_gate_t *g, lw_notice_t *out);
 lw_call_t *lw_gate_submit(lw_gate_t *g, lw_sink_t *sink, const lw_call_request_t *req,
 			  lw_str_t body, bool fin, lw_fail_t *why, uint32_t *retry_after_ms);
 uint64_t lw_gate_oldest_us(const lw_gate_t *g);
--- a/src/gate_int.h
+++ b/src/gate_int.h
@@ -70,6 +70,8 @@
 void lw_gate_reject_queued(lw_gate_t *g, lw_fail_t why);
 void lw_gate_accept_reported_limit(lw_gate_t *g, const lw_notice_t *reported);
 void lw_gate_reset_notice(lw_gate_t *g);
+void lw_gate_server_changed(lw_gate_t *g, const lw_place_host_t *server);
+void lw_gate_process_changed(lw_gate_t *g, const lw_place_host_t *server);
 void lw_gate_server_down(lw_gate_t *g);
 void lw_gate_check_crash(lw_job_t *j);
 void lw_gate_confirm_crash(lw_gate_t *g);
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -147,8 +147,11 @@
 {
 	lw_notice_fields_t said = lw_httphead_notice(h);
 
-	if (h->status != 421 && strcmp(j->target, j->gate->server_id) == 0)
-		lw_gate_on_notice(j->gate, &said, j->started_us);
+	if (h->status == 421 || strcmp(j->target, j->gate->server_id) != 0)
+		return;
+	lw_gate_on_notice(j->gate, &said, j->started_us);
+	if (!said.leaving && h->status < 500)
+		lw_gate_on_accepting(j->gate, j->started_us);
 }
 
 /*
--- a/src/linux/clock.c
+++ b/src/linux/clock.c
@@ -34,6 +34,18 @@
 	return (uint64_t)ts.tv_sec * 1000000 + (uint64_t)ts.tv_nsec / 1000;
 }
 
+/*
+ * lw_now_unix_ms() - CLOCK_REALTIME in milliseconds. Only for comparisons with the start times
+ * that backend servers report: this clock can be set back.
+ */
+uint64_t lw_now_unix_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
 /*
  * lw_cond_init_monotonic() - initialises a condition variable whose timeouts use
  * CLOCK_MONOTONIC.
--- a/src/log.h
+++ b/src/log.h
@@ -124,6 +124,8 @@
 	  "a backend server announces in its answers that it is leaving; it gets no new requests") \
 	X(1606, leaving_entry_changed, LOG_NOTICE,                                                 \
 	  "the server list has another start time for a backend server that is leaving")           \
+	X(1607, leaving_ended, LOG_NOTICE,                                                         \
+	  "a backend server that was leaving has been restarted; it gets new requests again")      \
 	X(1604, server_limit, LOG_NOTICE,                                                          \
 	  "the local backend server announced or lifted a limit on requests/s from all hosts")     \
 	X(1605, limit_invalid, LOG_WARNING,                                                        \
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -1442,7 +1442,7 @@
   (ProtobufCMessageInit) lw__heard__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__notice__field_descriptors[5] =
+static const ProtobufCFieldDescriptor lw__notice__field_descriptors[6] =
 {
   {
     "server",
@@ -1504,18 +1504,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seen_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Notice, seen_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__notice__field_indices_by_name[] = {
   1,   /* field[1] = born_ms */
   2,   /* field[2] = leaving */
   4,   /* field[4] = limit_per_s */
   3,   /* field[3] = limited */
+  5,   /* field[5] = seen_ms */
   0,   /* field[0] = server */
 };
 static const ProtobufCIntRange lw__notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor lw__notice__descriptor =
 {
@@ -1525,7 +1538,7 @@
   "Lw__Notice",
   "lw",
   sizeof(Lw__Notice),
-  5,
+  6,
   lw__notice__field_descriptors,
   lw__notice__field_indices_by_name,
   1,  lw__notice__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -139,10 +139,14 @@
    * requests per second from all hosts
    */
   double limit_per_s;
+  /*
+   * when an answer showed whether the server is leaving, Unix time of its host, ms; 0: none did
+   */
+  uint64_t seen_ms;
 };
 #define LW__NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__notice__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/meshframe.c
+++ b/src/meshframe.c
@@ -110,6 +110,7 @@
 	out->leaving = n->leaving;
 	out->limited = n->limited;
 	out->limit_per_s = n->limit_per_s;
+	out->seen_ms = n->seen_ms;
 	return out;
 }
 
@@ -125,6 +126,7 @@
 		/* the comparison is false for NaN, too */
 		.limited = in->limited && in->limit_per_s >= 0,
 		.limit_per_s = in->limit_per_s >= 0 ? in->limit_per_s : 0,
+		.seen_ms = in->seen_ms,
 	};
 }
 
--- a/src/notice.c
+++ b/src/notice.c
@@ -6,6 +6,8 @@
 #include <strings.h>
 #include <xxhash.h>
 
+#include "leaving.h"
+
 /* headers that contain announcements */
 static const lw_header_t announcement_headers[] = { LW_HEADER_LEAVING, LW_HEADER_LIMIT };
 #define NANNOUNCEMENT_HEADERS (sizeof(announcement_headers) / sizeof(announcement_headers[0]))
@@ -146,11 +148,15 @@
 }
 
 /*
- * lw_notice_matches() - whether @n is about the process of server @id that started at
+ * lw_notice_matches() - whether @n may be about the process of server @id that started at
  * @born_ms; an unknown start matches any.
  */
 bool lw_notice_matches(const lw_notice_t *n, const char *id, uint64_t born_ms)
 {
-	return n->server && n->server == lw_notice_server_digest(id) &&
-	       (!n->born_ms || !born_ms || n->born_ms == born_ms);
+	if (!n->server || n->server != lw_notice_server_digest(id))
+		return false;
+	/* an answer does not tell which process gave it, the server list does */
+	if (n->seen_ms)
+		return lw_leaving_may_concern(n->seen_ms, born_ms);
+	return !n->born_ms || !born_ms || n->born_ms == born_ms;
 }
--- a/src/notice.h
+++ b/src/notice.h
@@ -28,13 +28,18 @@
 	uint64_t updated_us; /* when the last response was applied; 0: none was */
 } lw_notice_limit_t;
 
-/* What is known about one process of a backend server. */
+/* What the node on the host of a backend server knows about it. */
 typedef struct lw_notice {
 	uint64_t server; /* digest of its id; 0: nothing is known */
-	uint64_t born_ms; /* start time of the process; 0: unknown */
-	bool leaving; /* final: a process that is leaving never becomes available again */
+	uint64_t born_ms; /* start time of the process in the server list; 0: unknown */
+	bool leaving;
 	bool limited;
 	double limit_per_s;
+	/*
+	 * when an answer showed whether the server is leaving, Unix time of its host in ms;
+	 * 0: only the list has shown that, or the node runs a version that does not report it
+	 */
+	uint64_t seen_ms;
 } lw_notice_t;
 
 void lw_notice_parse_field(lw_notice_fields_t *fields, lw_header_t meaning, lw_str_t value);
--- a/src/place.h
+++ b/src/place.h
@@ -13,6 +13,7 @@
 
 #include "call.h"
 #include "fleetconf.h"
+#include "leaving.h"
 #include "retrylimit.h"
 #include "zoneplan.h"
 
@@ -27,7 +28,10 @@
 	bool listed; /* in the latest server list */
 	uint64_t removed_us; /* when its entry was found missing; 0: it is not missing */
 	uint64_t use_until_us; /* until then it may get work although it is not listed */
-	bool draining; /* its process is stopping, by the list or its own answers; never reset */
+	bool list_draining; /* its process is stopping according to the list; never reset */
+	lw_leaving_t leaving; /* whether its process is stopping according to its answers */
+	bool leaving_in_doubt; /* that answer may be of another process with the same id */
+	bool draining; /* it gets no new work, as it is stopping by the list or its answers */
 	uint64_t draining_us; /* when this node learned that */
 	uint32_t slots;
 	lw_load_t load; /* as reported last by its node */
@@ -113,8 +117,13 @@
 void lw_place_request_sent(lw_place_host_t *h);
 void lw_place_request_done(lw_place_host_t *h, bool ok, uint64_t now_us);
 void lw_place_mark_replaced(lw_place_host_t *h, uint64_t now_us);
-bool lw_place_mark_leaving(lw_place_host_t *h, uint64_t now_us);
-bool lw_place_load_reported(lw_place_host_t *h, const lw_load_t *load, uint64_t now_us);
+void lw_place_list_draining(lw_place_host_t *h, uint64_t now_us);
+bool lw_place_mark_leaving(lw_place_host_t *h, uint64_t seen_ms, uint64_t now_us);
+lw_leaving_change_t lw_place_notice_reported(lw_place_host_t *h, const lw_notice_t *n,
+					     uint64_t now_us);
+void lw_place_inherit_leaving(lw_place_host_t *h, const lw_place_host_t *other, uint64_t now_us);
+lw_leaving_change_t lw_place_load_reported(lw_place_host_t *h, const lw_load_t *load,
+					   uint64_t now_us);
 const lw_place_host_t *lw_place_node_load_reported(lw_place_t *p, const char *node,
 						   const lw_load_t *load, uint64_t now_us);
 void lw_place_node_lost(lw_place_t *p, const char *node, bool used, uint64_t now_us);
--- a/src/placelist.c
+++ b/src/placelist.c
@@ -162,16 +162,20 @@
 	return h;
 }
 
-/* reports that @h, which was not listed, has the id of another host that is draining */
-static void report_leaving(const lw_place_t *p, const host_index_t *known, const lw_place_host_t *h)
+/* applies to @h, which was not listed, what is known of the other hosts with its id */
+static void inherit_leaving(const lw_place_t *p, const host_index_t *known, lw_place_host_t *h,
+			    uint64_t now_us)
 {
-	if (!p->on_leaving_entry)
-		return;
 	for (size_t i = first_of_id(known, h->id); i < known->n; i++) {
-		if (strcmp(known->host[i]->id, h->id) != 0)
+		const lw_place_host_t *other = known->host[i];
+
+		if (strcmp(other->id, h->id) != 0)
 			return;
-		if (known->host[i] != h && known->host[i]->draining)
-			p->on_leaving_entry(p->on_leaving_entry_ctx, known->host[i], h);
+		if (other == h)
+			continue;
+		lw_place_inherit_leaving(h, other, now_us);
+		if (other->draining && p->on_leaving_entry)
+			p->on_leaving_entry(p->on_leaving_entry_ctx, other, h);
 	}
 }
 
@@ -257,15 +261,15 @@
 
 		if (!h)
 			h = host_add(p, e);
-		if (appears)
-			report_leaving(p, &known, h);
 		h->listed = true;
 		h->removed_us = 0;
 		if (e->born_ms)
 			h->born_ms = e->born_ms;
 		/* a drain disappears only in a copy of the store that is older than the drain */
 		if (e->draining)
-			lw_place_mark_leaving(h, now_us);
+			lw_place_list_draining(h, now_us);
+		if (appears)
+			inherit_leaving(p, &known, h, now_us);
 		p->nhosts++;
 	}
 	free(known.host);
@@ -314,13 +318,15 @@
 /*
  * lw_place_each_suspect() - call @fn with the node of each suspect host; the
  * caller probes whether the node has recovered before requests are risked
- * there.
+ * there. A host that may have been restarted since it announced that it is
+ * leaving is among them, as only its node can tell.
  */
 void lw_place_each_suspect(const lw_place_t *p, lw_place_node_fn fn, void *ctx)
 {
 	for (const lw_place_service_t *s = p->services; s; s = s->next)
 		for (const lw_place_host_t *h = s->hosts; h; h = h->next)
-			if (h->listed && !h->self && h->backoff_ms)
+			if (h->listed && !h->self &&
+			    (h->backoff_ms || (h->leaving_in_doubt && !h->list_draining)))
 				fn(ctx, h->node);
 }
 
--- a/src/placestate.c
+++ b/src/placestate.c
@@ -52,54 +52,49 @@
 }
 
 /*
- * lw_place_mark_leaving() - the process of @h announced that it stops: the
- * host gets no new work, whatever its store entry says. False if this was
- * known already.
+ * lw_place_load_reported() - the node of @h reported its load. Returns what this changes about
+ * whether the server is leaving.
  */
-bool lw_place_mark_leaving(lw_place_host_t *h, uint64_t now_us)
-{
-	bool changed = !h->draining;
-
-	h->draining = true;
-	if (changed)
-		h->draining_us = now_us;
-	return changed;
-}
-
-/*
- * lw_place_load_reported() - the node of @h reported its load. Returns true
- * if the report is the first to say that the server stops.
- */
-bool lw_place_load_reported(lw_place_host_t *h, const lw_load_t *load, uint64_t now_us)
+lw_leaving_change_t lw_place_load_reported(lw_place_host_t *h, const lw_load_t *load,
+					   uint64_t now_us)
 {
 	h->load = *load;
 	h->load_us = now_us;
 	h->sent = 0;
 	if (!lw_notice_matches(&load->notice, h->id, h->born_ms))
 		memset(&h->load.notice, 0, sizeof(h->load.notice));
-	return h->load.notice.leaving && lw_place_mark_leaving(h, now_us);
+	return lw_place_notice_reported(h, &load->notice, now_us);
+}
+
+static lw_leaving_change_t apply_node_load(lw_place_host_t *h, const lw_load_t *load,
+					   uint64_t now_us)
+{
+	bool was_draining = h->draining;
+	lw_leaving_change_t change = lw_place_notice_reported(h, &load->notice, now_us);
+
+	if (!lw_place_usable(h, now_us) || (was_draining && h->draining))
+		return change;
+	h->suspect_until_us = 0;
+	h->backoff_ms = 0;
+	lw_place_load_reported(h, load, now_us);
+	return change;
 }
 
 /*
- * lw_place_node_load_reported() - a node reported the load of its backend
- * server, whichever server that is. Returns the server if the report is the
- * first to say that it stops, else NULL.
+ * lw_place_node_load_reported() - a node reported the load of its backend server, whichever
+ * server that is. Returns a server that is leaving or accepts work again according to the
+ * report and was not known to, else NULL.
  */
 const lw_place_host_t *lw_place_node_load_reported(lw_place_t *p, const char *node,
 						   const lw_load_t *load, uint64_t now_us)
 {
-	const lw_place_host_t *leaving = NULL;
+	const lw_place_host_t *changed = NULL;
 
 	for (lw_place_service_t *s = p->services; s; s = s->next)
 		for (lw_place_host_t *h = s->hosts; h; h = h->next)
-			if (lw_place_usable(h, now_us) && !h->draining &&
-			    strcmp(h->node, node) == 0) {
-				if (lw_place_load_reported(h, load, now_us))
-					leaving = h;
-				h->suspect_until_us = 0;
-				h->backoff_ms = 0;
-			}
-	return leaving;
+			if (strcmp(h->node, node) == 0 && apply_node_load(h, load, now_us))
+				changed = h;
+	return changed;
 }
 
 /*
--- a/src/probe.c
+++ b/src/probe.c
@@ -25,11 +25,14 @@
 	lw_str_t id = lw_httphead_find(h, LW_HEADER_INSTANCE);
 	lw_notice_fields_t said = lw_httphead_notice(h);
 
-	if (lw_str_eq_c(id, p->server_id) && p->on_notice)
-		p->on_notice(p->on_notice_ctx, &said, p->began_us);
+	bool same_server = lw_str_eq_c(id, p->server_id);
+	bool healthy = same_server && h->status == 200;
+
+	if (same_server && p->on_notice)
+		p->on_notice(p->on_notice_ctx, &said, healthy, p->began_us);
 	if (lw_httphead_find(h, LW_HEADER_NOT_EXECUTED).ptr)
 		return true;
-	if (h->status == 200 && lw_str_eq_c(id, p->server_id))
+	if (healthy)
 		p->healthy_us = p->evloop->now_us;
 	else
 		p->leaving = true;
--- a/src/probe.h
+++ b/src/probe.h
@@ -21,7 +21,8 @@
 	uint64_t healthy_us; /* when it last reported itself healthy; 0: never */
 	bool leaving; /* it reported itself unhealthy, has another id, or refused the connection */
 	/* called with the self-announcement in the answer; may be NULL */
-	void (*on_notice)(void *ctx, const lw_notice_fields_t *said, uint64_t sent_us);
+	void (*on_notice)(void *ctx, const lw_notice_fields_t *said, bool healthy,
+			  uint64_t sent_us);
 	void *on_notice_ctx;
 } lw_probe_t;
 
--- a/src/proxy_int.h
+++ b/src/proxy_int.h
@@ -53,6 +53,8 @@
 	uint64_t last_check_us; /* time of the last health check and liveness assertion */
 	lw_probe_t limit_probe; /* health check, used while an announced limit is unconfirmed */
 	uint64_t limit_probe_us; /* time of the last limit_probe */
+	lw_probe_t process_probe; /* health check, used while the server's process is in doubt */
+	uint64_t process_check_us; /* time of the last process_probe */
 	lw_notice_limit_t announced_limit; /* limit as last logged and reported to other nodes */
 	uint64_t logged_invalid; /* number of answers with an invalid limit, as last logged */
 	lw_quotacoord_t *coordinator; /* used if other nodes choose this node */
@@ -86,8 +88,10 @@
 void lw_proxy_lease_init(lw_proxy_t *p);
 void lw_proxy_lease_entry_missing(lw_proxy_t *p);
 void lw_proxy_announce(void *ctx);
-void lw_proxy_on_server_notice(void *ctx, const lw_notice_fields_t *said, uint64_t sent_us);
+void lw_proxy_on_server_notice(void *ctx, const lw_notice_fields_t *said, bool healthy,
+			       uint64_t sent_us);
 void lw_proxy_news_init(lw_proxy_t *p);
+void lw_proxy_check_process_in_doubt(lw_proxy_t *p);
 void lw_proxy_notice_init(lw_proxy_t *p);
 const char *lw_proxy_health_path(const lw_proxy_t *p);
 void lw_proxy_lease_entry_found(lw_proxy_t *p, uint64_t born_ms);
--- a/src/proxylease.c
+++ b/src/proxylease.c
@@ -24,7 +24,8 @@
 		.store_failed_us = lw_storereader_last_failure_us(&p->store_reader),
 		.pending = lw_storereader_call_overdue(&p->store_reader, LW_LEASE_PENDING_US),
 		.healthy_us = p->probe.healthy_us,
-		.leaving = p->probe.leaving || p->engine.gate.notice.leaving,
+		.leaving = p->probe.leaving || p->engine.gate.list_draining ||
+			   p->engine.gate.notice.leaving,
 	};
 }
 
--- a/src/proxymesh.c
+++ b/src/proxymesh.c
@@ -1,4 +1,5 @@
 /* What other nodes report and ask for: the callbacks of the mesh, and lost nodes. */
+#include "leavinglog.h"
 #include "log.h"
 #include "meshframe.h"
 #include "proxy_int.h"
@@ -15,12 +16,12 @@
 {
 	lw_proxy_t *p = ctx;
 
-	const lw_place_host_t *leaving =
+	const lw_place_host_t *changed =
 		lw_place_node_load_reported(&p->engine.place, node, load, p->evloop.now_us);
 
-	if (leaving)
-		lw_log(LW_LOG_server_leaving, "server=%s by=node born_ms=%llu", leaving->id,
-		       (unsigned long long)leaving->born_ms);
+	if (changed)
+		lw_leavinglog_host(
+			changed, changed->leaving.on ? LW_LEAVING_BEGAN : LW_LEAVING_ENDED, "node");
 }
 
 static void mesh_liveness_asserted(void *ctx, const char *node, const char *server,
--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -156,6 +156,7 @@
 	       known && self->draining);
 	if (known) {
 		lw_gate_set_server(&p->engine.gate, self);
+		lw_proxy_check_process_in_doubt(p);
 		lw_proxy_lease_entry_found(p, self->born_ms);
 	} else if (p->server_was_listed && lw_gate_leaving(&p->engine.gate)) {
 		/*
--- a/src/proxynotice.c
+++ b/src/proxynotice.c
@@ -11,15 +11,20 @@
  * from it, us
  */
 #define LIMIT_STALE_US 1500000
+/* period of the health checks that find out whether the server has been restarted, us */
+#define PROCESS_CHECK_INTERVAL_US 500000
 
 /*
  * lw_proxy_announce() - reports a changed announcement of the server at once to
- * the nodes that may send requests to it.
+ * the nodes that may send requests to it, and to the placement of this node.
  */
 void lw_proxy_announce(void *ctx)
 {
 	lw_proxy_t *p = ctx;
+	lw_load_t own;
 
+	lw_gate_load(&p->engine.gate, &own);
+	lw_place_node_load_reported(&p->engine.place, p->mesh_addr, &own, p->evloop.now_us);
 	lw_mesh_broadcast_status(p->engine.mesh);
 }
 
@@ -27,11 +32,14 @@
  * lw_proxy_on_server_notice() - the server made the announcement @said in its
  * answer to a health check that was sent at @sent_us.
  */
-void lw_proxy_on_server_notice(void *ctx, const lw_notice_fields_t *said, uint64_t sent_us)
+void lw_proxy_on_server_notice(void *ctx, const lw_notice_fields_t *said, bool healthy,
+			       uint64_t sent_us)
 {
 	lw_proxy_t *p = ctx;
 
 	lw_gate_on_notice(&p->engine.gate, said, sent_us);
+	if (healthy && !said->leaving)
+		lw_gate_on_accepting(&p->engine.gate, sent_us);
 }
 
 static void log_limit(const lw_proxy_t *p)
@@ -93,10 +101,26 @@
 	lw_probe_check(&p->limit_probe, lw_proxy_health_path(p));
 }
 
+/*
+ * lw_proxy_check_process_in_doubt() - check the health of the server if the process that runs may
+ * not be the one that announced that it is leaving. A server that is leaving gets no requests, so
+ * no other answer would show that it has been restarted.
+ */
+void lw_proxy_check_process_in_doubt(lw_proxy_t *p)
+{
+	if (!p->engine.gate.process_in_doubt ||
+	    p->evloop.now_us - p->process_check_us < PROCESS_CHECK_INTERVAL_US)
+		return;
+	p->process_check_us = p->evloop.now_us;
+	lw_probe_reset(&p->process_probe, p->engine.gate.server_id);
+	lw_probe_check(&p->process_probe, lw_proxy_health_path(p));
+}
+
 static void on_tick(void *ctx)
 {
 	lw_proxy_t *p = ctx;
 
+	lw_proxy_check_process_in_doubt(p);
 	announce_limit(p);
 	log_invalid_limits(p);
 	refresh_stale_limit(p);
@@ -110,5 +134,8 @@
 	lw_probe_init(&p->limit_probe, &p->evloop);
 	p->limit_probe.on_notice = lw_proxy_on_server_notice;
 	p->limit_probe.on_notice_ctx = p;
+	lw_probe_init(&p->process_probe, &p->evloop);
+	p->process_probe.on_notice = lw_proxy_on_server_notice;
+	p->process_probe.on_notice_ctx = p;
 	lw_evloop_on_tick(&p->evloop, on_tick, p);
 }
--- a/tests/decide_place.c
+++ b/tests/decide_place.c
@@ -151,20 +151,33 @@
 	return NULL;
 }
 
-/* [leaves ID born N] or [takes PER_S] among the words: the announcement of the backend server */
+/*
+ * [leaves ID born N [seen MS]], [accepts ID seen MS] or [takes PER_S] among the words: what the
+ * node knows of its backend server
+ */
 static lw_notice_t notice_of(const words_t *a)
 {
-	if (has(a, "takes"))
-		return (lw_notice_t){ lw_notice_server_digest(word(a, 1)), 0, false, true,
-				      atof(word(a, a->n - 1)) };
-	for (int i = 7; i + 3 < a->n; i++)
-		if (strcmp(word(a, i), "leaves") == 0)
-			return (lw_notice_t){ lw_notice_server_digest(word(a, i + 1)),
-					      (uint64_t)num(a, i + 3), true, false, 0 };
-	return (lw_notice_t){ 0 };
+	lw_notice_t n = { 0 };
+
+	if (has(a, "takes")) {
+		n.server = lw_notice_server_digest(word(a, 1));
+		n.limited = true;
+		n.limit_per_s = atof(word(a, a->n - 1));
+	}
+	for (int i = 7; i + 1 < a->n; i++) {
+		if (strcmp(word(a, i), "leaves") == 0 || strcmp(word(a, i), "accepts") == 0) {
+			n.server = lw_notice_server_digest(word(a, i + 1));
+			n.leaving = strcmp(word(a, i), "leaves") == 0;
+		} else if (strcmp(word(a, i), "born") == 0) {
+			n.born_ms = (uint64_t)num(a, i + 1);
+		} else if (strcmp(word(a, i), "seen") == 0) {
+			n.seen_ms = (uint64_t)num(a, i + 1);
+		}
+	}
+	return n;
 }
 
-/* told ID RUNNING QUEUED LIMIT SERVICE_MS AT [leaving] [leaves ID born N | takes PER_S] */
+/* told ID RUNNING QUEUED LIMIT SERVICE_MS AT [leaving] [what notice_of() reads] */
 static void do_told(world_t *w, const words_t *a)
 {
 	lw_load_t load = { .running = (uint32_t)num(a, 2),
@@ -173,11 +186,17 @@
 			   .service_us = (uint32_t)num(a, 5) * 1000,
 			   .leaving = has(a, "leaving"),
 			   .notice = notice_of(a) };
-	const lw_place_host_t *leaving = lw_place_node_load_reported(
+	const lw_place_host_t *changed = lw_place_node_load_reported(
 		&w->place, decide_host(w, word(a, 1))->node, &load, ms(a, 6));
 
-	if (leaving)
-		emit(w, "news: %s leaves", leaving->id);
+	if (changed)
+		emit(w, "news: %s %s", changed->id, changed->leaving.on ? "leaves" : "accepts");
+}
+
+/* passed-on ID AT SEEN_MS: an answer of the server that announces that it is leaving */
+static void do_passed_on(world_t *w, const words_t *a)
+{
+	lw_place_mark_leaving(decide_host(w, word(a, 1)), (uint64_t)num(a, 3), ms(a, 2));
 }
 
 /* vouch ID AT [born N]: the node of the server asserts that the server is alive */
@@ -275,6 +294,7 @@
 	{ "host", do_host },
 	{ "hosts-apply", do_hosts_apply },
 	{ "told", do_told },
+	{ "passed-on", do_passed_on },
 	{ "lost", do_lost },
 	{ "outcomes", do_outcomes },
 	{ "pick", do_pick },
--- a/tests/lwtest.h
+++ b/tests/lwtest.h
@@ -22,6 +22,7 @@
 void suite_fairfleet(void);
 void suite_organisation(void);
 void suite_notice(void);
+void suite_leaving(void);
 void suite_handback(void);
 void suite_placement(void);
 bool lw_test_known_red(const char *name);
--- a/tests/test_notice.c
+++ b/tests/test_notice.c
@@ -67,10 +67,11 @@
 {
 	lw_load_t load = { .limit = 9 };
 
-	if (what == NODE_LEAVING)
-		load.notice = (lw_notice_t){ lw_notice_server_digest("i-1"), 1000, true, false, 0 };
-	if (what == NODE_OTHER)
-		load.notice = (lw_notice_t){ lw_notice_server_digest("i-1"), 900, true, false, 0 };
+	if (what == NODE_LEAVING || what == NODE_OTHER) {
+		load.notice.server = lw_notice_server_digest("i-1");
+		load.notice.born_ms = what == NODE_LEAVING ? 1000 : 900;
+		load.notice.leaving = true;
+	}
 	return load;
 }
 
@@ -81,7 +82,7 @@
 
 	switch (what) {
 	case ANSWER_LEAVING:
-		lw_place_mark_leaving(h, now_us);
+		lw_place_mark_leaving(h, 0, now_us);
 		return true;
 	case LIST_READY:
 		apply_list(p, 1000, now_us);
