The limit of a server stays when the list names another process

What callers saw: a server that had announced that it accepts no requests got 12 and 13 of them in 4 s (5 allowed) when the entry of its process was read after the announcement.

The node beside the server dropped the limit at a list with another start time, and other nodes ignored a limit that was reported with another start time than they had.

Change: a limit is bound to the server's id; the next answer, which the health check brings at the latest, confirms or lifts it.

--- a/src/gatenotice.c
+++ b/src/gatenotice.c
@@ -30,22 +30,17 @@
 void lw_gate_accept_reported_limit(lw_gate_t *g, const lw_notice_t *reported)
 {
 	if (!reported->limited || g->announced_limit.updated_us ||
-	    (g->server_id[0] && !lw_notice_matches(reported, g->server_id, g->server_born_ms)))
+	    (g->server_id[0] && !lw_notice_is_about(reported, g->server_id)))
 		return;
 	if (lw_notice_limit_from_peer(&g->announced_limit, reported->limit_per_s))
 		apply_limit(g, reported->server);
 }
 
-static void reset_limit(lw_gate_t *g)
-{
-	memset(&g->announced_limit, 0, sizeof(g->announced_limit));
-	apply_limit(g, g->notice.server);
-}
-
 static void reset_notice(lw_gate_t *g)
 {
 	memset(&g->notice, 0, sizeof(g->notice));
-	reset_limit(g);
+	memset(&g->announced_limit, 0, sizeof(g->announced_limit));
+	lw_ratelimit_set(&g->ratelimit, false, 0, g->evloop->now_us);
 }
 
 /*
@@ -72,7 +67,8 @@
 /*
  * lw_gate_process_changed() - the list has another start time for the server on this host. That
  * does not end the announcement that the server is leaving: the list may be late, or from an old
- * copy of the store, and the process that made the announcement may be the one that runs.
+ * copy of the store, and the process that made the announcement may be the one that runs. A limit
+ * stays as well: the next answer confirms or lifts it.
  */
 void lw_gate_process_changed(lw_gate_t *g, const lw_place_host_t *server)
 {
@@ -86,7 +82,6 @@
 		       (unsigned long long)server->born_ms,
 		       (unsigned long long)((g->evloop->now_us - g->leaving_us) / 1000), kept);
 	g->notice.leaving = kept;
-	reset_limit(g);
 	g->list_draining = false;
 	g->process_in_doubt = true;
 	g->accepting_us = 0;
--- a/src/notice.c
+++ b/src/notice.c
@@ -147,13 +147,19 @@
 	return set_limit(l, true, per_s);
 }
 
+/* lw_notice_is_about() - whether @n is about a process of server @id. */
+bool lw_notice_is_about(const lw_notice_t *n, const char *id)
+{
+	return n->server && n->server == lw_notice_server_digest(id);
+}
+
 /*
  * lw_notice_matches() - whether @n may be about the process of server @id that started at
  * @born_ms; an unknown start matches any.
  */
 bool lw_notice_matches(const lw_notice_t *n, const char *id, uint64_t born_ms)
 {
-	if (!n->server || n->server != lw_notice_server_digest(id))
+	if (!lw_notice_is_about(n, id))
 		return false;
 	/* an answer does not tell which process gave it, the server list does */
 	if (n->seen_ms)
--- a/src/notice.h
+++ b/src/notice.h
@@ -48,6 +48,7 @@
 bool lw_notice_limit_from_response(lw_notice_limit_t *l, const lw_notice_fields_t *fields,
 				   uint64_t sent_us, uint64_t now_us);
 bool lw_notice_limit_from_peer(lw_notice_limit_t *l, double per_s);
+bool lw_notice_is_about(const lw_notice_t *n, const char *id);
 bool lw_notice_matches(const lw_notice_t *n, const char *id, uint64_t born_ms);
 
 #endif
--- a/src/placestate.c
+++ b/src/placestate.c
@@ -61,7 +61,8 @@
 	h->load = *load;
 	h->load_us = now_us;
 	h->sent = 0;
-	if (!lw_notice_matches(&load->notice, h->id, h->born_ms))
+	/* the list may name another process than the one that announced a limit */
+	if (!lw_notice_is_about(&load->notice, h->id))
 		memset(&h->load.notice, 0, sizeof(h->load.notice));
 	return lw_place_notice_reported(h, &load->notice, now_us);
 }
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -326,6 +326,27 @@
 	CU_ASSERT(lw_gate_leaving(&p.gate));
 }
 
+/*
+ * Guards against dropping the limit that a server announced because the list names another process,
+ * and against keeping it once an answer no longer announces it.
+ */
+static void test_limit_outlives_another_entry(void)
+{
+	static lw_gate_play_t p;
+	lw_notice_fields_t said = { .limited = true, .limit_per_s = 5 };
+
+	p.evloop.now_us = 1000000;
+	p.gate.evloop = &p.evloop;
+	set_server(&p.gate, 900000);
+	lw_gate_on_notice(&p.gate, &said, p.evloop.now_us - REQUEST_US);
+	p.evloop.now_us += 1000000;
+	set_server(&p.gate, 950000);
+	CU_ASSERT(p.gate.notice.limited && p.gate.ratelimit.on);
+	p.evloop.now_us += 1000000;
+	answer(&p, false, p.evloop.now_us - REQUEST_US);
+	CU_ASSERT_FALSE(p.gate.notice.limited || p.gate.ratelimit.on);
+}
+
 /* suite_leaving() - register the tests of this file. */
 void suite_leaving(void)
 {
@@ -334,4 +355,5 @@
 	CU_add_test(s, "front_in_any_order", test_front_in_any_order);
 	CU_add_test(s, "gate_in_any_order", test_gate_in_any_order);
 	CU_add_test(s, "answer_without_announcement", test_answer_without_announcement);
+	CU_add_test(s, "limit_outlives_another_entry", test_limit_outlives_another_entry);
 }
