Soak: servers that are started anew under their id and leave, from seed 8000 on

While the store answers nobody for 3 to 5 s and is at times restored from a copy, servers crash, start anew under their id, say that they leave, and start anew again; nodes are killed, paused and cut beside it. Announcements are now told apart by process of the server as well.

--- a/tests/soak/announcing.py
+++ b/tests/soak/announcing.py
@@ -2,6 +2,7 @@
 many requests per second they accept. The checks count an announcement as known to a node
 from the time at which that node forwarded it to a caller."""
 import asyncio
+import bisect
 import time
 
 # seconds after a node knows that a server is leaving from which it must send it no requests
@@ -29,8 +30,12 @@
     def __init__(self, soak):
         self.soak = soak
         self.process = {}  # request id -> process of the node that its caller sent it to
-        self.told = {}  # (process, server's id, kind) -> time of the first forwarded announcement
+        # (node's process, server's id, number of its process, kind) -> time at which the node
+        # first forwarded the announcement
+        self.told = {}
+        self.starts = {}  # server's id -> times at which it was started anew under that id
         self.touched = []  # (time, ip) of each fault; it exempts the node from the checks
+        self.renewed = set()  # servers that leave_anew() acts on
         self.named = []  # [server's id, server, begin, end, highest limit]
         self.left = 0
 
@@ -41,10 +46,74 @@
         by = a.body.split(b" ")[0].decode("latin-1")
         for kind in ("server-leaving", "server-limit"):
             if a.head.get(kind):
-                self.told.setdefault((self.process[rid], by, kind), time.monotonic())
+                begun = max((r[0] for r in self.soak.runs.get(rid, []) if r[2] == by), default=0)
+                key = (self.process[rid], by, self.process_number(by, begun), kind)
+                self.told.setdefault(key, time.monotonic())
+
+    def process_number(self, sid, at):
+        """Returns how often the server had been started anew under its id by then."""
+        return bisect.bisect(self.starts.get(sid, []), at)
+
+    async def restart(self, server, away):
+        """The process of a server crashes; another one starts under its id."""
+        server.stop()
+        await asyncio.sleep(away)
+        server.says, server.born = [], int(time.time() * 1000)
+        self.starts.setdefault(server.id, []).append(time.monotonic())
+        await server.start()
+        self.soak.f.register(server)
+        self.soak.note(f"{server.id} started anew")
+
+    async def outage(self, rng, seconds):
+        """The store answers nobody for some seconds; at times a copy from before is restored."""
+        if self.soak.copying:
+            return
+        self.soak.copying = True
+        store, copy = self.soak.f.store, self.soak.f.store.copy()
+        self.soak.note("store goes away", store=True)
+        store.mode = rng.choice(["silent", "503", "reset"])
+        await asyncio.sleep(seconds)
+        if rng.random() < 0.4:
+            store.restore(copy)
+            self.soak.copies += 1
+            self.soak.note(f"store back from a copy, era {store.era}", store=True)
+        store.mode = "ok"
+        self.soak.note("store answers again", store=True)
+        self.soak.copying = False
+
+    async def leave_anew(self, node, rng):
+        """A server is started anew under its id, announces in its responses that it is
+        leaving, at times also in its entry or by removing that, and is started anew again.
+        At times the store answers nobody meanwhile, and may then be restored from a copy."""
+        server = node.server
+        others = [n for n in self.soak.f.nodes[server.service] if self.free(n.server)]
+        away, young, how, left, unseen = (rng.random() for _ in range(5))
+        if not self.free(server) or server in self.renewed or len(others) < 3:
+            return
+        self.renewed.add(server)
+        span = self.soak.unplanned()
+        outage = asyncio.ensure_future(self.outage(rng, 3 + away + young)) if unseen < 0.6 else None
+        await self.restart(server, 0.1 + away)
+        await asyncio.sleep(0.3 + young)
+        server.says = ["Server-Leaving: 1"]
+        self.left += 1
+        self.soak.note(f"{server.id} says that it leaves")
+        await asyncio.sleep(0.5)
+        if how < 0.3:
+            server.draining = True
+            self.soak.f.register(server)
+        if how < 0.6:
+            self.soak.f.store.remove("servers/" + server.id)
+        await asyncio.sleep(DRAIN_S + 1 + left * 6)
+        if outage:
+            await outage
+        server.draining = False
+        await self.restart(server, 0.1 + away)
+        span.append(time.monotonic())
+        self.renewed.discard(server)
 
     def free(self, server):
-        return not server.says and not server.draining
+        return not server.says and not server.draining and server not in self.renewed
 
     async def leave(self, node, rng):
         """A server announces in its responses that it is leaving while its registration does
@@ -99,7 +168,7 @@
             for at, rid in node.server.ran:
                 process = self.process.get(rid)
                 by = self.ran_at(rid, at)
-                told = self.told.get((process, by, "server-leaving"))
+                told = self.told.get((process, by, self.process_number(by, at), "server-leaving"))
                 sent = self.soak.asked[rid][2] if rid in self.soak.asked else 0
                 if told and sent > told + DRAIN_S + SLACK_S and self.calm(process[0], told, at):
                     self.soak.fail(f"{rid}: sent {sent - told:.2f} s after its node had passed "
@@ -114,7 +183,7 @@
         times = []
         for at, rid in server.ran:
             process = self.process.get(rid)
-            told = self.told.get((process, sid, "server-limit"))
+            told = self.told.get((process, sid, self.process_number(sid, at), "server-limit"))
             if (told and begin + CONTACT_S <= at <= end and at >= max(told, begin) + TOLD_S and
                     self.calm(process[0], told, at)):
                 times.append(at)
--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -318,7 +318,11 @@
         # nodes are not disturbed, as they must keep what they know of requests and the store
         ends = [self.bad_request, self.store_copy, self.store_copy, self.change, self.drain,
                 self.drain, self.hangup, self.server_fault]
-        if self.announcing:
+        if self.renewing:
+            mixed = [self.announcing.leave_anew] * 5 + [
+                self.store_copy, self.store_copy, self.store_fault, self.store_fault, self.kill,
+                self.link, self.link, self.pause, self.change, self.announcing.limit]
+        elif self.announcing:
             mixed += [self.announcing.leave] * 3 + [self.announcing.limit] * 4
         running = []
         at = rolled = 0.0
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,8 +14,9 @@
 the store from an older copy; seeds from 2000 on draw organisations (tenancy.py); seeds
 from 3000 on draw servers that announce in their responses that they are leaving or
 which rate limit they have (announcing.py). With seeds from 4000 on, the series of the seeds
-from 1 on hits nodes that ask some others when they start instead of reading the store. A
-seed always draws the same series of faults."""
+from 1 on hits nodes that ask some others when they start instead of reading the store. Seeds
+from 8000 on draw servers that are started anew under their id, announce that they are leaving
+and are started anew again, while the store fails and is restored from copies. A seed always draws the same series of faults."""
 import argparse
 import asyncio
 import os
@@ -59,6 +60,8 @@
 # with seeds from here on, nodes that start ask the first ones for their documents
 JOINING_SEEDS = 4000
 JOINING_NODES = 3
+# seeds from here on draw servers that are started anew under their id and leave
+RENEWING_SEEDS = 8000
 # at least this share of a planned seed's requests must be covered by check_planned()
 JUDGED_SHARE = 0.2
 
@@ -69,7 +72,8 @@
         self.chaos_rng = random.Random(f"chaos {seed}")  # for the series of faults only
         self.seconds = seconds
         self.net = net
-        self.joining = seed >= JOINING_SEEDS
+        self.renewing = seed >= RENEWING_SEEDS
+        self.joining = JOINING_SEEDS <= seed < RENEWING_SEEDS
         if self.joining:
             seed -= JOINING_SEEDS
         self.planned = (seed % 3 == 0 and seed < ANNOUNCING_SEEDS and
@@ -107,6 +111,8 @@
         self.crashes = Crashes(self.f, "back", "", take=False)
         for n in self.f.all():
             n.server.behave = self.behave
+            if self.renewing:
+                n.server.born = int(time.time() * 1000)
         self.fault_of = {}  # server id -> (fault, share)
         self.long = {n.server.ip: self.chaos_rng.choice(LONG) for n in self.f.all()}
 
@@ -398,7 +404,7 @@
         if s.ends:
             kind += f", {s.ended_servers} servers ended, {s.copies} copies"
         if s.announcing:
-            kind += f", {s.announcing.left} said to leave, {len(s.announcing.named)} limits"
+            kind += f", {s.copies} copies, {s.announcing.left} said to leave, {len(s.announcing.named)} limits"
         print(f"{'FAILED' if s.broken else 'passed'} seed {seed} ({kind}): {requests} requests, "
               f"{s.judged} judged for planned work, {len(s.terms)} stops, "
               f"{len(s.faults)} steps, late by {s.late * 1000:.0f} ms at most, "
