A server whose entry moves to another address is followed there

What callers would see: requests to a server without a start time in its entry go to the address that the entry had first, for as long as it is listed, and are turned away there.

Change: the host takes the address of its entry with each list; what its former node reported no longer counts. Whether it is leaving stays.

--- a/src/placelist.c
+++ b/src/placelist.c
@@ -144,6 +144,32 @@
 	snprintf(dst, len, "%.*s:%u", ip, backend, mesh_port);
 }
 
+static void set_address(const lw_place_t *p, lw_place_host_t *h, const lw_server_entry_t *e)
+{
+	lw_place_node_addr(h->node, sizeof(h->node), e->addr, p->mesh_port);
+	h->self = strcmp(e->addr, p->backend) == 0;
+	h->same_zone = strcmp(e->zone, p->zone) == 0;
+}
+
+static bool is_at(const lw_place_host_t *h, const char *addr)
+{
+	const char *colon = strrchr(addr, ':');
+	size_t ip = colon ? (size_t)(colon - addr) : strlen(addr);
+
+	return strncmp(h->node, addr, ip) == 0 && h->node[ip] == ':';
+}
+
+/* the entry of @h may have moved to another address; an unknown start time does not show that */
+static void follow_address(const lw_place_t *p, lw_place_host_t *h, const lw_server_entry_t *e)
+{
+	if (is_at(h, e->addr))
+		return;
+	set_address(p, h, e);
+	h->load_us = 0;
+	h->suspect_until_us = 0;
+	h->backoff_ms = 0;
+}
+
 static lw_place_host_t *host_add(lw_place_t *p, const lw_server_entry_t *e)
 {
 	lw_place_service_t *s = lw_place_service(p, e->service);
@@ -151,10 +177,8 @@
 
 	lw_str_copy(h->id, sizeof(h->id), lw_str_c(e->id));
 	h->born_ms = e->born_ms;
-	lw_place_node_addr(h->node, sizeof(h->node), e->addr, p->mesh_port);
+	set_address(p, h, e);
 	h->service = s;
-	h->self = strcmp(e->addr, p->backend) == 0;
-	h->same_zone = strcmp(e->zone, p->zone) == 0;
 	h->slots = e->slots;
 	h->load.limit = lw_admit_limit(e->slots);
 	h->next = s->hosts;
@@ -261,6 +285,7 @@
 
 		if (!h)
 			h = host_add(p, e);
+		follow_address(p, h, e);
 		h->listed = true;
 		h->removed_us = 0;
 		if (e->born_ms)
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -347,6 +347,27 @@
 	CU_ASSERT_FALSE(p.gate.notice.limited || p.gate.ratelimit.on);
 }
 
+/* Guards against requests that go to the former address of a server whose entry has moved. */
+static void test_entry_that_moves(void)
+{
+	lw_server_entry_t e = { .slots = 10 };
+	lw_serverlist_t sl = { .servers = &e, .nservers = 1 };
+	lw_place_t p;
+
+	lw_str_copy(e.id, sizeof(e.id), LW_STR(ID));
+	lw_str_copy(e.service, sizeof(e.service), LW_STR("s"));
+	lw_str_copy(e.addr, sizeof(e.addr), LW_STR(ADDR));
+	lw_place_init(&p, "a", "10.0.0.9:80", 7000, (lw_retryallowance_t){ 0 });
+	lw_place_update(&p, &sl, 1000000, 1000000);
+	lw_place_mark_leaving(picked(&p, 1000000), 1000000, 1000000);
+	lw_str_copy(e.addr, sizeof(e.addr), LW_STR("10.0.0.2:80"));
+	lw_place_update(&p, &sl, 2000000, 2000000);
+	CU_ASSERT_PTR_NULL(picked(&p, 2000000));
+	for (lw_place_host_t *h = p.services->hosts; h; h = h->next)
+		CU_ASSERT(!h->listed || strcmp(h->node, "10.0.0.2:7000") == 0);
+	lw_place_free(&p);
+}
+
 /* suite_leaving() - register the tests of this file. */
 void suite_leaving(void)
 {
@@ -356,4 +377,5 @@
 	CU_add_test(s, "gate_in_any_order", test_gate_in_any_order);
 	CU_add_test(s, "answer_without_announcement", test_answer_without_announcement);
 	CU_add_test(s, "limit_outlives_another_entry", test_limit_outlives_another_entry);
+	CU_add_test(s, "entry_that_moves", test_entry_that_moves);
 }
