Wording of two comments on announcements; one function for the id of a notice

Found in reading the change as a newcomer: an upper bound was called "no earlier", and a comment did not fit its line. No change of behaviour.

--- a/src/exchoutcome.c
+++ b/src/exchoutcome.c
@@ -148,14 +148,14 @@
 }
 
 /*
- * When the answer was given that announces that @h is leaving, Unix time of its host, ms. If the
- * node there runs a version that does not report it: no earlier than that.
+ * When the answer was given that announces that @h is leaving, Unix time of its host, ms. An upper
+ * bound if the node there runs a version that does not report it.
  */
 static uint64_t announced_ms(const lw_place_host_t *h, const lw_load_t *load)
 {
 	const lw_notice_t *n = load ? &load->notice : NULL;
 
-	if (n && n->leaving && n->seen_ms && n->server == lw_notice_server_digest(h->id))
+	if (n && n->leaving && n->seen_ms && lw_notice_is_about(n, h->id))
 		return n->seen_ms;
 	return lw_now_unix_ms() + CLOCK_DIFFERENCE_MAX_MS;
 }
--- a/src/gate.h
+++ b/src/gate.h
@@ -92,8 +92,7 @@
 	 * whether the announcement still holds
 	 */
 	bool process_in_doubt;
-	uint64_t
-		accepting_us; /* when an answer resolved that doubt: it accepts work; 0: none did */
+	uint64_t accepting_us; /* when an answer resolved that doubt; 0: none did */
 	lw_notice_limit_t announced_limit; /* rate limit from that self-announcement */
 	lw_ratelimit_t ratelimit; /* enforces that rate limit */
 	void (*on_notice_change)(void *ctx); /* called when the notice changed */
