--- a/Makefile
+++ b/Makefile
@@ -102,7 +102,7 @@
 	SIM=$(BUILD)/lwsim sh tests/sim.sh
 	SPREAD=$(BUILD)/lwspread sh tests/spread.sh
 	LWPROXY=$(BUILD)/lwproxy python3 tests/mesh/run.py
-	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1,2,18,1001,2002,3001,4002 --seconds 8
+	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1,2,18,1001,2002,3001,4002,8006 --seconds 8
 
 lint:
 	@sh tools/lint.sh
--- a/tests/soak/announcing.py
+++ b/tests/soak/announcing.py
@@ -72,11 +72,16 @@
         store, copy = self.soak.f.store, self.soak.f.store.copy()
         self.soak.note("store goes away", store=True)
         store.mode = rng.choice(["silent", "503", "reset"])
-        await asyncio.sleep(seconds)
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(min(0.5, end - time.monotonic()))
+            self.soak.store_disturbed = time.monotonic()
         if rng.random() < 0.4:
             store.restore(copy)
             self.soak.copies += 1
             self.soak.note(f"store back from a copy, era {store.era}", store=True)
+            # the operator writes again what the copy lacks
+            store.put("op/config", self.soak.f.document(self.soak.version, self.soak.rules()))
         store.mode = "ok"
         self.soak.note("store answers again", store=True)
         self.soak.copying = False
