--- a/Makefile
+++ b/Makefile
@@ -128,7 +128,7 @@
 	$(BUILD)/listbench
 
 soak: all
-	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1-50,1001-1050,2001-2050,3001-3050,4001-4050 --seconds 15
+	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1-50,1001-1050,2001-2050,3001-3050,4001-4050,8001-8050 --seconds 15
 
 fuzz: deps
 	@sh tools/fuzz.sh
