review: case 3, a call on an unsafe route runs twice after a rejection

Tried: as case 1, but each rejection and its late second copy bear the request's id, and the requests are calls that running requests make on an unsafe route.

Seen: after both servers rejected a call, the node sends it again to one of them over the same connection with the same id (retryrule.c, may_resend()); the late copy fits and is taken for the new answer, while the server runs the call.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exit status 1: the rule was broken, 0: it held, 2: the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/lwproxy ] || { echo "target/lwproxy is missing" >&2; exit 2; }
+export PYTHONDONTWRITEBYTECODE=1
+exec python3 review/3/case.py
