--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -18,6 +18,7 @@
 import fleet as fl  # noqa: E402
 import standin  # noqa: E402
 
+LONGEST_S = 112  # a script may run for 120 s
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -78,13 +79,25 @@
         shutil.rmtree(f.dir, ignore_errors=True)
 
 
+async def guarded(main):
+    """Ends the case in order, with all its processes, if it is told to end or takes too long."""
+    import asyncio
+    loop = asyncio.get_running_loop()
+    # tasks of the stand-ins that are cancelled at the end say so on standard error
+    loop.set_exception_handler(lambda _loop, _context: None)
+    task = asyncio.ensure_future(main())
+    for sig in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sig, task.cancel)
+    return await asyncio.wait_for(task, LONGEST_S)
+
+
 def leave(main):
     """Runs the case; the exit status is 1: rule broken, 0: it held, 2: it could not run."""
     import asyncio
     import traceback
     try:
-        status = asyncio.run(main())
-    except Exception:  # pylint: disable=broad-except
+        status = asyncio.run(guarded(main))
+    except (Exception, asyncio.CancelledError):  # pylint: disable=broad-except
         traceback.print_exc()
         status = 2
     sys.stdout.flush()
