--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
 import stage  # noqa: E402
 import shedding  # noqa: E402
-from stage import fl, standin  # noqa: E402
+from stage import TROUBLE, fl, standin  # noqa: E402
 
 ROUNDS = 8
 CLIENTS = 24
@@ -71,6 +71,7 @@
 
 async def main():
     record = stage.Record(HERE)
+    record("with the disruptions" if TROUBLE else "TROUBLE=0: without the disruptions")
     rules = [fl.route("get", "/get/", "front", "safe", 2, 5, 1.2, 2),
              fl.route("put", "/put/", "back", "unsafe", 0, 5, 1.5, 2)]
     shedding.Server.names_request = True
@@ -82,7 +83,7 @@
         await f.start()
         until = time.monotonic() + shedding.length_s(ROUNDS)
         await asyncio.gather(
-            shedding.trouble([n.server for n in f.nodes["back"]], ROUNDS, record),
+            shedding.trouble(TROUBLE, [n.server for n in f.nodes["back"]], ROUNDS, record),
             *[client(f, i, record, answers, until) for i in range(CLIENTS)])
         await asyncio.sleep(1)
         ran = collections.Counter(rid for n in f.all() for _, rid in n.server.ran)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -41,6 +41,7 @@
 
 async def main():
     record = stage.Record(HERE)
+    record("with the disruption" if TROUBLE else "TROUBLE=0: without the disruption")
     f = stage.fleet({"front": 3, "back": 3}, RULES, 22,
                     tenants=[tenant("red", "red-old", "red-new"), tenant("blue", "blue-1")])
     f.document = lambda version, rules: document(
--- a/review/lib/shedding.py
+++ b/review/lib/shedding.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from stage import TROUBLE, standin
+from stage import standin
 
 SHED_SHARE, SHED_S = 0.55, 8.5      # srv_grey, how "shed all": part of the requests, length
 EXTRA_SHARE, EXTRA_S = 0.03, 5.0    # garble, how "extra late": part of the answers, length
@@ -49,11 +49,11 @@
             return await self.run(reader, writer, head, rid, body)
 
 
-async def trouble(servers, rounds, record):
-    """All servers of the service shed, and one of them sends extra answers."""
+async def trouble(on, servers, rounds, record):
+    """All servers of the service shed, and one of them sends extra answers; calm if not `on`."""
     for _ in range(rounds):
         await asyncio.sleep(CALM_S)
-        if not TROUBLE:
+        if not on:
             await asyncio.sleep(SHED_S)
             continue
         record(f"srv_grey (shed) on {', '.join(s.id for s in servers)}; "
--- a/review/lib/stage.py
+++ b/review/lib/stage.py
@@ -33,13 +33,25 @@
         log.close()
 
 
+RESERVED = []  # sockets that keep the network for this run
+
+
 def free_net():
-    """A number n so that the addresses 127.n.0.0/16 have no store or node of another run."""
+    """A number n so that the addresses 127.n.0.0/16 belong to no other run."""
     for n in random.Random().sample(range(20, 250), 100):
+        mark = socket.socket()
+        try:
+            mark.bind((f"127.{n}.0.251", fl.STORE))
+            mark.listen()
+        except OSError:
+            mark.close()
+            continue
         with socket.socket() as a, socket.socket() as b:
             if (a.connect_ex((f"127.{n}.0.250", fl.STORE)) and
                     b.connect_ex((f"127.{n}.0.1", fl.METRICS))):
+                RESERVED.append(mark)
                 return n
+        mark.close()
     raise OSError("no free loopback network")
 
 
