A connection to a backend server never carries one request id twice

Cause: an answer is matched by the request's id alone, and the attempts of one request share it. The gate takes the connection that was used last, so an attempt that follows a rejection at once goes over the connection on which the copy of that rejection is to come. The copy was taken for the answer to the new attempt, which the server ran; the call was sent and run once more.

Evidence: the server's record of each such call reads rejected, second copy sent where the answer to the same id is due, run, run. The node logs E1311 why=shed ran_ms=0 for the attempt that ran. A copy with another id ends its connection (why=broken) and is no part of it.

Change: each connection keeps digests of the ids of its last 64 requests and carries none of them again, so an answer with the right id can only be that of the attempt in hand. All ways back to a server with the same id go through lw_gate_take_connection(). The load in an answer that belongs to another request is no longer heeded.

--- a/src/bconn.c
+++ b/src/bconn.c
@@ -249,7 +249,28 @@
 	c->keep = false;
 	c->sent = false;
 	c->paused = false;
-	c->requests++;
+}
+
+/*
+ * lw_bconn_remember() - the request that was started has the id with @id_digest. The id alone
+ * assigns an answer to a request, so it cannot tell a second copy of the answer to an earlier
+ * attempt from the answer to this one.
+ */
+void lw_bconn_remember(lw_bconn_t *c, uint64_t id_digest)
+{
+	c->carried[c->requests++ % LW_BCONN_REQUESTS_REMEMBERED] = id_digest;
+}
+
+/* lw_bconn_has_carried() - whether one of the remembered requests has the id with @id_digest. */
+bool lw_bconn_has_carried(const lw_bconn_t *c, uint64_t id_digest)
+{
+	uint32_t n = c->requests < LW_BCONN_REQUESTS_REMEMBERED ? c->requests :
+								  LW_BCONN_REQUESTS_REMEMBERED;
+
+	for (uint32_t i = 0; i < n; i++)
+		if (c->carried[i] == id_digest)
+			return true;
+	return false;
 }
 
 /*
--- a/src/bconn.h
+++ b/src/bconn.h
@@ -31,6 +31,9 @@
 	void (*broken)(void *user, bool sent);
 } lw_bconn_ops_t;
 
+/* Requests that a connection remembers: it does not carry the id of any of them again. */
+#define LW_BCONN_REQUESTS_REMEMBERED 64
+
 struct lw_bconn {
 	const lw_bconn_ops_t *ops;
 	void *user; /* NULL while idle */
@@ -49,6 +52,8 @@
 	bool long_body; /* the server may pause while it reads the long body of the request */
 	bool is_head; /* the answer to a HEAD request has no body */
 	uint32_t requests; /* number of requests carried so far */
+	/* digests of the ids of the last of them; the oldest is overwritten first */
+	uint64_t carried[LW_BCONN_REQUESTS_REMEMBERED];
 	uint32_t idle_limit_s; /* idle timeout announced by the server; 0: none */
 	uint64_t idle_since_us;
 	http_parser parser;
@@ -61,6 +66,8 @@
 
 lw_bconn_t *lw_bconn_open(lw_evloop_t *evloop, const char *addr);
 void lw_bconn_start(lw_bconn_t *c, const lw_bconn_ops_t *ops, void *user, bool is_head);
+void lw_bconn_remember(lw_bconn_t *c, uint64_t id_digest);
+bool lw_bconn_has_carried(const lw_bconn_t *c, uint64_t id_digest);
 void lw_bconn_long_body(lw_bconn_t *c);
 void lw_bconn_queue(lw_bconn_t *c, lw_str_t data);
 void lw_bconn_flush(lw_bconn_t *c);
--- a/src/gate_int.h
+++ b/src/gate_int.h
@@ -23,6 +23,7 @@
 	lw_answer_t answer_head;
 	lw_bytebuf_t answer_head_text;
 	char *request_id; /* of any length: the ids of nested calls grow with their depth */
+	uint64_t id_digest; /* of request_id */
 	char target[LW_NAME_MAX];
 	int64_t body_length;
 	uint64_t deadline_us;
@@ -61,7 +62,7 @@
 void lw_gate_learn_load(lw_gate_t *g, lw_str_t value);
 void lw_gate_keep_connection(lw_gate_t *g, lw_bconn_t *c);
 void lw_gate_close_expired_idle(void *ctx);
-lw_bconn_t *lw_gate_take_connection(lw_gate_t *g);
+lw_bconn_t *lw_gate_take_connection(lw_gate_t *g, const lw_job_t *j);
 void lw_job_start(lw_job_t *j);
 void lw_gate_dispatch(lw_gate_t *g);
 void lw_gate_record_duration(lw_gate_t *g, uint64_t took_us);
--- a/src/gateconn.c
+++ b/src/gateconn.c
@@ -74,21 +74,46 @@
 }
 
 /*
- * lw_gate_take_connection() - take an idle connection or open a new one. Returns NULL if no
+ * Whether @c can carry the request of @j. A connection never carries one id twice: a faulty server
+ * may send a second copy of an answer where the next one is expected. A request that is sent
+ * again, after its rejection for example, would get the copy as its answer while it executes, and
+ * would then be executed once more elsewhere.
+ */
+static bool can_carry(const lw_bconn_t *c, const lw_job_t *j)
+{
+	return !lw_bconn_has_carried(c, j->id_digest);
+}
+
+/* takes the first idle connection that can carry the request out of the list; NULL: none */
+static lw_bconn_t *take_idle(lw_gate_t *g, const lw_job_t *j)
+{
+	for (lw_bconn_t **at = &g->idle; *at; at = &(*at)->next) {
+		lw_bconn_t *c = *at;
+
+		if (!can_carry(c, j))
+			continue;
+		*at = c->next;
+		g->nidle--;
+		return c;
+	}
+	return NULL;
+}
+
+/*
+ * lw_gate_take_connection() - take an idle connection or open a new one for @j. Returns NULL if no
  * connection can be opened.
  */
-lw_bconn_t *lw_gate_take_connection(lw_gate_t *g)
+lw_bconn_t *lw_gate_take_connection(lw_gate_t *g, const lw_job_t *j)
 {
 	lw_bconn_t *c;
 
 	lw_gate_close_expired_idle(g);
-	while ((c = g->idle) != NULL) {
-		g->idle = c->next;
-		g->nidle--;
+	while ((c = take_idle(g, j)) != NULL) {
 		if (!closed_by_server(g, c))
 			return c;
 		lw_bconn_close(c);
 	}
 	g->stats.connections++;
+	g->stats.connections_apart += g->idle != NULL;
 	return lw_bconn_open(g->evloop, g->evloop->set->backend);
 }
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "admit.h"
 #include "log.h"
@@ -165,11 +166,11 @@
 	lw_str_t id = lw_httphead_find(h, LW_HEADER_REQUEST_ID);
 	bool not_executed = lw_httphead_find(h, LW_HEADER_NOT_EXECUTED).ptr || h->status == 421;
 
-	lw_gate_learn_load(g, lw_httphead_find(h, LW_HEADER_LOAD));
 	if (j->request_id[0] && !lw_str_eq_c(id, j->request_id) && !(not_executed && !id.ptr)) {
 		g->stats.invalid_answers++;
 		return false;
 	}
+	lw_gate_learn_load(g, lw_httphead_find(h, LW_HEADER_LOAD));
 	apply_notice(j, h);
 	j->not_executed = not_executed;
 	j->answer_head.status = h->status;
@@ -318,7 +319,7 @@
 	bool is_head =
 		lw_bytebuf_len(&j->head) > 5 && memcmp(lw_bytebuf_head(&j->head), "HEAD ", 5) == 0;
 
-	j->conn = lw_gate_take_connection(g);
+	j->conn = lw_gate_take_connection(g, j);
 	j->started_us = g->evloop->now_us;
 	g->running++;
 	lw_slotuse_start(&g->use, &j->waiter);
@@ -332,6 +333,7 @@
 	count_arrival(j);
 	lw_histogram_add(&g->stats.wait, j->started_us - j->arrived_us);
 	lw_bconn_start(j->conn, &conn_ops, j, is_head);
+	lw_bconn_remember(j->conn, j->id_digest);
 	if (j->body_length < 0 || j->body_length > LW_CALL_WINDOW)
 		lw_bconn_long_body(j->conn);
 	send_head(j);
@@ -416,6 +418,7 @@
 	j->repeat = req->repeat;
 	lw_bytebuf_append_str(&j->head, req->head);
 	j->request_id = lw_str_dup(req->request_id);
+	j->id_digest = XXH3_64bits(req->request_id.ptr, req->request_id.len);
 	lw_str_copy(j->target, sizeof(j->target), req->target);
 	ev_timer_init(&j->timer, on_job_timeout, 0, 0);
 	return j;
--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -11,6 +11,7 @@
 sys.path.insert(0, os.path.dirname(__file__))
 import fleet as fl  # noqa: E402
 import accounts  # noqa: E402,F401
+import copies  # noqa: E402,F401
 import crashes  # noqa: E402,F401
 import eras  # noqa: E402,F401
 import fates  # noqa: E402,F401
--- a/tests/mesh/standin.py
+++ b/tests/mesh/standin.py
@@ -166,6 +166,8 @@
         self.mute = False  # health checks get no answer
         self.more_load = ""  # further figures of its load report
         self.says = []  # header lines added to all its answers, also to health checks
+        self.copies_sent = 0  # second copies of rejections
+        self.names_rejections = True  # whether a rejection has the id of its request
         self.open = []
 
     async def start(self):
@@ -209,10 +211,13 @@
             await read_body(reader, head)
             self.write(writer, 421, rid, b"", [f"X-Instance-Id: {self.id}"])
             return True
+        self.send_late_copy(writer)
         fault = await self.behave(self, head, rid, "head") if self.behave else None
-        if fault == "shed":
+        if fault in ("shed", "shed-copied"):
             await read_body(reader, head)
-            self.write(writer, 503, rid, b"", ["X-Not-Executed: 1"])
+            writer.write(self.rejection(rid))
+            if fault == "shed-copied":
+                writer.late_copy = self.rejection(rid)
             return True
         if fault == "early":
             self.ran.append((time.monotonic(), rid))
@@ -223,6 +228,19 @@
         async with self.free:
             return await self.run(reader, writer, head, rid, body)
 
+    def rejection(self, rid):
+        named = f"X-Request-Id: {rid}\r\n" if self.names_rejections else ""
+        return (f"HTTP/1.1 503 X\r\n{named}X-Not-Executed: 1\r\nKeep-Alive: timeout=10\r\n"
+                f"X-Server-Load: {self.running},0,{self.slots}{self.more_load}\r\n"
+                "Content-Length: 0\r\n\r\n").encode()
+
+    def send_late_copy(self, writer):
+        """Sends the second copy of the last rejection where the next answer is expected."""
+        copy, writer.late_copy = getattr(writer, "late_copy", None), None
+        if copy:
+            self.copies_sent += 1
+            writer.write(copy)
+
     async def run(self, reader, writer, head, rid, body):
         self.ran.append((time.monotonic(), rid))
         self.heads[rid] = head
