Answers of backend servers that never end are given up early

Cause: a head was bounded, but not the number of interim heads before it; bodies are held back by the flow control of their content, which chunk extensions and the body of a rejection do not have; a health check ended only with the next one.

Change: interim answers share the bound of the head; chunk framing is bounded by the content; the body of a rejection is read for 50 ms and 16 KiB at most; a health check ends with its head. A body that is framed correctly cannot be told from a long answer: it stays held back, and is cut at the deadline.

--- a/src/bconn.c
+++ b/src/bconn.c
@@ -11,8 +11,14 @@
 
 /* bytes per read; one system call reads a whole answer of the usual size */
 #define READ_BYTES 16384
-/* a longer answer head is invalid */
+/* an answer is invalid if its head, with all interim answers before it, is longer than this */
 #define HEAD_MAX_BYTES 65536
+/*
+ * A body in chunks is invalid if the sizes and extensions of the chunks take more than this and
+ * FRAMING_FACTOR times the content. A chunk of one byte needs five more.
+ */
+#define FRAMING_MAX_BYTES 65536
+#define FRAMING_FACTOR	  16
 
 static void watch(lw_bconn_t *c)
 {
@@ -57,6 +63,7 @@
 {
 	lw_bconn_t *c = p->data;
 
+	c->data_bytes += len;
 	if (c->user)
 		c->ops->body(c->user, (lw_str_t){ at, len });
 	return c->closed;
@@ -94,17 +101,20 @@
 	size_t len = lw_httphead_end(lw_bytebuf_head(&c->in), lw_bytebuf_len(&c->in));
 	lw_str_t block = { lw_bytebuf_head(&c->in), len };
 
-	if (!len) {
-		if (lw_bytebuf_len(&c->in) > HEAD_MAX_BYTES)
-			end_broken(c);
+	/* a faulty server may send a head, or interim answers, that never end */
+	if (c->head_bytes + (len ? len : lw_bytebuf_len(&c->in)) > HEAD_MAX_BYTES) {
+		end_broken(c);
 		return false;
 	}
+	if (!len)
+		return false;
 	http_parser_init(&c->parser, HTTP_RESPONSE);
 	if (lw_httphead_parse(&head, &c->parser, c->evloop->names, block) || !c->user) {
 		end_broken(c);
 		return false;
 	}
 	if (head.status < 200) {
+		c->head_bytes += len;
 		lw_bytebuf_consume(&c->in, len);
 		return true;
 	}
@@ -131,6 +141,15 @@
 	return true;
 }
 
+/*
+ * A faulty server may send chunk extensions without end: hardly any content arrives, so that the
+ * flow control of the content does not slow it down.
+ */
+static bool framing_too_long(const lw_bconn_t *c)
+{
+	return c->body_bytes > (FRAMING_FACTOR + 1) * c->data_bytes + FRAMING_MAX_BYTES;
+}
+
 static bool parse_body(lw_bconn_t *c)
 {
 	size_t len = lw_bytebuf_len(&c->in);
@@ -139,7 +158,8 @@
 
 	if (c->closed)
 		return false;
-	if (err != HPE_OK && err != HPE_PAUSED) {
+	c->body_bytes += used;
+	if ((err != HPE_OK && err != HPE_PAUSED) || framing_too_long(c)) {
 		end_broken(c);
 		return false;
 	}
@@ -249,6 +269,7 @@
 	c->keep = false;
 	c->sent = false;
 	c->paused = false;
+	c->head_bytes = c->body_bytes = c->data_bytes = 0;
 }
 
 /*
--- a/src/bconn.h
+++ b/src/bconn.h
@@ -51,6 +51,9 @@
 	bool sent; /* bytes of this request were passed to the kernel */
 	bool long_body; /* the server may pause while it reads the long body of the request */
 	bool is_head; /* the answer to a HEAD request has no body */
+	size_t head_bytes; /* of interim answers to the current request */
+	size_t body_bytes; /* of the body of the answer so far, as sent */
+	size_t data_bytes; /* of that: content */
 	uint32_t requests; /* number of requests carried so far */
 	/* digests of the ids of the last of them; the oldest is overwritten first */
 	uint64_t carried[LW_BCONN_REQUESTS_REMEMBERED];
--- a/src/gate_int.h
+++ b/src/gate_int.h
@@ -31,6 +31,7 @@
 	uint64_t arrived_us;
 	uint64_t started_us; /* 0 while queued */
 	size_t unacked; /* body bytes queued on the connection but not yet credited */
+	size_t rejection_bytes; /* of the body of a rejection */
 	size_t head_left; /* bytes of the head not written yet */
 	int64_t window; /* answer bytes that the sink still accepts */
 	ev_timer timer;
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -12,6 +12,13 @@
 
 /* extra time for the answer after the deadline, ms */
 #define DEADLINE_SLACK_MS 150
+/*
+ * The body of a rejection is read for at most this time and up to this length, so that the
+ * connection can be used again. A faulty server may send a body that never ends, and the request
+ * could not be sent to another server before its deadline.
+ */
+#define REJECTION_BODY_MS	 50
+#define REJECTION_BODY_MAX_BYTES 16384
 /* weight of a new sample in the average execution time */
 #define SERVICE_EWMA 0.05
 /* weight of a new sample in the average failure rate */
@@ -97,11 +104,33 @@
 	lw_gate_dispatch(g);
 }
 
+/* the server rejected the request; @reusable: its connection can carry another one */
+static void end_rejected(lw_job_t *j, bool reusable)
+{
+	lw_gate_t *g = j->gate;
+	lw_bconn_t *c = j->conn;
+	bool misdirected = j->answer_head.status == 421;
+
+	j->conn = NULL;
+	if (reusable)
+		lw_gate_keep_connection(g, c);
+	else
+		lw_bconn_close(c);
+	if (misdirected)
+		g->replaced_id = lw_name_c(j->target);
+	lw_job_fail(j, misdirected ? LW_FAIL_MISDIRECTED : LW_FAIL_SHED);
+}
+
 static void on_job_timeout(struct ev_loop *loop, ev_timer *w, int revents)
 {
+	lw_job_t *j = w->data;
+
 	(void)loop;
 	(void)revents;
-	lw_job_fail(w->data, LW_FAIL_TIMEOUT);
+	if (j->not_executed)
+		end_rejected(j, false);
+	else
+		lw_job_fail(j, LW_FAIL_TIMEOUT);
 }
 
 static void forward_answer(lw_job_t *j, bool fin)
@@ -175,6 +204,12 @@
 	apply_notice(j, h);
 	j->not_executed = not_executed;
 	j->answer_head.status = h->status;
+	if (not_executed) {
+		ev_timer_stop(g->evloop->loop, &j->timer);
+		ev_timer_set(&j->timer, REJECTION_BODY_MS / 1000.0, 0);
+		ev_timer_start(g->evloop->loop, &j->timer);
+		return true;
+	}
 	j->answer_head.body_length = h->body_length < 0 ? -1 : h->body_length;
 	lw_httphead_forward(h, false, &j->answer_head_text);
 	return true;
@@ -184,8 +219,12 @@
 {
 	lw_job_t *j = user;
 
-	if (j->not_executed)
+	if (j->not_executed) {
+		j->rejection_bytes += data.len;
+		if (j->rejection_bytes > REJECTION_BODY_MAX_BYTES)
+			end_rejected(j, false);
 		return;
+	}
 	lw_bytebuf_append_str(&j->answer, data);
 	if (j->head_sent || lw_bytebuf_len(&j->answer) > ANSWER_BUFFER_BYTES)
 		forward_answer(j, false);
@@ -206,17 +245,15 @@
 	 */
 	if (!j->fin || j->unacked)
 		reusable = false;
+	if (j->not_executed) {
+		end_rejected(j, reusable);
+		return;
+	}
 	j->conn = NULL;
 	if (reusable)
 		lw_gate_keep_connection(g, c);
 	else
 		lw_bconn_close(c);
-	if (j->not_executed && j->answer_head.status == 421)
-		g->replaced_id = lw_name_c(j->target);
-	if (j->not_executed) {
-		lw_job_fail(j, j->answer_head.status == 421 ? LW_FAIL_MISDIRECTED : LW_FAIL_SHED);
-		return;
-	}
 	/*
 	 * Failures are left out of the average execution time: a server that fails immediately
 	 * while reporting itself healthy would look fast and attract the calls of its service.
--- a/src/probe.c
+++ b/src/probe.c
@@ -30,28 +30,13 @@
 	if (same_server && p->on_notice)
 		p->on_notice(p->on_notice_ctx, &said, healthy, p->began_us);
 	if (lw_httphead_find(h, LW_HEADER_NOT_EXECUTED).ptr)
-		return true;
+		return false;
 	if (healthy)
 		p->healthy_us = p->evloop->now_us;
 	else
 		p->leaving = true;
-	return true;
-}
-
-static void on_body(void *user, lw_str_t data)
-{
-	(void)user;
-	(void)data;
-}
-
-static void on_done(void *user, bool reusable)
-{
-	lw_probe_t *p = user;
-	lw_bconn_t *c = p->conn;
-
-	(void)reusable;
-	p->conn = NULL;
-	lw_bconn_close(c);
+	/* the head says it all; a faulty server may send a body that never ends */
+	return false;
 }
 
 static void on_broken(void *user, bool sent)
@@ -70,9 +55,7 @@
 
 static const lw_bconn_ops_t conn_ops = {
 	.written = on_written,
-	.head = on_head,
-	.body = on_body,
-	.done = on_done,
+	.head = on_head, /* accepts no answer, so that none has a body or an end */
 	.broken = on_broken,
 };
 
--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -13,6 +13,7 @@
 import accounts  # noqa: E402,F401
 import copies  # noqa: E402,F401
 import crashes  # noqa: E402,F401
+import endless  # noqa: E402,F401
 import eras  # noqa: E402,F401
 import fates  # noqa: E402,F401
 import late  # noqa: E402,F401
--- a/tests/mesh/standin.py
+++ b/tests/mesh/standin.py
@@ -144,6 +144,26 @@
     return await reader.read() if answer else b""
 
 
+FILL = b"x" * 8192
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+# bytes without end: status line, framing, first bytes and the bytes that are repeated
+ENDLESS = {
+    "endless-line": (None, "", b"HTTP/1.1 200 ", FILL),
+    "endless-field": (None, "", b"HTTP/1.1 200 OK\r\nX-Field: ", FILL),
+    "endless-fields": (None, "", b"HTTP/1.1 200 OK\r\n", b"X-Field: x\r\n" * 700),
+    "endless-interim": (None, "", b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 400),
+    "endless-garbage": (None, "", b"", bytes(range(1, 256)) * 32),
+    "endless-size": ("200 OK", CHUNKED, b"", b"0" * 8192),
+    "endless-extension": ("200 OK", CHUNKED, b"4;", FILL),
+    "endless-extensions": ("200 OK", CHUNKED, b"", b"1;" + FILL + b"\r\na\r\n"),
+    "endless-trailers": ("200 OK", CHUNKED, b"4\r\nbody\r\n0\r\n", b"X-Field: x\r\n" * 700),
+    "endless-after": ("200 OK", "Content-Length: 4\r\n", b"body", FILL),
+    "endless-rejection": ("503 X", "X-Not-Executed: 1\r\n", b"", FILL),
+    "endless-chunks": ("200 OK", CHUNKED, b"", b"2000\r\n" + FILL + b"\r\n"),
+    "endless-body": ("200 OK", "", b"", FILL),
+}
+
+
 class Server:
     """A backend server. The coroutine `behave` is called for each request at the stages
     "head" and "run"; it may sleep, call through the proxy, or return a fault's name."""
@@ -163,10 +183,12 @@
         self.leaving = False  # health checks are answered 503
         self.born = None  # start of its process, Unix ms; None: not reported
         self.checks = 0  # health checks answered
+        self.endless_checks = None  # kind of bytes without end that answer health checks
         self.mute = False  # health checks get no answer
         self.more_load = ""  # further figures of its load report
         self.says = []  # header lines added to all its answers, also to health checks
         self.copies_sent = 0  # second copies of rejections
+        self.endless = []  # (request id, bytes, seconds) of answers without end
         self.names_rejections = True  # whether a rejection has the id of its request
         self.open = []
 
@@ -205,6 +227,8 @@
             if self.mute:
                 await asyncio.sleep(3600)
             self.checks += 1
+            if self.endless_checks:
+                await self.never_end(writer, rid, self.endless_checks)
             self.write(writer, 503 if self.leaving else 200, rid, b"", [f"X-Instance-Id: {self.id}"])
             return True
         if head.get("x-target-instance") not in (None, self.id):
@@ -291,7 +315,29 @@
         lines += [*self.says, *extra]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + data)
 
+    async def never_end(self, writer, rid, kind):
+        """Sends the beginning of an answer, then the same bytes until the caller closes."""
+        status, framing, first, more = ENDLESS[kind]
+        if status:
+            head = (f"HTTP/1.1 {status}\r\nX-Request-Id: {rid}\r\nX-Server-Stamp: st-{rid}\r\n"
+                    f"{framing}\r\n")
+            writer.write(head.encode())
+        writer.write(first)
+        sent, begin = 0, time.monotonic()
+        try:
+            while not writer.transport.is_closing():
+                writer.write(more)
+                sent += len(more)
+                await writer.drain()
+                await asyncio.sleep(0)
+        except OSError:
+            pass
+        self.endless.append((rid, sent, time.monotonic() - begin))
+        raise ConnectionError
+
     async def respond(self, writer, rid, fault, status, data):
+        if fault in ENDLESS:
+            await self.never_end(writer, rid, fault)
         if fault == "lost":
             writer.transport.abort()
             raise ConnectionError
