An answer without an id is not taken from a connection that may hold a copy

By a test of our own: after a late copy of an answer 421 the node beside a live server refused every request for it until the list showed another process.

Cause: a rejection may come without an id and was accepted for the request in hand, also on a connection that had carried another such rejection, of which it may be the copy.

Change: after an answer without an id a connection carries only idempotent requests until an answer with an id shows that no copy came. Nodes tell each other whether a request is idempotent (Open.idempotent). The answers of the gate's jobs move to gateanswer.c.

--- a/src/gate_int.h
+++ b/src/gate_int.h
@@ -37,6 +37,8 @@
 	ev_timer timer;
 	bool fin; /* the request body is complete */
 	bool head_sent; /* the head of the answer was forwarded to the sink */
+	/* its connection carried an answer without an id, a copy of which may come now */
+	bool copy_possible;
 	bool not_executed; /* the backend server reported that it did not execute the request */
 	bool dead;
 	bool broken; /* its connection closed; the sink is notified after the crash check */
@@ -44,6 +46,7 @@
 	lw_fingerprinter_t print;
 	uint32_t rank;
 	uint32_t kind; /* of work, see worktime.h */
+	bool idempotent;
 	bool repeat;
 	bool call_failed; /* a nested call failed */
 	bool call_retried; /* a nested call was retried */
@@ -59,7 +62,12 @@
 	return (lw_job_t *)(void *)((char *)w - offsetof(lw_job_t, waiter));
 }
 
+extern const lw_bconn_ops_t lw_job_conn_ops;
 void lw_job_fail(lw_job_t *j, lw_fail_t why);
+void lw_job_end_rejected(lw_job_t *j, bool reusable);
+void lw_job_load(const lw_job_t *j, lw_load_t *out);
+void lw_job_release(lw_job_t *j);
+void lw_gate_record_outcome(lw_gate_t *g, bool failed);
 void lw_gate_learn_load(lw_gate_t *g, lw_str_t value);
 void lw_gate_keep_connection(lw_gate_t *g, lw_bconn_t *c);
 void lw_gate_close_expired_idle(void *ctx);
--- a/src/gateconn.c
+++ b/src/gateconn.c
@@ -27,9 +27,16 @@
 	}
 }
 
-/* lw_gate_keep_connection() - add @c to the idle connections for reuse. */
+/*
+ * lw_gate_keep_connection() - add @c to the idle connections for reuse. If none but idempotent
+ * requests can use it, it is closed when there are enough others for them.
+ */
 void lw_gate_keep_connection(lw_gate_t *g, lw_bconn_t *c)
 {
+	if (c->nameless && g->nidle >= g->limit) {
+		lw_bconn_close(c);
+		return;
+	}
 	lw_bconn_idle(c);
 	c->on_idle_end = on_idle_end;
 	c->idle_ctx = g;
@@ -74,14 +81,15 @@
 }
 
 /*
- * Whether @c can carry the request of @j. A connection never carries one id twice: a faulty server
- * may send a second copy of an answer where the next one is expected. A request that is sent
- * again, after its rejection for example, would get the copy as its answer while it executes, and
- * would then be executed once more elsewhere.
+ * Whether @c can carry the request of @j. A faulty server may send a second copy of an answer where
+ * the next one is expected; if that is taken for the answer to a request that executes, the request
+ * is refused and executed, or executed once more elsewhere. So no connection carries one id twice,
+ * and after an answer without an id only requests that may be executed twice. An answer with an id
+ * ends that, as the copy would have come before it.
  */
 static bool can_carry(const lw_bconn_t *c, const lw_job_t *j)
 {
-	return !lw_bconn_has_carried(c, j->id_digest);
+	return (!c->nameless || j->idempotent) && !lw_bconn_has_carried(c, j->id_digest);
 }
 
 /* takes the first idle connection that can carry the request out of the list; NULL: none */
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -12,20 +12,8 @@
 
 /* extra time for the answer after the deadline, ms */
 #define DEADLINE_SLACK_MS 150
-/*
- * The body of a rejection is read for at most this time and up to this length, so that the
- * connection can be used again. A faulty server may send a body that never ends, and the request
- * could not be sent to another server before its deadline.
- */
-#define REJECTION_BODY_MS	 50
-#define REJECTION_BODY_MAX_BYTES 16384
-/* weight of a new sample in the average execution time */
-#define SERVICE_EWMA 0.05
-/* weight of a new sample in the average failure rate */
-#define FAILING_EWMA 0.03
-
-/* load of the gate, plus what the nested calls of the job reported */
-static void job_load(const lw_job_t *j, lw_load_t *out)
+/* lw_job_load() - load of the gate, plus what the nested calls of the job reported. */
+void lw_job_load(const lw_job_t *j, lw_load_t *out)
 {
 	lw_gate_load(j->gate, out);
 	out->call_failed = j->call_failed;
@@ -36,7 +24,8 @@
 		lw_path_levels_add(&out->hots, &j->hots.hot[i]);
 }
 
-static void job_release(lw_job_t *j)
+/* lw_job_release() - the job has ended; it is freed later. */
+void lw_job_release(lw_job_t *j)
 {
 	lw_gate_t *g = j->gate;
 
@@ -64,15 +53,6 @@
 	lw_evloop_free_later(g->evloop, j);
 }
 
-/*
- * A remote node sees only a few of a server's requests; the node on its host sees all. Reporting
- * the failure rate with each answer lets other nodes avoid a faulty server after its first answer.
- */
-static void record_outcome(lw_gate_t *g, bool failed)
-{
-	g->failing += FAILING_EWMA * ((failed ? 1.0 : 0.0) - g->failing);
-}
-
 /* lw_job_fail() - end the call with @why, then start queued requests if there is room. */
 void lw_job_fail(lw_job_t *j, lw_fail_t why)
 {
@@ -84,7 +64,7 @@
 		return;
 	g->stats.refused[why]++;
 	if (lw_fail_reached_server(why))
-		record_outcome(g, true);
+		lw_gate_record_outcome(g, true);
 	lw_log(LW_LOG_call_ended,
 	       "id=%s server=%s why=%s print=%016llx ran_ms=%llu waited_ms=%llu running=%u queued=%zu limit=%u",
 	       j->request_id, j->target, lw_fail_name(why),
@@ -98,29 +78,12 @@
 		lw_bconn_close(j->conn);
 		j->conn = NULL;
 	}
-	job_load(j, &load);
-	job_release(j);
+	lw_job_load(j, &load);
+	lw_job_release(j);
 	sink->ops->fail(sink, why, lw_admit_retry_after_ms(&load), &load);
 	lw_gate_dispatch(g);
 }
 
-/* the server rejected the request; @reusable: its connection can carry another one */
-static void end_rejected(lw_job_t *j, bool reusable)
-{
-	lw_gate_t *g = j->gate;
-	lw_bconn_t *c = j->conn;
-	bool misdirected = j->answer_head.status == 421;
-
-	j->conn = NULL;
-	if (reusable)
-		lw_gate_keep_connection(g, c);
-	else
-		lw_bconn_close(c);
-	if (misdirected)
-		g->replaced_id = lw_name_c(j->target);
-	lw_job_fail(j, misdirected ? LW_FAIL_MISDIRECTED : LW_FAIL_SHED);
-}
-
 static void on_job_timeout(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	lw_job_t *j = w->data;
@@ -128,176 +91,11 @@
 	(void)loop;
 	(void)revents;
 	if (j->not_executed)
-		end_rejected(j, false);
+		lw_job_end_rejected(j, false);
 	else
 		lw_job_fail(j, LW_FAIL_TIMEOUT);
 }
 
-static void forward_answer(lw_job_t *j, bool fin)
-{
-	lw_sink_t *sink = j->call.sink;
-	lw_str_t body = { lw_bytebuf_head(&j->answer), lw_bytebuf_len(&j->answer) };
-	lw_load_t load;
-
-	if (!j->head_sent) {
-		j->head_sent = true;
-		job_load(j, &load);
-		if (fin && j->answer_head.body_length < 0)
-			j->answer_head.body_length = (int64_t)body.len;
-		j->answer_head.head = (lw_str_t){ lw_bytebuf_head(&j->answer_head_text),
-						  lw_bytebuf_len(&j->answer_head_text) };
-		j->window -= (int64_t)body.len;
-		sink->ops->answer(sink, &j->answer_head, body, fin, &load);
-	} else {
-		j->window -= (int64_t)body.len;
-		sink->ops->data(sink, body, fin);
-	}
-	if (!j->dead)
-		lw_bytebuf_consume(&j->answer, body.len);
-}
-
-static void on_written(void *user, size_t bytes)
-{
-	lw_job_t *j = user;
-	size_t of_head = bytes < j->head_left ? bytes : j->head_left;
-	size_t credit;
-
-	j->head_left -= of_head;
-	credit = bytes - of_head;
-	if (credit > j->unacked)
-		credit = j->unacked;
-	j->unacked -= credit;
-	if (credit && !j->fin)
-		j->call.sink->ops->credit(j->call.sink, (uint32_t)credit);
-}
-
-/*
- * processes the self-announcement in the answer; ignored if the answering server is not the target
- */
-static void apply_notice(const lw_job_t *j, const lw_httphead_t *h)
-{
-	lw_notice_fields_t said = lw_httphead_notice(h);
-
-	if (h->status == 421 || strcmp(j->target, j->gate->server_id) != 0)
-		return;
-	lw_gate_on_notice(j->gate, &said, j->started_us);
-	if (!said.leaving && h->status < 500)
-		lw_gate_on_accepting(j->gate, j->started_us);
-}
-
-/*
- * A faulty server may send a second answer late, in place of the answer to the next request. The
- * caller would then receive another request's data; only the request id reveals the mismatch.
- */
-static bool on_head(void *user, const lw_httphead_t *h)
-{
-	lw_job_t *j = user;
-	lw_gate_t *g = j->gate;
-	lw_str_t id = lw_httphead_find(h, LW_HEADER_REQUEST_ID);
-	bool not_executed = lw_httphead_find(h, LW_HEADER_NOT_EXECUTED).ptr || h->status == 421;
-
-	if (j->request_id[0] && !lw_str_eq_c(id, j->request_id) && !(not_executed && !id.ptr)) {
-		g->stats.invalid_answers++;
-		return false;
-	}
-	lw_gate_learn_load(g, lw_httphead_find(h, LW_HEADER_LOAD));
-	apply_notice(j, h);
-	j->not_executed = not_executed;
-	j->answer_head.status = h->status;
-	if (not_executed) {
-		ev_timer_stop(g->evloop->loop, &j->timer);
-		ev_timer_set(&j->timer, REJECTION_BODY_MS / 1000.0, 0);
-		ev_timer_start(g->evloop->loop, &j->timer);
-		return true;
-	}
-	j->answer_head.body_length = h->body_length < 0 ? -1 : h->body_length;
-	lw_httphead_forward(h, false, &j->answer_head_text);
-	return true;
-}
-
-static void on_body(void *user, lw_str_t data)
-{
-	lw_job_t *j = user;
-
-	if (j->not_executed) {
-		j->rejection_bytes += data.len;
-		if (j->rejection_bytes > REJECTION_BODY_MAX_BYTES)
-			end_rejected(j, false);
-		return;
-	}
-	lw_bytebuf_append_str(&j->answer, data);
-	if (j->head_sent || lw_bytebuf_len(&j->answer) > ANSWER_BUFFER_BYTES)
-		forward_answer(j, false);
-	if (!j->dead && j->window <= 0)
-		lw_bconn_pause(j->conn, true);
-}
-
-static void on_done(void *user, bool reusable)
-{
-	lw_job_t *j = user;
-	lw_gate_t *g = j->gate;
-	lw_bconn_t *c = j->conn;
-	uint64_t took = g->evloop->now_us - j->started_us;
-
-	/*
-	 * if the request was not read completely, the server may parse its remaining bytes as a new
-	 * request
-	 */
-	if (!j->fin || j->unacked)
-		reusable = false;
-	if (j->not_executed) {
-		end_rejected(j, reusable);
-		return;
-	}
-	j->conn = NULL;
-	if (reusable)
-		lw_gate_keep_connection(g, c);
-	else
-		lw_bconn_close(c);
-	/*
-	 * Failures are left out of the average execution time: a server that fails immediately
-	 * while reporting itself healthy would look fast and attract the calls of its service.
-	 */
-	lw_gate_record_duration(g, took);
-	if (j->answer_head.status < 500) {
-		g->service_us += SERVICE_EWMA * ((double)took - g->service_us);
-		lw_worktable_sample(&g->work, j->kind, took, g->evloop->now_us);
-	}
-	g->stats.answered++;
-	record_outcome(g, j->answer_head.status >= 500 && !j->call_failed);
-	/* not counted while the answer is forwarded, so that its slot is reported as free */
-	g->running--;
-	forward_answer(j, true);
-	g->running++;
-	job_release(j);
-	lw_gate_dispatch(g);
-}
-
-static void on_broken(void *user, bool sent)
-{
-	lw_job_t *j = user;
-
-	lw_gate_t *g = j->gate;
-	bool refused = !j->conn->established;
-
-	j->conn = NULL;
-	if (sent) {
-		lw_gate_check_crash(j);
-		return;
-	}
-	lw_job_fail(j, LW_FAIL_NO_SERVER);
-	if (refused)
-		lw_gate_server_down(g);
-}
-
-static const lw_bconn_ops_t conn_ops = {
-	.written = on_written,
-	.head = on_head,
-	.body = on_body,
-	.done = on_done,
-	.broken = on_broken,
-};
-
 /* queues body bytes on the connection, framed as announced in the head */
 static void send_body(lw_job_t *j, lw_str_t data, bool fin)
 {
@@ -370,7 +168,8 @@
 	g->stats.started++;
 	count_arrival(j);
 	lw_histogram_add(&g->stats.wait, j->started_us - j->arrived_us);
-	lw_bconn_start(j->conn, &conn_ops, j, is_head);
+	j->copy_possible = j->conn->nameless;
+	lw_bconn_start(j->conn, &lw_job_conn_ops, j, is_head);
 	lw_bconn_remember(j->conn, j->id_digest);
 	if (j->body_length < 0 || j->body_length > LW_CALL_WINDOW)
 		lw_bconn_long_body(j->conn);
@@ -428,7 +227,7 @@
 		lw_bconn_close(j->conn);
 		j->conn = NULL;
 	}
-	job_release(j);
+	lw_job_release(j);
 	lw_gate_dispatch(g);
 }
 
@@ -453,6 +252,7 @@
 	j->window = LW_CALL_WINDOW;
 	j->rank = req->rank;
 	j->kind = req->kind;
+	j->idempotent = req->idempotent;
 	j->repeat = req->repeat;
 	lw_bytebuf_append_str(&j->head, req->head);
 	j->request_id = lw_str_dup(req->request_id);
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -1946,7 +1946,7 @@
   (ProtobufCMessageInit) lw__arrivals__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__open__field_descriptors[16] =
+static const ProtobufCFieldDescriptor lw__open__field_descriptors[17] =
 {
   {
     "stream",
@@ -2140,6 +2140,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "idempotent",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Open, idempotent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__open__field_indices_by_name[] = {
   9,   /* field[9] = body */
@@ -2147,6 +2159,7 @@
   1,   /* field[1] = deadline_ms */
   10,   /* field[10] = fin */
   6,   /* field[6] = head */
+  16,   /* field[16] = idempotent */
   13,   /* field[13] = kind */
   12,   /* field[12] = notice */
   15,   /* field[15] = put_back */
@@ -2163,7 +2176,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor lw__open__descriptor =
 {
@@ -2173,7 +2186,7 @@
   "Lw__Open",
   "lw",
   sizeof(Lw__Open),
-  16,
+  17,
   lw__open__field_descriptors,
   lw__open__field_indices_by_name,
   2,  lw__open__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -343,10 +343,14 @@
    * the receiver returned the request, and no other host has room
    */
   protobuf_c_boolean put_back;
+  /*
+   * may be executed more than once; absent from older nodes: counts as not
+   */
+  protobuf_c_boolean idempotent;
 };
 #define LW__OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__open__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, NULL, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, NULL, 0, 0, 0, 0 }
 
 
 struct  Lw__Answer
--- a/src/meshcall.c
+++ b/src/meshcall.c
@@ -282,6 +282,7 @@
 		.target_left_ms = o->target_left_ms > late_ms ? o->target_left_ms - late_ms : 0,
 		.rank = o->rank,
 		.kind = o->kind,
+		.idempotent = o->idempotent,
 		.repeat = o->repeat,
 		.returnable = o->returnable,
 		.put_back = o->put_back,
@@ -423,6 +424,7 @@
 	o.target_left_ms = req->target_left_ms;
 	o.rank = req->rank;
 	o.kind = req->kind;
+	o.idempotent = req->idempotent;
 	o.repeat = req->repeat;
 	o.returnable = req->returnable;
 	o.put_back = req->put_back;
--- a/tests/mesh/copies.py
+++ b/tests/mesh/copies.py
@@ -9,27 +9,29 @@
 
 ORDERS = [route("get", "/get/", "front"), route("put", "/put/", "back", "unsafe", 0, 5, 2, attempts=1)]
 REQUESTS = 30
+REFUSALS = (408, 421, 429, 503)
 
 
 def shed_first(fault):
-    """Returns a behaviour that rejects the first attempt of each request with @fault."""
+    """Returns a behaviour that rejects the first attempt of each request whose id does not end in
+    an odd digit with @fault."""
     seen = collections.Counter()
 
     async def behave(s, head, rid, stage):
         if stage == "head":
             seen[rid] += 1
-            return fault if seen[rid] == 1 else None
+            return fault if seen[rid] == 1 and rid[-1] not in "13579" else None
         await asyncio.sleep(0.01)
     return behave
 
 
 async def order_on_behalf(s, head, rid, stage):
-    """Makes one call on an unsafe route for each request; its id is that of the request and .1"""
+    """Makes one call on an unsafe route for each request; its id is that of the request and .0"""
     if stage != "run":
         return None
     c = standin.Caller(s.ip, CALLERS)
     try:
-        a = await c.ask("POST", f"/put/{rid}", f"{rid}.1", body=b"order", deadline=4000)
+        a = await c.ask("POST", f"/put/{rid}", f"{rid}.0", body=b"order", deadline=4000)
     finally:
         c.close()
     return None if a.status == 200 else (None, 500, b"call failed")
@@ -43,7 +45,39 @@
     front.server.behave, back.server.behave = order_on_behalf, shed_first("shed-copied")
     ids = [f"r{i}" for i in range(REQUESTS)]
     answers = [await front.caller().ask("GET", f"/get/{rid}", rid) for rid in ids]
-    twice = [rid for rid in ids if runs(f, f"{rid}.1") > 1]
+    twice = [rid for rid in ids if runs(f, f"{rid}.0") > 1]
     check(not twice, f"{len(twice)} of {REQUESTS} calls ran more than once")
     statuses = collections.Counter(a.status for a in answers)
     check(back.server.copies_sent and statuses[200], (back.server.copies_sent, statuses))
+
+
+@test({"front": 1, "back": 2}, rules=ORDERS)
+async def test_copy_of_a_rejection_without_an_id(f):
+    """Guards against an order that is refused and runs, or runs twice: the late second copy of a
+    rejection without an id is taken for the answer to the next order on the connection."""
+    node = f.nodes["front"][0]
+    for n in f.nodes["back"]:
+        n.server.names_rejections, n.server.behave = False, shed_first("shed-copied")
+    bad = []
+    for i in range(3 * REQUESTS):
+        a = await node.caller().ask("POST", "/put/1", f"o{i}", body=b"order")
+        ran = runs(f, f"o{i}")
+        if ran > 1 or (ran and a.status in REFUSALS):
+            bad.append((f"o{i}", a.status, ran))
+    check(not bad, f"{len(bad)} orders were refused and ran, or ran twice: {bad[:3]}")
+
+
+@test({"front": 1, "back": 1})
+async def test_copy_of_a_misdirection(f):
+    """Guards against a node that refuses all requests for its own live server: the late copy of an
+    answer 421 for the former server at its address is taken for the answer to a request for it."""
+    node, server = f.nodes["front"][0], f.nodes["back"][0].server
+    server.names_rejections, server.copies_421 = False, True
+    server.id, former = "i-back-anew", server.id
+    for i in range(3):
+        await node.caller().ask("GET", "/leaf/1", f"former{i}", deadline=500)
+    f.register(server)
+    f.store.remove("servers/" + former)
+    await asyncio.sleep(1.5)
+    answers = [await node.caller().ask("GET", "/leaf/1", f"anew{i}") for i in range(10)]
+    check([a.status for a in answers[3:]] == [200] * 7, answers)
--- a/tests/mesh/standin.py
+++ b/tests/mesh/standin.py
@@ -189,6 +189,7 @@
         self.says = []  # header lines added to all its answers, also to health checks
         self.copies_sent = 0  # second copies of rejections
         self.endless = []  # (request id, bytes, seconds) of answers without end
+        self.copies_421 = False  # whether each answer 421 is sent a second time
         self.names_rejections = True  # whether a rejection has the id of its request
         self.open = []
 
@@ -231,11 +232,13 @@
                 await self.never_end(writer, rid, self.endless_checks)
             self.write(writer, 503 if self.leaving else 200, rid, b"", [f"X-Instance-Id: {self.id}"])
             return True
+        self.send_late_copy(writer)
         if head.get("x-target-instance") not in (None, self.id):
             await read_body(reader, head)
-            self.write(writer, 421, rid, b"", [f"X-Instance-Id: {self.id}"])
+            writer.write(self.rejection(rid, 421))
+            if self.copies_421:
+                writer.late_copy = self.rejection(rid, 421)
             return True
-        self.send_late_copy(writer)
         fault = await self.behave(self, head, rid, "head") if self.behave else None
         if fault in ("shed", "shed-copied"):
             await read_body(reader, head)
@@ -252,9 +255,10 @@
         async with self.free:
             return await self.run(reader, writer, head, rid, body)
 
-    def rejection(self, rid):
+    def rejection(self, rid, status=503):
         named = f"X-Request-Id: {rid}\r\n" if self.names_rejections else ""
-        return (f"HTTP/1.1 503 X\r\n{named}X-Not-Executed: 1\r\nKeep-Alive: timeout=10\r\n"
+        unrun = "X-Not-Executed: 1" if status == 503 else f"X-Instance-Id: {self.id}"
+        return (f"HTTP/1.1 {status} X\r\n{named}{unrun}\r\nKeep-Alive: timeout=10\r\n"
                 f"X-Server-Load: {self.running},0,{self.slots}{self.more_load}\r\n"
                 "Content-Length: 0\r\n\r\n").encode()
 
--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -197,6 +197,8 @@
     async def server_fault(self, node, rng):
         fault = rng.choice(["lost", "shed", "slow", "error", "cut", "extra", "late-extra",
                             "garbage", "hang", "unframed", "unframed-reset"])
+        if self.copies_of_rejections:
+            fault = "shed"
         span = self.unplanned()
         self.fault_of[node.server.id] = (fault, 0.05 + rng.random() * 0.6)
         self.note(f"server {node.server.id} {fault}")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,7 +16,8 @@
 which rate limit they have (announcing.py). With seeds from 4000 on, the series of the seeds
 from 1 on hits nodes that ask some others when they start instead of reading the store. Seeds
 from 8000 on draw servers that are started anew under their id, announce that they are leaving
-and are started anew again, while the store fails and is restored from copies. A seed always draws the same series of faults."""
+and are started anew again, while the store fails and is restored from copies. With seeds from
+9000 on, servers reject requests and send second copies of rejections late (copying.py). A seed always draws the same series of faults."""
 import argparse
 import asyncio
 import os
@@ -30,6 +31,7 @@
 import fleet as fl  # noqa: E402
 import standin  # noqa: E402
 from announcing import Announcing  # noqa: E402
+from copying import Copying  # noqa: E402
 from crashes import Crashes  # noqa: E402
 from series import DRAIN_S, Series  # noqa: E402
 from tenancy import Tenancy, open_routes, tenants  # noqa: E402
@@ -62,6 +64,8 @@
 JOINING_NODES = 3
 # seeds from here on draw servers that are started anew under their id and leave
 RENEWING_SEEDS = 8000
+# seeds from here on draw servers that send second copies of rejections
+COPYING_SEEDS = 9000
 # at least this share of a planned seed's requests must be covered by check_planned()
 JUDGED_SHARE = 0.2
 
@@ -72,11 +76,14 @@
         self.chaos_rng = random.Random(f"chaos {seed}")  # for the series of faults only
         self.seconds = seconds
         self.net = net
+        copying = seed >= COPYING_SEEDS
+        if copying:
+            seed -= COPYING_SEEDS
         self.renewing = seed >= RENEWING_SEEDS
         self.joining = JOINING_SEEDS <= seed < RENEWING_SEEDS
         if self.joining:
             seed -= JOINING_SEEDS
-        self.planned = (seed % 3 == 0 and seed < ANNOUNCING_SEEDS and
+        self.planned = (not copying and seed % 3 == 0 and seed < ANNOUNCING_SEEDS and
                         not ENDS_SEEDS <= seed < TENANCY_SEEDS)
         self.ends = ENDS_SEEDS <= seed < TENANCY_SEEDS
         self.tenancy = (Tenancy(seed, self.fail)
@@ -108,6 +115,7 @@
         self.f = fl.Fleet(net, layout, rules=self.rules(), relays=not self.planned,
                           tenants=tenants() if self.tenancy else None,
                           seeds=JOINING_NODES if self.joining else 0)
+        self.copies_of_rejections = Copying(self) if copying else None
         self.crashes = Crashes(self.f, "back", "", take=False)
         for n in self.f.all():
             n.server.behave = self.behave
@@ -132,11 +140,15 @@
         fault, share = self.fault_of.get(server.id, (None, 0))
         bad = fault and self.rng.random() < share
         if stage == "head":
-            return "shed" if bad and fault == "shed" else None
+            if bad and fault == "shed":
+                return self.copies_of_rejections.rejection() if self.copies_of_rejections else fault
+            return None
         run = [time.monotonic(), None, server.id]
         self.runs.setdefault(rid, []).append(run)
         try:
             await self.work(server, rid, bad and fault == "slow")
+            if self.copies_of_rejections and head.start[1].startswith("/front/"):
+                await self.copies_of_rejections.call(server, rid)
         finally:
             run[1] = time.monotonic()
         if bad and fault not in ("shed", "slow"):
@@ -244,6 +256,8 @@
                 if not rid.startswith(("probe", "bad")):
                     self.fail(f"{rid}: ran, but was never sent")
                 continue
+            if self.copies_of_rejections and self.copies_of_rejections.left_out(rid, ran):
+                continue
             order = self.asked[rid][0].endswith("put")
             if order and len(times) > 1:
                 self.fail(f"{rid}: an order ran {len(times)} times")
@@ -256,6 +270,8 @@
         an answer is closed at once, and no server goes on executing a request whose
         caller was answered or lost its connection."""
         for rid, (kind, node, sent) in self.asked.items():
+            if rid.endswith(".0"):
+                continue  # a call ends without an answer when the run that makes it is cancelled
             end, answered = self.ended[rid]
             if not self.calm(sent, end + GONE_S):
                 continue
@@ -403,6 +419,8 @@
                 "organisations" if s.tenancy else "announcing" if s.announcing else "mixed")
         if s.ends:
             kind += f", {s.ended_servers} servers ended, {s.copies} copies"
+        if s.copies_of_rejections:
+            kind += f", {s.copies_of_rejections.sent()} late copies"
         if s.announcing:
             kind += f", {s.copies} copies, {s.announcing.left} said to leave, {len(s.announcing.named)} limits"
         print(f"{'FAILED' if s.broken else 'passed'} seed {seed} ({kind}): {requests} requests, "
