Retries stay within the allowance of the windows that end later

Cause: the nodes of the servers reported the window that ends now. A retry counts in each window that begins in the ten seconds before it, and the base of the later ones is smaller while the requests become fewer.

Change: the window is reported whose retries are furthest above the part of the allowance that its requests give. No constant changed.

--- a/src/retrylimit.c
+++ b/src/retrylimit.c
@@ -206,22 +206,69 @@
 	return allowed > 0 ? (uint32_t)(sum.retries * 1000.0 / allowed) : 0;
 }
 
+/* sums over the kept slices: entry i is that of the newest i slices */
+static void sum_up(lw_retrylimit_t *l, lw_retryslice_t total[LW_RETRY_KEPT + 1])
+{
+	total[0] = (lw_retryslice_t){ 0 };
+	for (uint32_t i = 0; i < LW_RETRY_KEPT; i++) {
+		const lw_retryslice_t *s = slice_at(l, l->newest + LW_RETRY_KEPT - i);
+
+		total[i + 1].requests = total[i].requests + s->requests;
+		total[i + 1].retries = total[i].retries + s->retries;
+	}
+}
+
+/*
+ * What the window that began @back slices ago contains so far, with the retries of the slice in
+ * which it began.
+ */
+static lw_arrivals_t window_since(const lw_retryslice_t *total, uint32_t back)
+{
+	uint32_t half = LW_RETRY_SLICES / 2;
+	uint32_t half_end = back > half ? back - half : 0;
+
+	return (lw_arrivals_t){
+		.retries = total[back + 1].retries,
+		.requests = { total[back].requests,
+			      total[back + half].requests - total[half_end].requests,
+			      total[back + LW_RETRY_SLICES].requests - total[back].requests },
+	};
+}
+
+static uint32_t most_requests(const lw_arrivals_t *a)
+{
+	uint32_t most = 0;
+
+	for (uint32_t i = 0; i < LW_RETRY_WINDOWS; i++)
+		most = a->requests[i] > most ? a->requests[i] : most;
+	return most;
+}
+
 /*
- * lw_retrylimit_arrivals() - @out: the requests and retries that @l, in which the node of a
- * backend server counts what reaches it, has seen.
+ * lw_retrylimit_arrivals() - @out: what has reached the backend server whose node counts in @l. A
+ * retry that is sent now counts in each window that ends within the next ten slices. While the
+ * requests become fewer, the allowance of those windows is smaller than that of the one that ends
+ * now, and calls of repeated requests, which are never held back, use it up. So the window is
+ * reported whose retries are furthest above the part of the allowance that its requests give.
  */
 void lw_retrylimit_arrivals(const lw_retrylimit_t *l, const lw_retryallowance_t *t, uint64_t now_us,
 			    lw_arrivals_t *out)
 {
+	lw_retryslice_t total[LW_RETRY_KEPT + 1];
 	lw_retrylimit_t now = *l;
-	lw_retryslice_t sum;
+	double most = 0;
 
 	advance(&now, t, now_us);
-	sum = window_sum(&now, 0);
-	add_slice_before(&now, &sum);
-	out->retries = sum.retries;
-	for (uint32_t i = 0; i < LW_RETRY_WINDOWS; i++)
-		out->requests[i] = window_sum(&now, i * LW_RETRY_SLICES / 2).requests;
+	sum_up(&now, total);
+	for (uint32_t back = LW_RETRY_SLICES; back > 0; back--) {
+		lw_arrivals_t w = window_since(total, back);
+		double excess = w.retries - t->ratio * most_requests(&w);
+
+		if (back < LW_RETRY_SLICES && excess <= most)
+			continue;
+		most = excess;
+		*out = w;
+	}
 }
 
 /* lw_arrivals_add() - adds the arrivals at @one server to @sum. */
@@ -238,12 +285,8 @@
  */
 uint32_t lw_arrivals_used(const lw_arrivals_t *sum, const lw_retryallowance_t *t, double part)
 {
-	uint32_t most = 0;
-	double allowed;
+	double allowed = t->ratio * most_requests(sum) + t->extra * part;
 
-	for (uint32_t i = 0; i < LW_RETRY_WINDOWS; i++)
-		most = sum->requests[i] > most ? sum->requests[i] : most;
-	allowed = t->ratio * most + t->extra * part;
 	return allowed > 0 ? (uint32_t)(sum->retries * 1000.0 / allowed) : 0;
 }
 
--- a/src/retrylimit.h
+++ b/src/retrylimit.h
@@ -61,8 +61,9 @@
 
 /* Requests that reached one or several backend servers of a service, as their nodes count them. */
 typedef struct lw_arrivals {
-	uint32_t retries; /* in the last window and the slice before it */
-	uint32_t requests[LW_RETRY_WINDOWS]; /* first attempts */
+	uint32_t retries; /* in a window and the slice in which it began */
+	/* first attempts in the window so far, in the one half a window before, and before it */
+	uint32_t requests[LW_RETRY_WINDOWS];
 } lw_arrivals_t;
 
 void lw_retrylimit_count_request(lw_retrylimit_t *l, const lw_retryallowance_t *t, uint32_t rank,
--- a/tests/decide_retry.c
+++ b/tests/decide_retry.c
@@ -125,11 +125,18 @@
 
 #define SHIFT_NODES_MAX	 1024
 #define SHIFT_AT_S	 10
-#define SHIFT_BINS	 200
+#define SHIFT_BINS	 300
 #define SHIFT_BINS_PER_S 10
+#define SHIFT_WINDOW	 100
+/* fewer: seconds until the requests become fewer, and until the server fails */
+#define FEWER_AT_S   12
+#define FEWER_FAIL_S 19
+/* one request in so many is a call of a repeated request */
+#define FEWER_INHERITED 16
 
 /* requests and retries that reached the server, by tenths of a second */
 typedef struct shift_count {
+	long bins; /* those that are used */
 	double requests[SHIFT_BINS];
 	double retries[SHIFT_BINS];
 } shift_count_t;
@@ -146,10 +153,10 @@
 /* the most of the allowance that any window of ten seconds used, in per mille */
 static long shift_used(const shift_count_t *c)
 {
-	long n = SHIFT_BINS / 2;
+	long n = SHIFT_WINDOW;
 	double most = 0;
 
-	for (long from = 0; from + n <= SHIFT_BINS; from++) {
+	for (long from = 0; from + n <= c->bins; from++) {
 		double requests = 0, used;
 
 		for (long back = 0; back <= n; back += n / 2) {
@@ -165,10 +172,12 @@
 }
 
 /*
- * retry-shift NODES REQUESTS [to-one] [shares-only]: nodes call a service with one server; all of
+ * retry-shift NODES REQUESTS [to-one] [shares-only] [fewer]: nodes call a service with one server; all of
  * them together send as many requests a second, each from a node at random. After ten seconds the
  * server fails each second attempt. to-one: from then on three quarters of all come from the first
- * node. shares-only: the nodes don't hear what reaches the server. Prints the most of the
+ * node. shares-only: the nodes don't hear what reaches the server. fewer: first two thirds of the
+ * requests stop, and some of the others are calls of repeated requests, which are not held back;
+ * the server fails some seconds later. Prints the most of the
  * allowance that any ten seconds used, in per mille.
  */
 static void do_retry_shift(world_t *w, const words_t *a)
@@ -176,15 +185,18 @@
 	static lw_retrylimit_t node[SHIFT_NODES_MAX];
 	lw_retrylimit_t server = { 0 };
 	uint32_t nodes = (uint32_t)num(a, 1), random = 1;
+	bool fewer = has(a, "fewer");
+	long fails_s = fewer ? FEWER_FAIL_S : SHIFT_AT_S;
 	long all = num(a, 2), attempts = 0;
-	shift_count_t count = { 0 };
+	shift_count_t count = { .bins = (fails_s + SHIFT_AT_S) * SHIFT_BINS_PER_S };
 
 	memset(node, 0, sizeof(node));
 
-	for (long i = 0; i < 2 * SHIFT_AT_S * all; i++) {
+	for (long i = 0; i < (fails_s + SHIFT_AT_S) * all; i++) {
 		uint64_t now = 1000000 + (uint64_t)i * 1000000 / (uint64_t)all;
 		long bin = i * SHIFT_BINS_PER_S / all;
-		bool failing = i >= SHIFT_AT_S * all;
+		bool failing = i >= fails_s * all;
+		bool falling = fewer && i >= FEWER_AT_S * all;
 		bool moved = failing && has(a, "to-one") && i % 4;
 		uint32_t k = moved ? 0 : (random >> 16) % nodes;
 		lw_retrylimit_t *l = &node[k];
@@ -194,6 +206,14 @@
 
 		at.lot = k * 2654435769u;
 		random = random * 1664525 + 1013904223;
+		if (falling && i % 3)
+			continue;
+		if (falling && !failing && i % FEWER_INHERITED == 0) {
+			lw_retrylimit_count_retry(l, &decide_retry_terms, now);
+			lw_retrylimit_count_retry(&server, &decide_retry_terms, now);
+			count.retries[bin]++;
+			continue;
+		}
 		lw_retrylimit_count_request(l, &decide_retry_terms, 0, now);
 		lw_retrylimit_count_request(&server, &decide_retry_terms, 0, now);
 		count.requests[bin]++;
