An upload to the server beside the node goes on after its first window

What callers saw: uploads of 64 to 128 KB ended 504 without having run. Cause: the first window is written, and the credit for it granted, while the call is being made; nothing sent the rest then. Change: what the credit permits is sent once the call is known.

--- a/src/exchattempt.c
+++ b/src/exchattempt.c
@@ -200,6 +200,9 @@
 		x->call = lw_mesh_call(e->mesh, x->host->node, &x->sink, &req, body, whole);
 	if (x->call) {
 		watch_for_stall(x);
+		/* the server may have consumed the first part while the call was being made */
+		if (!whole)
+			lw_exchange_send_body(x);
 		return;
 	}
 	if (x->host->self) {
--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -30,6 +30,7 @@
 import starts  # noqa: E402,F401
 import stops  # noqa: E402,F401
 import stores  # noqa: E402,F401
+import uploads  # noqa: E402,F401
 from fleet import Fleet, route, until  # noqa: E402
 from harness import TESTS, check, runs, runs_at, test  # noqa: E402
 
