A request with a key is a caller's, whatever its id looks like

Cause: ids with a dot count as those of calls, to which no limit applies. Change: a request with a key is never a call, as calls carry none. Measured: test_limit_with_ids_like_those_of_calls failed before and passes 2 of 2.

--- a/src/exchadmit.c
+++ b/src/exchadmit.c
@@ -114,6 +114,19 @@
 		x->parent_id.len = 0;
 }
 
+/*
+ * A request with the key of an organisation is that of a caller: calls carry no key. If its id has a
+ * dot, it would otherwise count as a call and escape the limit of its organisation and the admission
+ * that callers are subject to.
+ */
+static void clear_parent(lw_exchange_t *x)
+{
+	x->call_depth = 0;
+	x->parent_id.len = 0;
+	x->nested = false;
+	x->attempts.nested = false;
+}
+
 static lw_identity_t unknown_or_unsure(const lw_engine_t *e)
 {
 	return e->news_age_ms && e->news_age_ms(e->ctx) > KEYS_STALE_MS ? LW_IDENTITY_UNSURE :
@@ -277,6 +290,8 @@
 		reject_unidentified(x, who, r);
 		return false;
 	}
+	if (*org)
+		clear_parent(x);
 	apply_route(x, req, r, *org);
 	e->stats.nested += x->nested;
 	if (x->parent_id.len) {
--- a/tests/mesh/organisations.py
+++ b/tests/mesh/organisations.py
@@ -183,14 +183,14 @@
 
 class Load:
     """Sends requests of one organisation at a given rate per second, distributed over
-    several nodes."""
+    several nodes; their ids end with @suffix."""
 
-    def __init__(self, f, key):
-        self.f, self.key, self.n, self.answers = f, key, 0, []
+    def __init__(self, f, key, suffix=""):
+        self.f, self.key, self.suffix, self.n, self.answers = f, key, suffix, 0, []
 
     async def one(self, node):
         self.n += 1
-        rid = f"q{self.key}-{self.n}"
+        rid = f"q{self.key}-{self.n}{self.suffix}"
         c = node.caller()
         try:
             a = await c.ask("GET", "/get/x", rid, headers=bearer(self.key))
@@ -254,6 +254,17 @@
     check({a[1] for a in load.answers} == {200, 429}, {a[1] for a in load.answers})
 
 
+@test({"front": 3, "back": 1})
+async def test_limit_with_ids_like_those_of_calls(f):
+    """Guards against callers that escape the limit of their organisation as their request ids have
+    a dot, like those of calls that servers make."""
+    await put(f, limited(2))
+    await asyncio.sleep(1)
+    load = Load(f, KEYS["red"][0], suffix=".7")
+    await load.run(f.all(), 200, 6)
+    check(most_run(f, load.key) <= allowed(LIMIT), most_run(f, load.key))
+
+
 @test({"front": 6, "back": 2})
 async def test_limit_at_one_node_then_another(f):
     """Guards against an organisation that gets only a share of its limit because all its
