A rejection that is cut after its head is a rejection

What callers saw: an order that a server had rejected ended 502 when the connection broke before the body of the rejection was complete. Cause: the end of the connection counted as 'may have been executed', whatever the head had said. Change: the head decides.

--- a/src/gateanswer.c
+++ b/src/gateanswer.c
@@ -26,8 +26,8 @@
 }
 
 /*
- * lw_job_end_rejected() - the server rejected the request; @reusable: its connection can carry
- * another one.
+ * lw_job_end_rejected() - the server rejected the request; @reusable: its connection, if it is
+ * still open, can carry another one.
  */
 void lw_job_end_rejected(lw_job_t *j, bool reusable)
 {
@@ -40,9 +40,9 @@
 	 * A late copy of an answer 421 without an id could be taken for the answer to a request for
 	 * the server that is there now, for which this node would then refuse all requests.
 	 */
-	if (reusable && !misdirected)
+	if (c && reusable && !misdirected)
 		lw_gate_keep_connection(g, c);
-	else
+	else if (c)
 		lw_bconn_close(c);
 	if (misdirected)
 		g->replaced_id = lw_name_c(j->target);
@@ -125,7 +125,7 @@
 		g->stats.invalid_answers++;
 		return false;
 	}
-	j->conn->nameless = !id.len;
+	j->conn->answered_without_id = !id.len;
 	if (id.len || !j->copy_possible) {
 		lw_gate_learn_load(g, lw_httphead_find(h, LW_HEADER_LOAD));
 		apply_notice(j, h);
@@ -204,11 +204,15 @@
 static void on_broken(void *user, bool sent)
 {
 	lw_job_t *j = user;
-
 	lw_gate_t *g = j->gate;
 	bool refused = !j->conn->established;
 
 	j->conn = NULL;
+	if (j->not_executed) {
+		/* only the body of the rejection is missing */
+		lw_job_end_rejected(j, false);
+		return;
+	}
 	if (sent) {
 		lw_gate_check_crash(j);
 		return;
--- a/tests/mesh/standin.py
+++ b/tests/mesh/standin.py
@@ -242,6 +242,12 @@
                 writer.late_copy = self.rejection(rid, 421)
             return True
         fault = await self.behave(self, head, rid, "head") if self.behave else None
+        if fault == "shed-cut":
+            await read_body(reader, head)
+            writer.write(self.rejection(rid).replace(b"Content-Length: 0", b"Content-Length: 9"))
+            await writer.drain()
+            writer.close()
+            raise ConnectionError
         if fault in ("shed", "shed-copied"):
             await read_body(reader, head)
             writer.write(self.rejection(rid))
