--- a/src/bconn.h
+++ b/src/bconn.h
@@ -54,7 +54,7 @@
 	size_t head_bytes; /* of interim answers to the current request */
 	size_t body_bytes; /* of the body of the answer so far, as sent */
 	size_t data_bytes; /* of that: content */
-	bool nameless; /* the last answer had no request id */
+	bool answered_without_id; /* the last answer had no request id */
 	uint32_t requests; /* number of requests carried so far */
 	/* digests of the ids of the last of them; the oldest is overwritten first */
 	uint64_t carried[LW_BCONN_REQUESTS_REMEMBERED];
--- a/src/exchattempt.c
+++ b/src/exchattempt.c
@@ -108,7 +108,7 @@
 /*
  * A service without a reachable server is reported as fully overloaded, so that requests that call
  * it are refused where they enter the fleet. Otherwise they would all be executed down to the
- * missing server and fail there with 500, as half of all requests did in one network partition.
+ * missing server and fail there with 500.
  */
 static void report_service_unavailable(lw_exchange_t *x)
 {
--- a/src/gateconn.c
+++ b/src/gateconn.c
@@ -33,7 +33,7 @@
  */
 void lw_gate_keep_connection(lw_gate_t *g, lw_bconn_t *c)
 {
-	if (c->nameless && g->nidle >= g->limit) {
+	if (c->answered_without_id && g->nidle >= g->limit) {
 		lw_bconn_close(c);
 		return;
 	}
@@ -89,7 +89,7 @@
  */
 static bool can_carry(const lw_bconn_t *c, const lw_job_t *j)
 {
-	return (!c->nameless || j->idempotent) && !lw_bconn_has_carried(c, j->id_digest);
+	return (!c->answered_without_id || j->idempotent) && !lw_bconn_has_carried(c, j->id_digest);
 }
 
 /* takes the first idle connection that can carry the request out of the list; NULL: none */
--- a/src/proxystats.c
+++ b/src/proxystats.c
@@ -8,6 +8,7 @@
 #include <time.h>
 
 #include "httpd.h"
+#include "name.h"
 #include "storepos.h"
 
 /*
@@ -308,6 +309,10 @@
 	      "requests isolated or refused because backend servers crashed while executing them",
 	      s->suspects);
 	gauge(f, "lw_config_version", "version of the configuration in force", s->config_version);
+	gauge(f, "lw_names", "distinct names of services, routes, organisations, servers and zones",
+	      lw_names_count());
+	gauge(f, "lw_names_bytes", "memory of these names, which are kept until the process ends",
+	      lw_names_bytes());
 	gauge(f, "lw_servers", "backend servers in the list", s->servers);
 	gauge(f, "lw_servers_revision", "revision of the list of backend servers",
 	      lw_storepos_revision(s->servers_revision));
