Log which requests an exit interrupts, and why they had been accepted

A stop that cuts requests off wrote their number alone (E1006), so that the three hypotheses of the incident could not be told apart. Now E1318 names each request with its age, the basis on which it was accepted and the time that was left then; E1002 and lw_gate_cut_off_total count them, E1405 says whether the lost node was leaving, and lwctl explain names the cause.

--- a/src/explain.c
+++ b/src/explain.c
@@ -38,6 +38,8 @@
 	{ "broken",
 	  "the connection was closed or the answer was invalid; it may have been executed",
 	  "E1311 on the server's node, E1405 if the node itself was lost" },
+	{ "cut_off", "the node beside its server stopped before the server had answered",
+	  "accepted_by and expected_ms in E1318: why that node had still accepted it" },
 	{ "timeout", "no answer within the route's timeout or the caller's deadline",
 	  "the calls above: waited_ms (queue) and ran_ms (server); if none: the server was slow" },
 	{ "over_limit", "its organisation exceeds its limit, which applies to all hosts together",
@@ -117,8 +119,8 @@
  */
 static int tie_order(const lw_explain_line_t *l)
 {
-	static const char *const order[] = { "path_busy", "request_returned", "call_ended",
-					     "request_retried", "request_ended" };
+	static const char *const order[] = { "path_busy",  "request_returned", "request_cut_off",
+					     "call_ended", "request_retried",  "request_ended" };
 
 	for (size_t i = 0; i < sizeof(order) / sizeof(order[0]); i++)
 		if (strcmp(order[i], l->event) == 0)
@@ -173,12 +175,24 @@
 	       strcmp(why, "path_busy") == 0;
 }
 
-static int reason_of(const lw_explain_line_t *l)
+/* whether the exit of a node interrupted the call that ended with @l */
+static bool was_cut_off(const lw_explain_t *e, const lw_explain_line_t *l)
+{
+	for (size_t i = 0; i < e->nlines; i++)
+		if (e->lines[i].depth == l->depth &&
+		    strcmp(e->lines[i].event, "request_cut_off") == 0)
+			return true;
+	return false;
+}
+
+static int reason_of(const lw_explain_t *e, const lw_explain_line_t *l)
 {
 	char why[VALUE_MAX];
 
 	if (!l || !lw_logline_field(l->fields, "why", why, sizeof(why)))
 		return -1;
+	if (strcmp(why, "broken") == 0 && was_cut_off(e, l))
+		snprintf(why, sizeof(why), "cut_off");
 	if (is_full(why) && lw_logline_number(l->fields, "server_limit"))
 		snprintf(why, sizeof(why), "server_limit");
 	for (size_t i = 0; i < sizeof(reasons) / sizeof(reasons[0]); i++)
@@ -219,7 +233,7 @@
 void lw_explain_print(const lw_explain_t *e, FILE *out)
 {
 	const lw_explain_line_t *cause = lw_explain_cause(e);
-	int reason = reason_of(cause);
+	int reason = reason_of(e, cause);
 	uint32_t returned = times_returned(e);
 	lw_str_t service = { NULL, 0 };
 
@@ -263,7 +277,7 @@
 /* lw_explain_json() - prints the result as JSON, for programs. */
 void lw_explain_json(const lw_explain_t *e, FILE *out)
 {
-	int reason = reason_of(lw_explain_cause(e));
+	int reason = reason_of(e, lw_explain_cause(e));
 	json_t *lines = json_array();
 	json_t *doc;
 
--- a/src/gate.c
+++ b/src/gate.c
@@ -1,13 +1,11 @@
 /* Admission of requests to the backend server on this host; see gate.h. */
 #include "gate_int.h"
 
-#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "admit.h"
 #include "log.h"
-#include "stopplan.h"
 
 /* limit on the memory used by the bodies of queued requests, in bytes */
 #define QUEUE_BYTES_MAX (32u * 1024 * 1024)
@@ -15,8 +13,6 @@
 #define EXPIRY_INTERVAL_S 0.02
 /* assumed execution time before any request was executed, us */
 #define SERVICE_INITIAL_US 50000
-/* half-life of the longest recent execution time, us */
-#define LONGEST_HALF_LIFE_US 7000000
 /* a server that accepted no connection is retried after this, us */
 #define DOWN_RETRY_US 250000
 
@@ -81,32 +77,6 @@
 	g->started_since_report = 0;
 }
 
-/* longest recent execution time; it decays with time, also while nothing executes */
-static double longest_run_us(const lw_gate_t *g)
-{
-	return g->longest_us *
-	       exp2(-(double)(g->evloop->now_us - g->longest_at_us) / LONGEST_HALF_LIFE_US);
-}
-
-/* lw_gate_record_duration() - record the execution time @took_us of a request. */
-void lw_gate_record_duration(lw_gate_t *g, uint64_t took_us)
-{
-	if ((double)took_us < longest_run_us(g))
-		return;
-	g->longest_us = (double)took_us;
-	g->longest_at_us = g->evloop->now_us;
-}
-
-/* whether a request that starts after @wait_us completes before this process exits */
-static bool finishes_before_exit(const lw_gate_t *g, uint64_t wait_us, uint64_t deadline_us)
-{
-	const lw_evloop_t *evloop = g->evloop;
-	uint64_t left_us = evloop->exit_us > evloop->now_us ? evloop->exit_us - evloop->now_us : 0;
-
-	return !evloop->exit_us ||
-	       lw_stopplan_accepts(left_us, wait_us, (uint64_t)longest_run_us(g), deadline_us);
-}
-
 /* starts the queued request @w, or rejects it if it would not complete before the exit */
 static void start_queued(lw_gate_t *g, lw_waiter_t *w)
 {
@@ -114,7 +84,8 @@
 	uint64_t now_us = g->evloop->now_us;
 	uint64_t left_us = j->deadline_us > now_us ? j->deadline_us - now_us : 0;
 
-	if (!finishes_before_exit(g, 0, left_us)) {
+	j->stop = lw_gate_judge_stop(g, 0, left_us);
+	if (j->stop.basis == LW_STOPBASIS_NONE) {
 		lw_job_fail(j, LW_FAIL_LEAVING);
 		return;
 	}
@@ -151,15 +122,14 @@
 	lw_gate_dispatch(g);
 }
 
-static lw_fail_t refusal_reason(const lw_gate_t *g, const lw_admit_state_t *st,
+static lw_fail_t refusal_reason(const lw_gate_t *g, const lw_stopverdict_t *stop,
 				const lw_call_request_t *req)
 {
 	if (lw_gate_leaving(g) && (!req->target.len || lw_str_eq_c(req->target, g->server_id)))
 		return LW_FAIL_LEAVING;
 	if (g->exiting)
 		return LW_FAIL_LEAVING;
-	if (!finishes_before_exit(g, (uint64_t)lw_admit_expected_wait_ms(st) * 1000,
-				  (uint64_t)req->deadline_ms * 1000))
+	if (stop->basis == LW_STOPBASIS_NONE)
 		return LW_FAIL_LEAVING;
 	if (g->evloop->now_us < g->down_until_us)
 		return LW_FAIL_NO_SERVER;
@@ -224,6 +194,7 @@
 {
 	lw_quarantine_verdict_t verdict;
 	lw_fingerprinter_t print;
+	lw_stopverdict_t stop;
 	lw_waiter_t candidate;
 	lw_admit_state_t st;
 	lw_job_t *j;
@@ -241,7 +212,9 @@
 	st.ahead = (uint32_t)lw_waitq_count_ahead(&g->queue, &candidate);
 	st.rate_wait_ms = lw_ratelimit_wait_ms(&g->ratelimit, st.ahead, g->evloop->now_us);
 	*retry_after_ms = lw_admit_retry_after_ms(&st.load);
-	*why = refusal_reason(g, &st, req);
+	stop = lw_gate_judge_stop(g, (uint64_t)lw_admit_expected_wait_ms(&st) * 1000,
+				  (uint64_t)req->deadline_ms * 1000);
+	*why = refusal_reason(g, &stop, req);
 	if (!*why && !quarantine_admits(g, verdict, &print.value))
 		*why = LW_FAIL_BUSY;
 	if (!*why)
@@ -253,6 +226,7 @@
 	}
 	j = lw_job_new(g, sink, req);
 	j->print = print;
+	j->stop = stop;
 	j->tried_alone = verdict == LW_QUARANTINE_TRIAL;
 	j->fin = fin;
 	lw_bytebuf_append_str(&j->body, body);
@@ -304,16 +278,6 @@
 	lw_gate_confirm_crash(g);
 }
 
-/*
- * lw_gate_stop_admitting() - this node is about to exit: reject all queued and new requests, let
- * executing requests complete.
- */
-void lw_gate_stop_admitting(lw_gate_t *g)
-{
-	g->exiting = true;
-	lw_gate_reject_queued(g, LW_FAIL_LEAVING);
-}
-
 /* nothing known about the previous process applies to the new one */
 static void forget_server(lw_gate_t *g)
 {
--- a/src/gate.h
+++ b/src/gate.h
@@ -37,6 +37,7 @@
 	uint64_t invalid_limits; /* answers that announce a rate limit which is not a number */
 	uint64_t ahead_of_long; /* started while long work before them had no slot left */
 	uint64_t long_due; /* long work started beyond its slots, as it could not start later */
+	uint64_t cut_off; /* interrupted at the backend server by the exit of this process */
 	uint64_t paced; /* rejected due to the rate limit of the backend server */
 	lw_histogram_t wait;
 } lw_gate_stats_t;
@@ -144,6 +145,7 @@
 			  lw_str_t body, bool fin, lw_fail_t *why, uint32_t *retry_after_ms);
 uint64_t lw_gate_oldest_us(const lw_gate_t *g);
 void lw_gate_stop_admitting(lw_gate_t *g);
+uint32_t lw_gate_log_cut_off(const lw_gate_t *g);
 void lw_gate_load(const lw_gate_t *g, lw_load_t *out);
 bool lw_gate_parent(const lw_gate_t *g, lw_str_t id, lw_gate_parent_t *out);
 void lw_gate_note_call(lw_gate_t *g, lw_str_t parent_id, const lw_load_t *load);
--- a/src/gate_int.h
+++ b/src/gate_int.h
@@ -6,6 +6,7 @@
 #include <uthash.h>
 
 #include "admit.h"
+#include "stopplan.h"
 #include "waitq.h"
 #include "gate.h"
 
@@ -44,6 +45,7 @@
 	bool broken; /* its connection closed; the sink is notified after the crash check */
 	bool tried_alone; /* executed alone, as servers crashed while executing it */
 	lw_fingerprinter_t print;
+	lw_stopverdict_t stop; /* why it was accepted, if this process is stopping */
 	uint32_t rank;
 	uint32_t kind; /* of work, see worktime.h */
 	bool idempotent;
@@ -75,6 +77,7 @@
 void lw_job_start(lw_job_t *j);
 void lw_gate_dispatch(lw_gate_t *g);
 void lw_gate_record_duration(lw_gate_t *g, uint64_t took_us);
+lw_stopverdict_t lw_gate_judge_stop(const lw_gate_t *g, uint64_t wait_us, uint64_t deadline_us);
 void lw_gate_return_queued(lw_gate_t *g);
 uint32_t lw_gate_promised_us(const lw_gate_t *g, const lw_call_request_t *req);
 void lw_gate_reject_queued(lw_gate_t *g, lw_fail_t why);
--- a/src/log.h
+++ b/src/log.h
@@ -89,6 +89,8 @@
 	  "limits are enforced with this node's own part, or again with the quota coordinators")   \
 	X(1317, request_lost, LOG_INFO,                                                            \
 	  "a backend server answered with a 5xx status, or the caller left; why tells which")      \
+	X(1318, request_cut_off, LOG_INFO,                                                         \
+	  "the exit of this process interrupted a request that its backend server was executing")  \
 	X(1602, suspect_changed, LOG_NOTICE,                                                       \
 	  "a request during which backend servers crashed is now isolated, refused or cleared")    \
 	X(1400, peer_suspected, LOG_WARNING,                                                       \
--- a/src/place.h
+++ b/src/place.h
@@ -126,6 +126,7 @@
 					   uint64_t now_us);
 const lw_place_host_t *lw_place_node_load_reported(lw_place_t *p, const char *node,
 						   const lw_load_t *load, uint64_t now_us);
+bool lw_place_node_leaving(const lw_place_t *p, const char *node);
 void lw_place_node_lost(lw_place_t *p, const char *node, bool used, uint64_t now_us);
 typedef void (*lw_place_node_fn)(void *ctx, const char *node);
 void lw_place_each(const lw_place_t *p, lw_place_node_fn fn, void *ctx, uint64_t now_us);
--- a/src/placestate.c
+++ b/src/placestate.c
@@ -98,6 +98,16 @@
 	return changed;
 }
 
+/* lw_place_node_leaving() - whether @node had reported that it, or its server, is leaving. */
+bool lw_place_node_leaving(const lw_place_t *p, const char *node)
+{
+	for (const lw_place_service_t *s = p->services; s; s = s->next)
+		for (const lw_place_host_t *h = s->hosts; h; h = h->next)
+			if (h->load.leaving && strcmp(h->node, node) == 0)
+				return true;
+	return false;
+}
+
 /*
  * lw_place_node_lost() - a node is unreachable or silent: its host gets no
  * new work for a time that grows with each failure in a row. @used: the lost
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -203,7 +203,8 @@
 	lw_proxy_mask_signals(SIG_UNBLOCK);
 	ev_run(p->evloop.loop, 0);
 	lw_proxy_summary_log(p);
-	lw_log(LW_LOG_stopped, "active=%u", p->engine.active);
+	lw_log(LW_LOG_stopped, "active=%u cut_off=%llu", p->engine.active,
+	       (unsigned long long)p->engine.gate.stats.cut_off);
 	lw_log_flush();
 	return LW_OK;
 }
--- a/src/proxymesh.c
+++ b/src/proxymesh.c
@@ -51,7 +51,8 @@
 {
 	lw_proxy_t *p = ctx;
 
-	lw_log(LW_LOG_node_lost, "node=%s used=%d", node, used);
+	lw_log(LW_LOG_node_lost, "node=%s used=%d leaving=%d", node, used,
+	       lw_place_node_leaving(&p->engine.place, node));
 	lw_place_node_lost(&p->engine.place, node, used, p->evloop.now_us);
 	lw_proxy_quota_node_lost(p, node);
 	lw_proxy_join_node_lost(p, node);
--- a/src/proxystats.c
+++ b/src/proxystats.c
@@ -163,6 +163,9 @@
 	counter(f, "lw_gate_returned_total",
 		"queued requests returned to their senders, as the backend server became slower",
 		s->gate.refused[LW_FAIL_RETURNED]);
+	counter(f, "lw_gate_cut_off_total",
+		"requests at the backend server interrupted by the exit of this process",
+		s->gate.cut_off);
 	counter(f, "lw_gate_paced_total",
 		"requests returned unexecuted because of the limit announced by the backend server",
 		s->gate.paced);
--- a/src/proxystop.c
+++ b/src/proxystop.c
@@ -41,6 +41,7 @@
  */
 static void close_everything(lw_proxy_t *p)
 {
+	p->engine.gate.stats.cut_off += lw_gate_log_cut_off(&p->engine.gate);
 	lw_engine_finish_all(&p->engine);
 	lw_callers_close_all(p->callers);
 	lw_mesh_close_all(p->engine.mesh);
--- a/src/stopplan.c
+++ b/src/stopplan.c
@@ -65,26 +65,38 @@
 	return grace_us > 2 * EXIT_MARGIN_US ? grace_us - EXIT_MARGIN_US : grace_us / 2;
 }
 
-/*
- * lw_stopplan_accepts() - whether a stopping node with @left_us until its
- * exit accepts a request that waits for @wait_us and whose sender gives up
- * after @deadline_us; @longest_us is the longest recent execution. If
- * requests were accepted up to a fixed moment, those that execute for longer
- * than the time left would be interrupted, and those that must not be
- * executed twice would fail.
- */
-bool lw_stopplan_accepts(uint64_t left_us, uint64_t wait_us, uint64_t longest_us,
-			 uint64_t deadline_us)
+/* how long the request is expected to execute, us */
+static uint64_t expected_run_us(const lw_stopwork_t *w)
 {
-	uint64_t run_us = longest_us + longest_us / RUN_SPARE_DIVISOR;
-	uint64_t last_us;
+	uint64_t run_us = w->longest_us + w->longest_us / RUN_SPARE_DIVISOR;
 
 	if (run_us < RUN_MIN_US)
 		run_us = RUN_MIN_US;
-	if (run_us > RUN_MAX_US)
-		run_us = RUN_MAX_US;
-	last_us = wait_us + run_us;
-	return left_us >= (last_us < deadline_us ? last_us : deadline_us);
+	return run_us < RUN_MAX_US ? run_us : RUN_MAX_US;
+}
+
+/*
+ * lw_stopplan_judge() - whether a stopping node accepts the request @w, and why. If requests were
+ * accepted up to a fixed moment, those that execute for longer than the time left would be
+ * interrupted, and those that must not be executed twice would fail.
+ */
+lw_stopverdict_t lw_stopplan_judge(const lw_stopwork_t *w)
+{
+	lw_stopverdict_t v = { LW_STOPBASIS_NONE, w->left_us, w->wait_us + expected_run_us(w) };
+
+	if (w->left_us >= w->deadline_us)
+		v.basis = LW_STOPBASIS_DEADLINE;
+	else if (w->left_us >= v.expected_us)
+		v.basis = LW_STOPBASIS_DURATION;
+	return v;
+}
+
+/* lw_stopbasis_name() - @basis as a word of a log line. */
+const char *lw_stopbasis_name(lw_stopbasis_t basis)
+{
+	static const char *const names[] = { "not_stopping", "deadline", "duration", "none" };
+
+	return names[basis];
 }
 
 /* whether to accept nothing more: the requests in flight will end soon, or must */
--- a/src/stopplan.h
+++ b/src/stopplan.h
@@ -32,9 +32,32 @@
 	bool at_work; /* the backend server executes requests, or may still receive some */
 } lw_stopstate_t;
 
+/* Why a request is expected to end before the process exits. */
+typedef enum lw_stopbasis {
+	LW_STOPBASIS_NOT_STOPPING, /* no exit is due */
+	LW_STOPBASIS_DEADLINE, /* its sender gives up before the exit */
+	LW_STOPBASIS_DURATION, /* by its expected duration */
+	LW_STOPBASIS_NONE, /* it may outlast the exit */
+} lw_stopbasis_t;
+
+/* A request at a stopping node. */
+typedef struct lw_stopwork {
+	uint64_t left_us; /* time until the exit */
+	uint64_t wait_us; /* expected wait before it is executed */
+	uint64_t deadline_us; /* time until its sender gives up */
+	uint64_t longest_us; /* longest recent execution */
+} lw_stopwork_t;
+
+/* Whether a stopping node accepts a request. */
+typedef struct lw_stopverdict {
+	lw_stopbasis_t basis;
+	uint64_t left_us; /* time until the exit when this was decided */
+	uint64_t expected_us; /* expected wait and execution */
+} lw_stopverdict_t;
+
 lw_stopplan_t lw_stopplan(const lw_stopstate_t *s);
 uint64_t lw_stopplan_exit_us(uint64_t grace_us);
-bool lw_stopplan_accepts(uint64_t left_us, uint64_t wait_us, uint64_t longest_us,
-			 uint64_t deadline_us);
+lw_stopverdict_t lw_stopplan_judge(const lw_stopwork_t *w);
+const char *lw_stopbasis_name(lw_stopbasis_t basis);
 
 #endif
--- a/tests/decide_retry.c
+++ b/tests/decide_retry.c
@@ -361,9 +361,9 @@
 /* stop-takes LEFT WAIT LONGEST DEADLINE: whether a stopping node accepts such a request */
 static void do_stop_takes(world_t *w, const words_t *a)
 {
-	bool taken = lw_stopplan_accepts(ms(a, 1), ms(a, 2), ms(a, 3), ms(a, 4));
+	lw_stopwork_t work = { ms(a, 1), ms(a, 2), ms(a, 4), ms(a, 3) };
 
-	emit(w, taken ? "taken" : "refused");
+	emit(w, lw_stopplan_judge(&work).basis == LW_STOPBASIS_NONE ? "refused" : "taken");
 }
 
 const command_t decide_retry_commands[] = {
