--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -15,6 +15,7 @@
 import crashes  # noqa: E402,F401
 import endless  # noqa: E402,F401
 import eras  # noqa: E402,F401
+import exits  # noqa: E402,F401
 import fates  # noqa: E402,F401
 import late  # noqa: E402,F401
 import lengths  # noqa: E402,F401
