A stopping node accepts only work of a kind that ends before its exit

Cause: the node beside the server expected the longest recent execution of all kinds together, decaying by half in 7 s, and never more than 2.6 s; what lasts longer was accepted until 2.6 s before the exit and cut 5.6 s after SIGTERM.

Now the longest execution of the request's own kind within the last minute counts, with a quarter to spare, or a half if no other server may repeat the request, and there is no upper bound: a kind that lasts too long is refused alone (not executed, so another node takes it) and the server goes on with others. Of a kind with fewer than 20 executions, the longest of all work counts, and 2.6 s at least.

--- a/src/gate.c
+++ b/src/gate.c
@@ -82,9 +82,13 @@
 {
 	lw_job_t *j = lw_job_of_waiter(w);
 	uint64_t now_us = g->evloop->now_us;
-	uint64_t left_us = j->deadline_us > now_us ? j->deadline_us - now_us : 0;
+	lw_stopask_t ask = {
+		.deadline_us = j->deadline_us > now_us ? j->deadline_us - now_us : 0,
+		.kind = j->kind,
+		.idempotent = j->idempotent,
+	};
 
-	j->stop = lw_gate_judge_stop(g, 0, left_us);
+	j->stop = lw_gate_judge_stop(g, &ask);
 	if (j->stop.basis == LW_STOPBASIS_NONE) {
 		lw_job_fail(j, LW_FAIL_LEAVING);
 		return;
@@ -122,6 +126,19 @@
 	lw_gate_dispatch(g);
 }
 
+static lw_stopverdict_t judge_stop(const lw_gate_t *g, const lw_admit_state_t *st,
+				   const lw_call_request_t *req)
+{
+	lw_stopask_t ask = {
+		.wait_us = (uint64_t)lw_admit_expected_wait_ms(st) * 1000,
+		.deadline_us = (uint64_t)req->deadline_ms * 1000,
+		.kind = req->kind,
+		.idempotent = req->idempotent,
+	};
+
+	return lw_gate_judge_stop(g, &ask);
+}
+
 static lw_fail_t refusal_reason(const lw_gate_t *g, const lw_stopverdict_t *stop,
 				const lw_call_request_t *req)
 {
@@ -212,8 +229,7 @@
 	st.ahead = (uint32_t)lw_waitq_count_ahead(&g->queue, &candidate);
 	st.rate_wait_ms = lw_ratelimit_wait_ms(&g->ratelimit, st.ahead, g->evloop->now_us);
 	*retry_after_ms = lw_admit_retry_after_ms(&st.load);
-	stop = lw_gate_judge_stop(g, (uint64_t)lw_admit_expected_wait_ms(&st) * 1000,
-				  (uint64_t)req->deadline_ms * 1000);
+	stop = judge_stop(g, &st, req);
 	*why = refusal_reason(g, &stop, req);
 	if (!*why && !quarantine_admits(g, verdict, &print.value))
 		*why = LW_FAIL_BUSY;
--- a/src/gate.h
+++ b/src/gate.h
@@ -79,8 +79,7 @@
 	double arrived_us; /* execution time of the arrivals since the last level step */
 	double failing; /* moving average of its failure rate, 0 to 1 */
 	double service_us; /* moving average of the execution time */
-	double longest_us; /* longest recent execution time */
-	uint64_t longest_at_us; /* when that execution ended; the value decays from then on */
+	lw_recentmax_t longest; /* of the execution times of all kinds of work */
 	bool leaving; /* the backend server accepts no new work, by the server list or its lease */
 	bool list_draining; /* the list has said that its process is draining */
 	uint64_t down_until_us; /* it accepted no connection; no attempt is made until then */
--- a/src/gate_int.h
+++ b/src/gate_int.h
@@ -58,6 +58,14 @@
 	UT_hash_handle hh;
 } lw_job_t;
 
+/* A request of which a stopping node asks whether it completes before the exit. */
+typedef struct lw_stopask {
+	uint64_t wait_us; /* until it starts */
+	uint64_t deadline_us; /* time until its sender gives up */
+	uint32_t kind; /* of work, see worktime.h */
+	bool idempotent;
+} lw_stopask_t;
+
 /* lw_job_of_waiter() - the job that @w is part of. */
 static inline lw_job_t *lw_job_of_waiter(lw_waiter_t *w)
 {
@@ -76,8 +84,8 @@
 lw_bconn_t *lw_gate_take_connection(lw_gate_t *g, const lw_job_t *j);
 void lw_job_start(lw_job_t *j);
 void lw_gate_dispatch(lw_gate_t *g);
-void lw_gate_record_duration(lw_gate_t *g, uint64_t took_us);
-lw_stopverdict_t lw_gate_judge_stop(const lw_gate_t *g, uint64_t wait_us, uint64_t deadline_us);
+void lw_gate_record_duration(const lw_job_t *j, uint64_t took_us);
+lw_stopverdict_t lw_gate_judge_stop(const lw_gate_t *g, const lw_stopask_t *ask);
 void lw_gate_return_queued(lw_gate_t *g);
 uint32_t lw_gate_promised_us(const lw_gate_t *g, const lw_call_request_t *req);
 void lw_gate_reject_queued(lw_gate_t *g, lw_fail_t why);
--- a/src/gateanswer.c
+++ b/src/gateanswer.c
@@ -186,7 +186,7 @@
 	 * Failures are left out of the average execution time: a server that fails immediately
 	 * while reporting itself healthy would look fast and attract the calls of its service.
 	 */
-	lw_gate_record_duration(g, took);
+	lw_gate_record_duration(j, took);
 	if (j->answer_head.status < 500) {
 		g->service_us += SERVICE_EWMA * ((double)took - g->service_us);
 		lw_worktable_sample(&g->work, j->kind, took, g->evloop->now_us);
--- a/src/gatestop.c
+++ b/src/gatestop.c
@@ -1,42 +1,35 @@
 /* The gate of a stopping node: which requests it still accepts, and which its exit interrupts. */
 #include "gate_int.h"
 
-#include <math.h>
-
 #include "log.h"
 #include "stopplan.h"
 
-/* half-life of the longest recent execution time, us */
-#define LONGEST_HALF_LIFE_US 7000000
-
-/* longest recent execution time; it decays with time, also while nothing executes */
-static double longest_run_us(const lw_gate_t *g)
+/* lw_gate_record_duration() - record that @j executed for @took_us, whatever its outcome. */
+void lw_gate_record_duration(const lw_job_t *j, uint64_t took_us)
 {
-	return g->longest_us *
-	       exp2(-(double)(g->evloop->now_us - g->longest_at_us) / LONGEST_HALF_LIFE_US);
-}
+	lw_gate_t *g = j->gate;
 
-/* lw_gate_record_duration() - record the execution time @took_us of a request. */
-void lw_gate_record_duration(lw_gate_t *g, uint64_t took_us)
-{
-	if ((double)took_us < longest_run_us(g))
-		return;
-	g->longest_us = (double)took_us;
-	g->longest_at_us = g->evloop->now_us;
+	lw_recentmax_add(&g->longest, took_us, g->evloop->now_us);
+	lw_worktable_duration(&g->work, j->kind, took_us, g->evloop->now_us);
 }
 
 /*
- * lw_gate_judge_stop() - whether a request that starts after @wait_us, and whose sender gives up
- * after @deadline_us, completes before this process exits.
+ * lw_gate_judge_stop() - whether a request as described in @ask completes before this process
+ * exits. The time until the exit and the longest execution are added here.
  */
-lw_stopverdict_t lw_gate_judge_stop(const lw_gate_t *g, uint64_t wait_us, uint64_t deadline_us)
+lw_stopverdict_t lw_gate_judge_stop(const lw_gate_t *g, const lw_stopask_t *ask)
 {
 	const lw_evloop_t *evloop = g->evloop;
+	uint64_t now_us = evloop->now_us;
+	uint64_t of_kind_us = lw_worktable_longest_us(&g->work, ask->kind, now_us);
 	lw_stopwork_t work = {
-		.left_us = evloop->exit_us > evloop->now_us ? evloop->exit_us - evloop->now_us : 0,
-		.wait_us = wait_us,
-		.deadline_us = deadline_us,
-		.longest_us = (uint64_t)longest_run_us(g),
+		.left_us = evloop->exit_us > now_us ? evloop->exit_us - now_us : 0,
+		.wait_us = ask->wait_us,
+		.deadline_us = ask->deadline_us,
+		.longest_us =
+			of_kind_us ? of_kind_us : lw_recentmax_get(&g->longest, now_us).longest_us,
+		.known = of_kind_us > 0,
+		.idempotent = ask->idempotent,
 	};
 
 	if (!evloop->exit_us)
--- a/src/stopplan.c
+++ b/src/stopplan.c
@@ -47,14 +47,17 @@
  */
 #define STRAGGLER_US 1000000
 /*
- * A stopping node expects a request to execute for as long as the longest
- * recent one plus a fraction (1/RUN_SPARE_DIVISOR), within these bounds.
- * Without the upper bound, one request of 4.6 s would leave the node without
- * work for the whole stop. In microseconds.
+ * A stopping node expects a request to execute for as long as the longest recent one of its kind of
+ * work, plus a fraction of it, which is larger for a request that is not idempotent: no other server
+ * can repeat it if the exit interrupts it. There is no upper bound, as work that lasts longer than
+ * the bound would be interrupted. A kind of work that lasts too long is refused alone, and the
+ * backend server goes on with others. In microseconds.
  */
-#define RUN_SPARE_DIVISOR 4
-#define RUN_MIN_US	  1000000
-#define RUN_MAX_US	  2600000
+#define SPARE_DIVISOR	    4
+#define ORDER_SPARE_DIVISOR 2
+#define RUN_MIN_US	    1000000
+/* the same for a kind of work of which little is known; the longest of all work counts then, us */
+#define RUN_UNKNOWN_US 2600000
 
 /*
  * lw_stopplan_exit_us() - latest exit of a process that has @grace_us between
@@ -68,11 +71,11 @@
 /* how long the request is expected to execute, us */
 static uint64_t expected_run_us(const lw_stopwork_t *w)
 {
-	uint64_t run_us = w->longest_us + w->longest_us / RUN_SPARE_DIVISOR;
+	uint64_t spare_us = w->longest_us / (w->idempotent ? SPARE_DIVISOR : ORDER_SPARE_DIVISOR);
+	uint64_t least_us = w->known ? RUN_MIN_US : RUN_UNKNOWN_US;
+	uint64_t run_us = w->longest_us + spare_us;
 
-	if (run_us < RUN_MIN_US)
-		run_us = RUN_MIN_US;
-	return run_us < RUN_MAX_US ? run_us : RUN_MAX_US;
+	return run_us > least_us ? run_us : least_us;
 }
 
 /*
--- a/src/stopplan.h
+++ b/src/stopplan.h
@@ -45,7 +45,9 @@
 	uint64_t left_us; /* time until the exit */
 	uint64_t wait_us; /* expected wait before it is executed */
 	uint64_t deadline_us; /* time until its sender gives up */
-	uint64_t longest_us; /* longest recent execution */
+	uint64_t longest_us; /* longest recent execution; of its kind of work if @known */
+	bool known; /* enough executions of its kind of work are known */
+	bool idempotent; /* may be executed again if it is interrupted */
 } lw_stopwork_t;
 
 /* Whether a stopping node accepts a request. */
--- a/src/worktime.c
+++ b/src/worktime.c
@@ -118,6 +118,36 @@
 	row->seen_us = now_us;
 }
 
+/*
+ * lw_worktable_duration() - note that a request of @kind executed for @took_us, whatever its
+ * outcome.
+ */
+void lw_worktable_duration(lw_worktable_t *t, uint32_t kind, uint64_t took_us, uint64_t now_us)
+{
+	lw_workrow_t *row;
+
+	if (!kind)
+		return;
+	row = row_get(t, kind);
+	lw_recentmax_add(&row->longest, took_us, now_us);
+	row->seen_us = now_us;
+}
+
+/*
+ * lw_worktable_longest_us() - the longest recent execution time of @kind, in microseconds; 0 if it
+ * executed too rarely for a bound.
+ */
+uint64_t lw_worktable_longest_us(const lw_worktable_t *t, uint32_t kind, uint64_t now_us)
+{
+	for (uint32_t i = 0; kind && i < t->n; i++) {
+		lw_recentmax_window_t recent = lw_recentmax_get(&t->row[i].longest, now_us);
+
+		if (t->row[i].kind == kind && recent.samples >= LW_WORKTIME_SAMPLES_MIN)
+			return recent.longest_us;
+	}
+	return 0;
+}
+
 /* lw_worktable_step() - update the arrivals per second, drop old values; call every @step_us. */
 void lw_worktable_step(lw_worktable_t *t, uint64_t step_us, uint64_t now_us)
 {
--- a/src/worktime.h
+++ b/src/worktime.h
@@ -9,6 +9,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "recentmax.h"
+
 /* Kinds of work whose execution times a node keeps and reports; further ones use the average. */
 #define LW_WORKTIME_KINDS_MAX 8
 
@@ -36,6 +38,7 @@
 	double left_us; /* moving average of what is left of the objective on arrival */
 	uint32_t priority; /* the most urgent one that arrived recently */
 	uint64_t priority_us; /* when it arrived */
+	lw_recentmax_t longest; /* of its execution times */
 } lw_workrow_t;
 
 /* Observations by kind; all zero bytes: none. */
@@ -61,6 +64,8 @@
 uint32_t lw_worktimes_us(const lw_worktimes_t *t, uint32_t kind, uint32_t average_us);
 void lw_worktable_arrival(lw_worktable_t *t, const lw_workarrival_t *a, uint64_t now_us);
 void lw_worktable_sample(lw_worktable_t *t, uint32_t kind, uint64_t took_us, uint64_t now_us);
+void lw_worktable_duration(lw_worktable_t *t, uint32_t kind, uint64_t took_us, uint64_t now_us);
+uint64_t lw_worktable_longest_us(const lw_worktable_t *t, uint32_t kind, uint64_t now_us);
 void lw_worktable_step(lw_worktable_t *t, uint64_t step_us, uint64_t now_us);
 uint32_t lw_worktable_us(const lw_worktable_t *t, uint32_t kind, uint32_t average_us);
 double lw_worktable_shortest_us(const lw_worktable_t *t);
--- a/tests/decide_retry.c
+++ b/tests/decide_retry.c
@@ -358,10 +358,20 @@
 	     p.exit ? "exit" : "go_on");
 }
 
-/* stop-takes LEFT WAIT LONGEST DEADLINE: whether a stopping node accepts such a request */
+/*
+ * stop-takes LEFT WAIT LONGEST DEADLINE [order] [unknown]: whether a stopping node accepts such a
+ * request. order: it is not idempotent; unknown: LONGEST is that of all kinds of work
+ */
 static void do_stop_takes(world_t *w, const words_t *a)
 {
-	lw_stopwork_t work = { ms(a, 1), ms(a, 2), ms(a, 4), ms(a, 3) };
+	lw_stopwork_t work = {
+		.left_us = ms(a, 1),
+		.wait_us = ms(a, 2),
+		.longest_us = ms(a, 3),
+		.deadline_us = ms(a, 4),
+		.known = !has(a, "unknown"),
+		.idempotent = !has(a, "order"),
+	};
 
 	emit(w, lw_stopplan_judge(&work).basis == LW_STOPBASIS_NONE ? "refused" : "taken");
 }
