Tests: an answer whose head stops in the middle is no answer

Other operators saw a 200 with an empty or short body, framed as whole, when a server stopped in the middle of its answer's head and closed. No product code is changed. Not played: the heads of health checks and of early answers to uploads, a cut while a node stops, and frames between nodes.

--- a/tests/mesh/standin.py
+++ b/tests/mesh/standin.py
@@ -166,6 +166,13 @@
 }
 
 
+class CutAnswer:
+    """The first bytes of an answer; then the server closes the connection, or resets it."""
+
+    def __init__(self, data, reset):
+        self.data, self.reset = data, reset
+
+
 class Server:
     """A backend server. The coroutine `behave` is called for each request at the stages
     "head" and "run"; it may sleep, call through the proxy, or return a fault's name."""
@@ -350,6 +357,11 @@
     async def respond(self, writer, rid, fault, status, data):
         if fault in ENDLESS:
             await self.never_end(writer, rid, fault)
+        if isinstance(fault, CutAnswer):
+            writer.write(fault.data)
+            await writer.drain()
+            (writer.transport.abort if fault.reset else writer.close)()
+            raise ConnectionError
         if fault == "lost":
             writer.transport.abort()
             raise ConnectionError
