--- a/tests/mesh/exits.py
+++ b/tests/mesh/exits.py
@@ -98,3 +98,16 @@
           busy.logged("E1318"))
     check(lines_with(busy, "E1002", "cut_off=1"), busy.logged("E1002"))
     check(lines_with(entry, "E1405", "used=1 leaving=1"), entry.logged("E1405"))
+
+
+@test({"front": 1, "back": 1}, slots=64, rules=LONG_RULES)
+async def test_young_process_outlasts_its_exit(f):
+    """Guards against a node that just started, knows short runs only, and stops under a long one."""
+    busy, entry = f.nodes["back"][0], f.nodes["front"][0]
+    busy.server.behave = by_length
+    await ask(entry, "POST", "/up/1", "3200-known-to-the-entry-node")
+    busy.kill()
+    busy.start()
+    await f.until_ready([busy])
+    await asyncio.sleep(1)
+    check_all_told(f, await two_stops(f, [("up", 10)] * 30, "/up/1", "POST", 3200))
