Log entries of servers that have no effect, and servers that are listed again

A dropped entry left no line, and neither did a server that comes back into the list, so that nothing told a drain that was dropped from one that never came. E1217 names a server that is listed again and how long it was away. No change of logic.

--- a/src/fleetconf.h
+++ b/src/fleetconf.h
@@ -87,6 +87,7 @@
 	uint32_t slots;
 	bool draining;
 	uint64_t created; /* position in the store's history; orders entries of one address */
+	uint64_t written; /* position of its last write that was read; 0: unknown */
 } lw_server_entry_t;
 
 typedef struct lw_serverlist {
--- a/src/log.h
+++ b/src/log.h
@@ -55,6 +55,10 @@
 	  "a list of backend servers not newer than the one in use was ignored")                   \
 	X(1215, store_restored, LOG_WARNING,                                                       \
 	  "the configuration service was restored from an older copy; all entries are read again") \
+	X(1216, entry_overruled, LOG_NOTICE,                                                       \
+	  "an entry of a backend server has no effect, as the one in force overrules it")          \
+	X(1217, entry_back, LOG_NOTICE,                                                            \
+	  "a backend server whose entry was missing is in the server list again")                  \
 	X(1211, server_vouched, LOG_NOTICE,                                                        \
 	  "a node asserts that its backend server is alive although its entry has expired")        \
 	X(1300, request_shed, LOG_INFO, "a request was refused at admission (not executed)")       \
--- a/src/place.h
+++ b/src/place.h
@@ -59,10 +59,16 @@
 typedef void (*lw_place_entry_fn)(void *ctx, const lw_place_host_t *known,
 				  const lw_place_host_t *entry);
 
+/* Called when @entry, whose host was missing in the lists before, is in the list again. */
+typedef void (*lw_place_back_fn)(void *ctx, const lw_place_host_t *h,
+				 const lw_server_entry_t *entry);
+
 typedef struct lw_place {
 	lw_place_service_t *services;
 	lw_place_entry_fn on_leaving_entry; /* may be NULL */
 	void *on_leaving_entry_ctx;
+	lw_place_back_fn on_back; /* may be NULL */
+	void *on_back_ctx;
 	const char *zone;
 	char backend[LW_NAME_MAX]; /* address of the backend server on this host */
 	uint32_t mesh_port;
--- a/src/placelist.c
+++ b/src/placelist.c
@@ -286,6 +286,8 @@
 		if (!h)
 			h = host_add(p, e);
 		follow_address(p, h, e);
+		if (h->removed_us && p->on_back)
+			p->on_back(p->on_back_ctx, h, e);
 		h->listed = true;
 		h->removed_us = 0;
 		if (e->born_ms)
--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -116,11 +116,23 @@
 	       entry->draining);
 }
 
+/* a server whose entry was missing is listed again */
+static void on_back(void *ctx, const lw_place_host_t *h, const lw_server_entry_t *entry)
+{
+	const lw_proxy_t *p = ctx;
+
+	lw_log(LW_LOG_entry_back, "server=%s born_ms=%llu draining=%d away_ms=%llu was_draining=%d",
+	       h->id, (unsigned long long)entry->born_ms, entry->draining,
+	       (unsigned long long)((p->evloop.now_us - h->removed_us) / 1000), h->draining);
+}
+
 /* lw_proxy_news_init() - call after the placement has been initialised. */
 void lw_proxy_news_init(lw_proxy_t *p)
 {
 	p->engine.place.on_leaving_entry = on_leaving_entry;
 	p->engine.place.on_leaving_entry_ctx = p;
+	p->engine.place.on_back = on_back;
+	p->engine.place.on_back_ctx = p;
 }
 
 /* lw_proxy_apply_servers() - uses the list @sl if it is newer; takes ownership of it. */
--- a/src/proxystats.c
+++ b/src/proxystats.c
@@ -297,6 +297,9 @@
 			(unsigned long long)s->store_reader.calls[i]);
 	counter(f, "lw_store_failures_total", "calls to the configuration store that failed",
 		s->store_reader.failures);
+	counter(f, "lw_store_entries_overruled_total",
+		"entries of backend servers that had no effect, as another entry overrules them",
+		s->store_reader.entries_overruled);
 	counter(f, "lw_store_resyncs_total", "full reads of the configuration store",
 		s->store_reader.resyncs);
 	counter(f, "lw_config_rejected_total",
--- a/src/serverset.c
+++ b/src/serverset.c
@@ -31,6 +31,7 @@
 
 typedef struct lw_member {
 	lw_server_entry_t entry;
+	lw_server_entry_t overruled; /* the last one that had no effect; id NULL: none */
 	bool unproven; /* read from a restored copy of the store and not known before */
 	bool missing; /* removed from the store, but still counts as present */
 	bool seen; /* found in the current read */
@@ -112,12 +113,20 @@
 	return a->born_ms && b->born_ms && a->born_ms < b->born_ms;
 }
 
+static lw_serverset_overruled_t overrule(lw_member_t *m, const lw_server_entry_t *e)
+{
+	bool again = m->overruled.id && !differs(&m->overruled, e);
+
+	m->overruled = *e;
+	return (lw_serverset_overruled_t){ .by = &m->entry, .again = again };
+}
+
 /*
  * lw_serverset_put() - an entry was written. A process that is draining remains so. A
  * process that started later under the same id starts without that state, and late writes
  * of an earlier process are ignored.
  */
-void lw_serverset_put(lw_serverset_t *s, const lw_server_entry_t *e)
+lw_serverset_overruled_t lw_serverset_put(lw_serverset_t *s, const lw_server_entry_t *e)
 {
 	lw_member_t *m;
 	bool draining = e->draining;
@@ -125,7 +134,7 @@
 	HASH_FIND_STR(s->members, e->id, m);
 	if (m && is_older(e, &m->entry)) {
 		m->seen = true;
-		return;
+		return overrule(m, e);
 	}
 	if (!m) {
 		m = xcalloc(1, sizeof(*m));
@@ -146,6 +155,8 @@
 	m->entry.draining = draining;
 	m->missing = false;
 	m->seen = true;
+	m->overruled = (lw_server_entry_t){ .id = NULL };
+	return (lw_serverset_overruled_t){ .by = NULL };
 }
 
 /*
--- a/src/serverset.h
+++ b/src/serverset.h
@@ -16,10 +16,16 @@
 
 typedef struct lw_serverset lw_serverset_t;
 
+/* An entry that had no effect. */
+typedef struct lw_serverset_overruled {
+	const lw_server_entry_t *by; /* the entry in force; NULL: the new one had its effect */
+	bool again; /* the last one without effect said the same */
+} lw_serverset_overruled_t;
+
 lw_serverset_t *lw_serverset_new(void);
 void lw_serverset_free(lw_serverset_t *s);
 void lw_serverset_set_services(lw_serverset_t *s, const lw_fleetconf_t *fc);
-void lw_serverset_put(lw_serverset_t *s, const lw_server_entry_t *e);
+lw_serverset_overruled_t lw_serverset_put(lw_serverset_t *s, const lw_server_entry_t *e);
 void lw_serverset_remove(lw_serverset_t *s, const char *id, uint64_t revision);
 void lw_serverset_begin_read(lw_serverset_t *s);
 void lw_serverset_end_read(lw_serverset_t *s);
