--- a/tests/mesh/eras.py
+++ b/tests/mesh/eras.py
@@ -27,6 +27,13 @@
         f.store.put(f"other/{i % 7}", {"n": i})
 
 
+async def keep_writing(f, stop):
+    """A busy store: revisions rise all the time."""
+    while not stop:
+        write_much(f, 1)
+        await asyncio.sleep(0.02)
+
+
 def raise_revisions(f, n):
     """Does the same and writes a configuration, so that the server list in use also has
     this revision."""
@@ -192,6 +199,64 @@
     check(not too_late, (len(too_late), max(too_late, default=0)))
 
 
+async def until_it_lapses(f, server):
+    """The servers other than this one write their entries again; its own lapses."""
+    for _ in range(3):
+        await asyncio.sleep(1.4)
+        for n in f.all():
+            if n.server is not server:
+                f.register(n.server)
+    f.store.remove("servers/" + server.id)
+
+
+async def readers_started_after_a_copy(f):
+    """A server leaves without a report, and the store is restored from a copy that has its
+    entry; the nodes that read for all are restarted just after that. Returns late requests."""
+    await asyncio.sleep(1)
+    copy = f.store.copy()
+    server = f.nodes["back"][0].server
+    readers = [n for n in f.all() if await n.metric("lw_store_reader") == 1]
+
+    async def fn():
+        f.beats.cancel()
+        f.store.remove("servers/" + server.id)
+        since = time.monotonic()
+        await asyncio.sleep(1.5)
+        await away(f, 0.8, copy)
+        await asyncio.sleep(0.2)
+        for n in readers:
+            n.kill()
+        await asyncio.sleep(0.3)
+        for n in readers:
+            n.start()
+        await until_it_lapses(f, server)
+        return late(server, since)
+    rest = [n for n in f.all() if n not in readers]
+    stop = []
+    tasks = [asyncio.ensure_future(t) for t in (asks(f, "/leaf/1", stop, [], rest),
+                                                keep_writing(f, stop))]
+    try:
+        return await fn()
+    finally:
+        stop.append(1)
+        await asyncio.gather(*tasks)
+
+
+@test({"front": 4, "back": 4})
+async def test_entry_of_one_that_left_is_read_by_new_readers(f):
+    """Guards against work for a server that left because nodes that know nothing of that read
+    its entry in a copy of the store and report it to all others."""
+    too_late = await readers_started_after_a_copy(f)
+    check(not too_late, (len(too_late), max(too_late, default=0)))
+
+
+@test({"front": 4, "back": 4}, seeds=3)
+async def test_entry_of_one_that_left_is_read_by_new_readers_with_seeds(f):
+    """The same where the new readers ask other nodes first."""
+    too_late = await readers_started_after_a_copy(f)
+    check(not too_late, (len(too_late), max(too_late, default=0)))
+
+
 @test({"front": 2, "back": 2})
 async def test_entry_that_the_copy_does_not_have(f):
     """Guards against requests that find no server when the copy is older than all servers
--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -27,6 +27,7 @@
 import moves  # noqa: E402,F401
 import news  # noqa: E402,F401
 import operators  # noqa: E402,F401
+import ordering  # noqa: E402,F401
 import organisations  # noqa: E402,F401
 import overloads  # noqa: E402,F401
 import pipelines  # noqa: E402,F401
