The store's order of writes decides which process an entry names, not start times

Callers saw requests reach a server after its entry had said that it drains, until the server was gone. Cause: the reader dropped each entry whose start time was lower than that of the entry in force as a late write of a former process. A start time is a claim of a clock that may step, or of any writer; one that was not true kept the server's own entries, its drain included, out of effect for as long as the id was in the store. Evidence: E1216 at both readers for the ready entry and again for the drain, each at a higher revision than that of the entry in force.

Now the newest write counts. Two cases have no certain order and wait for three heartbeats: what a restored copy says of another process, and a ready entry with a lower start time while the entry in force drains (a late write of a process that has ended, or a clock set back). A drain is never dropped.

--- a/src/serverset.c
+++ b/src/serverset.c
@@ -24,7 +24,8 @@
 
 /*
  * An entry that only the restored copy of the store contains belongs to a server that
- * left, or to one that has just started. Within three heartbeats it either expires or is
+ * left, or to one that has just started; a late write of a process that has ended looks like
+ * one of the process that runs. Within three heartbeats the entry either expires or is
  * written again. Unit us.
  */
 #define UNPROVEN_US 5000000
@@ -32,6 +33,8 @@
 typedef struct lw_member {
 	lw_server_entry_t entry;
 	lw_server_entry_t overruled; /* the last one that had no effect; id NULL: none */
+	lw_server_entry_t contender; /* of another process, in doubt; id NULL: none */
+	uint64_t contender_us; /* since when; 0: since the last read */
 	bool unproven; /* read from a restored copy of the store and not known before */
 	bool missing; /* removed from the store, but still counts as present */
 	bool seen; /* found in the current read */
@@ -47,6 +50,7 @@
 	bool restoring; /* the current read is of a restored copy of the store */
 	uint64_t unproven_until_us; /* unproven entries do not count until then; 0: none */
 	bool any_missing; /* some entries are missing and still count */
+	bool any_contender; /* some entries are contested */
 	bool changed;
 	lw_fleetconf_t *known_services; /* services named by the configuration; NULL: not set yet */
 };
@@ -107,10 +111,24 @@
 	       a->born_ms != b->born_ms;
 }
 
-/* @a was written by an earlier process of the server than @b; unknown start times are equal */
-static bool is_older(const lw_server_entry_t *a, const lw_server_entry_t *b)
+/* unknown start times match any */
+static bool same_process(const lw_server_entry_t *a, const lw_server_entry_t *b)
 {
-	return a->born_ms && b->born_ms && a->born_ms < b->born_ms;
+	return !a->born_ms || !b->born_ms || a->born_ms == b->born_ms;
+}
+
+/*
+ * Whether it is in doubt that @e, of another process than @m, is newer. The store orders the
+ * writes of an entry, so start times need not: they are claims of a clock that may step, or of
+ * any writer. Two cases have no order: what a restored copy contains was written at some earlier
+ * time, and a process that has ended may have a write under way when the next one drains.
+ */
+static bool is_contested(const lw_serverset_t *s, const lw_member_t *m, const lw_server_entry_t *e)
+{
+	if (same_process(&m->entry, e))
+		return false;
+	return s->restoring ||
+	       (m->entry.draining && !e->draining && e->born_ms < m->entry.born_ms);
 }
 
 static lw_serverset_overruled_t overrule(lw_member_t *m, const lw_server_entry_t *e)
@@ -121,25 +139,49 @@
 	return (lw_serverset_overruled_t){ .by = &m->entry, .again = again };
 }
 
+/* @e waits until it is written again, or has remained for UNPROVEN_US */
+static lw_serverset_overruled_t contend(lw_serverset_t *s, lw_member_t *m,
+					const lw_server_entry_t *e)
+{
+	if (!m->contender.id || m->contender.born_ms != e->born_ms)
+		m->contender_us = 0;
+	m->contender = *e;
+	m->missing = false;
+	m->seen = true;
+	s->any_contender = true;
+	return overrule(m, e);
+}
+
+static void drop_contender(lw_member_t *m)
+{
+	m->contender = (lw_server_entry_t){ .id = NULL };
+	m->overruled = (lw_server_entry_t){ .id = NULL };
+}
+
+static lw_member_t *member_add(lw_serverset_t *s, const lw_server_entry_t *e)
+{
+	lw_member_t *m = xcalloc(1, sizeof(*m));
+
+	m->entry = *e;
+	HASH_ADD_STR(s->members, entry.id, m);
+	return m;
+}
+
 /*
- * lw_serverset_put() - an entry was written. A process that is draining remains so. A
- * process that started later under the same id starts without that state, and late writes
- * of an earlier process are ignored.
+ * lw_serverset_put() - an entry was written. A process that is draining remains so; another
+ * process under the same id starts without that state.
  */
 lw_serverset_overruled_t lw_serverset_put(lw_serverset_t *s, const lw_server_entry_t *e)
 {
 	lw_member_t *m;
+	uint64_t born_ms = e->born_ms;
 	bool draining = e->draining;
 
 	HASH_FIND_STR(s->members, e->id, m);
-	if (m && is_older(e, &m->entry)) {
-		m->seen = true;
-		return overrule(m, e);
-	}
+	if (m && is_contested(s, m, e))
+		return contend(s, m, e);
 	if (!m) {
-		m = xcalloc(1, sizeof(*m));
-		m->entry = *e;
-		HASH_ADD_STR(s->members, entry.id, m);
+		m = member_add(s, e);
 		m->unproven = s->restoring;
 		s->changed = true;
 	}
@@ -147,15 +189,18 @@
 		m->unproven = false;
 		s->changed = true;
 	}
-	if (!is_older(&m->entry, e))
+	if (same_process(&m->entry, e)) {
 		draining |= m->entry.draining;
+		born_ms = born_ms ? born_ms : m->entry.born_ms;
+	}
 	if (differs(&m->entry, e) || m->missing)
 		s->changed = true;
 	m->entry = *e;
 	m->entry.draining = draining;
+	m->entry.born_ms = born_ms;
 	m->missing = false;
 	m->seen = true;
-	m->overruled = (lw_server_entry_t){ .id = NULL };
+	drop_contender(m);
 	return (lw_serverset_overruled_t){ .by = NULL };
 }
 
@@ -209,12 +254,11 @@
 		member_free(s, m);
 	}
 	for (size_t i = 0; i < in_use->nservers; i++) {
-		m = xcalloc(1, sizeof(*m));
-		m->entry = in_use->servers[i];
+		m = member_add(s, &in_use->servers[i]);
 		m->entry.created = 0;
-		HASH_ADD_STR(s->members, entry.id, m);
 	}
 	s->any_missing = false;
+	s->any_contender = false;
 }
 
 /* lw_serverset_begin_restore() - the store was restored from an older copy, which is read now. */
@@ -292,6 +336,25 @@
 	s->unproven_until_us = 0;
 }
 
+/* entries that have remained for UNPROVEN_US are in force */
+static void accept_contenders(lw_serverset_t *s, uint64_t now_us)
+{
+	s->any_contender = false;
+	for (lw_member_t *m = s->members; m; m = m->hh.next) {
+		if (!m->contender.id)
+			continue;
+		if (!m->contender_us)
+			m->contender_us = now_us;
+		if (now_us - m->contender_us < UNPROVEN_US) {
+			s->any_contender = true;
+			continue;
+		}
+		m->entry = m->contender;
+		drop_contender(m);
+		s->changed = true;
+	}
+}
+
 /*
  * Whether @a was written before @b. Entries from before and after a restore of the store
  * have no common order; the start times of the servers decide then.
@@ -345,6 +408,8 @@
 		remove_missing(s);
 	if (s->unproven_until_us && now_us >= s->unproven_until_us)
 		accept_unproven(s);
+	if (s->any_contender)
+		accept_contenders(s, now_us);
 	if (!s->changed)
 		return NULL;
 	s->changed = false;
--- a/src/storereader.h
+++ b/src/storereader.h
@@ -32,6 +32,7 @@
 	uint64_t events;
 	uint64_t resyncs; /* full reads from scratch */
 	uint64_t entries_overruled; /* entries of servers without effect, as others overrule them */
+	uint64_t start_times_ignored; /* start times of servers that are in the future */
 	uint64_t configs_rejected; /* versions of the configuration that failed their checks */
 	uint64_t rejected_version; /* the last of them; 0: none, or it has no version */
 } lw_storereader_stats_t;
