A server that left gets no work until its entry is proven to be no old one

Callers saw requests reach a server up to 7 s after its entry had been removed. Cause: a store that had returned from a copy had the entry again; the two nodes that read for all had just started, knew nothing of the removal, and their list, the newest by position, was believed by all nodes, which had seen the server leave. Evidence: E1217 away_ms=2816 on all of them in one millisecond.

Each node now judges an entry that the list before lacked by what it remembers of the server: it drained, or was removed, and has neither been replaced by a later process nor been written since (a reader that saw the removal says so with its list). Such a server gets no work for three heartbeats; by then a copy's entry has expired or the server has written its own, or its node has had an answer of it. This replaces the comparison of start times at placement, which also kept a server out of work for good if its clock had been set back. A reader that starts takes the era from the list in use, and so sees that the store was restored.

In the searches of test_lease.c and test_leaving.c, lists now say that a reader which was there all the time saw the entry being written. The index of hosts moved out of placelist.c.

--- a/src/fleetconf.h
+++ b/src/fleetconf.h
@@ -88,6 +88,8 @@
 	bool draining;
 	uint64_t created; /* position in the store's history; orders entries of one address */
 	uint64_t written; /* position of its last write that was read; 0: unknown */
+	/* written after the list lacked it, so that it is not from a copy of the store */
+	bool proven;
 } lw_server_entry_t;
 
 typedef struct lw_serverlist {
--- a/src/gate.c
+++ b/src/gate.c
@@ -331,7 +331,7 @@
 	g->notice.server = lw_notice_server_digest(server->id);
 	g->notice.born_ms = server->born_ms;
 	g->list_draining |= server->list_draining;
-	lw_gate_set_leaving(g, server->list_draining);
+	lw_gate_set_leaving(g, server->list_draining || server->doubt_until_us);
 }
 
 /*
--- a/src/log.h
+++ b/src/log.h
@@ -59,6 +59,8 @@
 	  "an entry of a backend server has no effect, as the one in force overrules it")          \
 	X(1217, entry_back, LOG_NOTICE,                                                            \
 	  "a backend server whose entry was missing is in the server list again")                  \
+	X(1218, entry_accepted, LOG_NOTICE,                                                        \
+	  "an entry that was in doubt has remained: its backend server gets new requests")         \
 	X(1211, server_vouched, LOG_NOTICE,                                                        \
 	  "a node asserts that its backend server is alive although its entry has expired")        \
 	X(1300, request_shed, LOG_INFO, "a request was refused at admission (not executed)")       \
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -3106,7 +3106,7 @@
   (ProtobufCMessageInit) lw__fates__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__server_entry__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lw__server_entry__field_descriptors[8] =
 {
   {
     "id",
@@ -3192,12 +3192,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "proven",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lw__ServerEntry, proven),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__server_entry__field_indices_by_name[] = {
   2,   /* field[2] = address */
   6,   /* field[6] = born_ms */
   5,   /* field[5] = draining */
   0,   /* field[0] = id */
+  7,   /* field[7] = proven */
   1,   /* field[1] = service */
   4,   /* field[4] = slots */
   3,   /* field[3] = zone */
@@ -3206,7 +3219,7 @@
 {
   { 1, 0 },
   { 7, 5 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lw__server_entry__descriptor =
 {
@@ -3216,7 +3229,7 @@
   "Lw__ServerEntry",
   "lw",
   sizeof(Lw__ServerEntry),
-  7,
+  8,
   lw__server_entry__field_descriptors,
   lw__server_entry__field_indices_by_name,
   2,  lw__server_entry__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -610,10 +610,14 @@
    * start of its process; 0: unknown
    */
   uint64_t born_ms;
+  /*
+   * written after the list lacked it
+   */
+  protobuf_c_boolean proven;
 };
 #define LW__SERVER_ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__server_entry__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/src/meshframe.c
+++ b/src/meshframe.c
@@ -281,6 +281,7 @@
 		w->entry[i].slots = e->slots;
 		w->entry[i].draining = e->draining;
 		w->entry[i].born_ms = e->born_ms;
+		w->entry[i].proven = e->proven;
 		w->list[i] = &w->entry[i];
 	}
 	w->servers.n_servers = sl->nservers;
@@ -418,6 +419,7 @@
 		e->slots = w->slots;
 		e->draining = w->draining;
 		e->born_ms = w->born_ms;
+		e->proven = w->proven;
 	}
 	return sl;
 }
--- a/src/place.h
+++ b/src/place.h
@@ -27,11 +27,14 @@
 	bool same_zone;
 	bool listed; /* in the latest server list */
 	uint64_t removed_us; /* when its entry was found missing; 0: it is not missing */
+	bool superseded; /* another process of its server has been listed since */
 	uint64_t use_until_us; /* until then it may get work although it is not listed */
 	bool list_draining; /* its process is stopping according to the list; never reset */
+	/* until then its entry may be an old one of a server that left, us; 0: no doubt */
+	uint64_t doubt_until_us;
 	lw_leaving_t leaving; /* whether its process is stopping according to its answers */
 	bool leaving_in_doubt; /* that answer may be of another process with the same id */
-	bool draining; /* it gets no new work, as it is stopping by the list or its answers */
+	bool draining; /* it gets no new work: it is, or may be, stopping by the list or its answers */
 	uint64_t draining_us; /* when this node learned that */
 	uint32_t slots;
 	lw_load_t load; /* as reported last by its node */
@@ -59,16 +62,17 @@
 typedef void (*lw_place_entry_fn)(void *ctx, const lw_place_host_t *known,
 				  const lw_place_host_t *entry);
 
-/* Called when @entry, whose host was missing in the lists before, is in the list again. */
-typedef void (*lw_place_back_fn)(void *ctx, const lw_place_host_t *h,
-				 const lw_server_entry_t *entry);
+/* Called when a list has @h, which lists before lacked, or when its entry is no longer in doubt. */
+typedef void (*lw_place_back_fn)(void *ctx, const lw_place_host_t *h);
 
 typedef struct lw_place {
 	lw_place_service_t *services;
 	lw_place_entry_fn on_leaving_entry; /* may be NULL */
 	void *on_leaving_entry_ctx;
 	lw_place_back_fn on_back; /* may be NULL */
-	void *on_back_ctx;
+	lw_place_back_fn on_doubt_ended; /* may be NULL */
+	void *on_back_ctx; /* of these two */
+	uint64_t doubted; /* how many entries were in doubt */
 	const char *zone;
 	char backend[LW_NAME_MAX]; /* address of the backend server on this host */
 	uint32_t mesh_port;
@@ -77,6 +81,14 @@
 	lw_retryallowance_t retry_allowance;
 } lw_place_t;
 
+/* What is known of the server of a host that a list has and the list before had not. */
+typedef struct lw_place_return {
+	bool returns; /* this process was known, and could no longer be used */
+	bool former; /* a later process was known */
+	bool drained; /* that one drained, or the one that replaced this one */
+	bool replaces; /* the list before had another process of the server */
+} lw_place_return_t;
+
 /* A load report that is older than this is ignored, us. */
 #define LW_PLACE_LOAD_STALE_US 3000000
 
@@ -128,6 +140,11 @@
 lw_leaving_change_t lw_place_notice_reported(lw_place_host_t *h, const lw_notice_t *n,
 					     uint64_t now_us);
 void lw_place_inherit_leaving(lw_place_host_t *h, const lw_place_host_t *other, uint64_t now_us);
+void lw_place_note_return(lw_place_return_t *r, const lw_place_host_t *h,
+			  const lw_place_host_t *other);
+void lw_place_judge_return(lw_place_t *p, lw_place_host_t *h, const lw_place_return_t *r,
+			   bool proven, uint64_t now_us);
+void lw_place_end_doubts(lw_place_t *p, uint64_t now_us);
 lw_leaving_change_t lw_place_load_reported(lw_place_host_t *h, const lw_load_t *load,
 					   uint64_t now_us);
 const lw_place_host_t *lw_place_node_load_reported(lw_place_t *p, const char *node,
--- a/src/placelist.c
+++ b/src/placelist.c
@@ -6,6 +6,7 @@
 
 #include "admit.h"
 #include "place.h"
+#include "placeindex.h"
 #include "xalloc.h"
 
 /*
@@ -65,63 +66,9 @@
 	return strcmp(h->id, id) == 0 && (!h->born_ms || !born_ms || h->born_ms == born_ms);
 }
 
-/*
- * Hosts sorted by id or by the address of their node. A list is compared with the hosts known
- * so far, and both grow with the fleet: without an index the work would grow with its square.
- */
-typedef struct host_index {
-	lw_place_host_t **host;
-	size_t n;
-} host_index_t;
-
-static int by_id(const void *a, const void *b)
-{
-	return strcmp((*(lw_place_host_t *const *)a)->id, (*(lw_place_host_t *const *)b)->id);
-}
-
-static int by_node(const void *a, const void *b)
-{
-	return strcmp((*(lw_place_host_t *const *)a)->node, (*(lw_place_host_t *const *)b)->node);
-}
-
-/* all hosts, or only those in the list, in the order @by; free() the array */
-static host_index_t index_hosts(const lw_place_t *p, bool listed_only,
-				int (*by)(const void *a, const void *b))
-{
-	host_index_t x = { 0 };
-	size_t n = 0;
-
-	for (const lw_place_service_t *s = p->services; s; s = s->next)
-		for (lw_place_host_t *h = s->hosts; h; h = h->next)
-			n++;
-	x.host = xcalloc(n + 1, sizeof(lw_place_host_t *));
-	for (const lw_place_service_t *s = p->services; s; s = s->next)
-		for (lw_place_host_t *h = s->hosts; h; h = h->next)
-			if (h->listed || !listed_only)
-				x.host[x.n++] = h;
-	qsort(x.host, x.n, sizeof(lw_place_host_t *), by);
-	return x;
-}
-
-/* position of the first host with @id in an index by id, or of the one after it */
-static size_t first_of_id(const host_index_t *x, const char *id)
-{
-	size_t from = 0, to = x->n;
-
-	while (from < to) {
-		size_t middle = from + (to - from) / 2;
-
-		if (strcmp(x->host[middle]->id, id) < 0)
-			from = middle + 1;
-		else
-			to = middle;
-	}
-	return from;
-}
-
-static lw_place_host_t *host_find(const host_index_t *x, const lw_server_entry_t *e)
+static lw_place_host_t *host_find(const lw_place_index_t *x, const lw_server_entry_t *e)
 {
-	for (size_t i = first_of_id(x, e->id); i < x->n; i++) {
+	for (size_t i = lw_place_index_first(x, e->id); i < x->n; i++) {
 		lw_place_host_t *h = x->host[i];
 
 		if (strcmp(h->id, e->id) != 0)
@@ -186,21 +133,43 @@
 	return h;
 }
 
-/* applies to @h, which was not listed, what is known of the other hosts with its id */
-static void inherit_leaving(const lw_place_t *p, const host_index_t *known, lw_place_host_t *h,
-			    uint64_t now_us)
+/* the other processes of the server of @h have ended, unless @h itself is in doubt */
+static void supersede(const lw_place_index_t *known, const lw_place_host_t *h)
 {
-	for (size_t i = first_of_id(known, h->id); i < known->n; i++) {
-		const lw_place_host_t *other = known->host[i];
+	for (size_t i = lw_place_index_first(known, h->id); i < known->n; i++) {
+		lw_place_host_t *other = known->host[i];
 
 		if (strcmp(other->id, h->id) != 0)
 			return;
+		other->superseded |= other != h && !h->doubt_until_us;
+	}
+}
+
+/*
+ * Applies to @h, which was not listed, what is known of the hosts with its id; @usable: @h could
+ * still be used.
+ */
+static void appear(lw_place_t *p, const lw_place_index_t *known, lw_place_host_t *h,
+		   const lw_server_entry_t *e, bool usable, uint64_t now_us)
+{
+	lw_place_return_t r = { .returns = h->removed_us && !usable };
+
+	for (size_t i = lw_place_index_first(known, h->id); i < known->n; i++) {
+		const lw_place_host_t *other = known->host[i];
+
+		if (strcmp(other->id, h->id) != 0)
+			break;
 		if (other == h)
 			continue;
 		lw_place_inherit_leaving(h, other, now_us);
+		lw_place_note_return(&r, h, other);
 		if (other->draining && p->on_leaving_entry)
 			p->on_leaving_entry(p->on_leaving_entry_ctx, other, h);
 	}
+	lw_place_judge_return(p, h, &r, e->proven, now_us);
+	supersede(known, h);
+	if ((h->removed_us || h->doubt_until_us) && p->on_back)
+		p->on_back(p->on_back_ctx, h);
 }
 
 static void drop_forgotten(lw_place_t *p, uint64_t now_us)
@@ -222,25 +191,22 @@
 	}
 }
 
-/* whether a host in @listed, an index by node, has the address of @gone */
-static bool address_taken(const host_index_t *listed, const lw_place_host_t *gone)
-{
-	return bsearch(&gone, listed->host, listed->n, sizeof(lw_place_host_t *), by_node) != NULL;
-}
-
 /* update the hosts that are not in the new list */
-static void mark_removed(lw_place_t *p, const host_index_t *listed, uint64_t now_us,
+static void mark_removed(lw_place_t *p, const lw_place_index_t *listed, uint64_t now_us,
 			 uint64_t lapsed_until_us)
 {
 	for (lw_place_service_t *s = p->services; s; s = s->next)
 		for (lw_place_host_t *h = s->hosts; h; h = h->next) {
 			if (h->listed || h->removed_us) {
-				h->use_until_us = address_taken(listed, h) ? 0 : h->use_until_us;
+				h->use_until_us = lw_place_index_has_node(listed, h->node) ?
+							  0 :
+							  h->use_until_us;
 				continue;
 			}
 			h->removed_us = now_us;
-			h->use_until_us =
-				h->draining || address_taken(listed, h) ? 0 : lapsed_until_us;
+			h->use_until_us = h->draining || lw_place_index_has_node(listed, h->node) ?
+						  0 :
+						  lapsed_until_us;
 		}
 }
 
@@ -249,13 +215,14 @@
  * to send: if it were not counted, the shares of the others would add up to
  * more than the allowance.
  */
-static uint32_t count_sharing(const lw_place_t *p, const host_index_t *listed)
+static uint32_t count_sharing(const lw_place_t *p, const lw_place_index_t *listed)
 {
 	uint32_t n = 0;
 
 	for (const lw_place_service_t *s = p->services; s; s = s->next)
 		for (const lw_place_host_t *h = s->hosts; h; h = h->next)
-			n += h->listed || (!h->draining && !address_taken(listed, h));
+			n += h->listed ||
+			     (!h->draining && !lw_place_index_has_node(listed, h->node));
 	return n;
 }
 
@@ -270,8 +237,8 @@
 void lw_place_update(lw_place_t *p, const lw_serverlist_t *sl, uint64_t now_us,
 		     uint64_t lapsed_until_us)
 {
-	host_index_t known = index_hosts(p, false, by_id);
-	host_index_t listed;
+	lw_place_index_t known = lw_place_index_by_id(p);
+	lw_place_index_t listed;
 
 	for (lw_place_service_t *s = p->services; s; s = s->next)
 		for (lw_place_host_t *h = s->hosts; h; h = h->next)
@@ -282,25 +249,24 @@
 		lw_place_host_t *h = host_find(&known, e);
 
 		bool appears = !h || h->removed_us;
+		bool usable = h && lw_place_usable(h, now_us);
 
 		if (!h)
 			h = host_add(p, e);
 		follow_address(p, h, e);
-		if (h->removed_us && p->on_back)
-			p->on_back(p->on_back_ctx, h, e);
-		h->listed = true;
-		h->removed_us = 0;
 		if (e->born_ms)
 			h->born_ms = e->born_ms;
 		/* a drain disappears only in a copy of the store that is older than the drain */
 		if (e->draining)
 			lw_place_list_draining(h, now_us);
 		if (appears)
-			inherit_leaving(p, &known, h, now_us);
+			appear(p, &known, h, e, usable, now_us);
+		h->listed = true;
+		h->removed_us = 0;
 		p->nhosts++;
 	}
 	free(known.host);
-	listed = index_hosts(p, true, by_node);
+	listed = lw_place_index_listed_by_node(p);
 	mark_removed(p, &listed, now_us, lapsed_until_us);
 	drop_forgotten(p, now_us);
 	p->nsharing = count_sharing(p, &listed);
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -55,6 +55,7 @@
 		.active = p->engine.active,
 		.level = p->engine.gate.level.level,
 		.servers = p->engine.place.nhosts,
+		.entries_doubted = p->engine.place.doubted,
 		.config_version = p->engine.conf ? p->engine.conf->version : 0,
 		.servers_revision = p->servers ? p->servers->revision : 0,
 		.news_age_ms = lw_proxy_update_age_ms(p),
--- a/src/proxy_int.h
+++ b/src/proxy_int.h
@@ -67,6 +67,7 @@
 	uint64_t started_us; /* boot time */
 	uint64_t summary_us; /* boot time of the last summary in the log */
 	uint64_t born_ms; /* start of the backend server's process, Unix time; 0: unknown */
+	bool local_in_doubt; /* it gets no requests, as its entry may be an old one */
 } lw_proxy_t;
 
 extern const lw_mesh_ops_t lw_proxy_mesh_ops;
--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -116,14 +116,45 @@
 	       entry->draining);
 }
 
-/* a server whose entry was missing is listed again */
-static void on_back(void *ctx, const lw_place_host_t *h, const lw_server_entry_t *entry)
+/* a server that the list before had not is listed again */
+static void on_back(void *ctx, const lw_place_host_t *h)
 {
-	const lw_proxy_t *p = ctx;
+	lw_proxy_t *p = ctx;
+
+	p->local_in_doubt |= h->self && h->doubt_until_us;
+	lw_log(LW_LOG_entry_back, "server=%s born_ms=%llu away_ms=%llu draining=%d in_doubt=%d",
+	       h->id, (unsigned long long)h->born_ms,
+	       (unsigned long long)(h->removed_us ? (p->evloop.now_us - h->removed_us) / 1000 : 0),
+	       h->draining, h->doubt_until_us != 0);
+}
+
+static void on_doubt_ended(void *ctx, const lw_place_host_t *h)
+{
+	(void)ctx;
+	lw_log(LW_LOG_entry_accepted, "server=%s born_ms=%llu draining=%d", h->id,
+	       (unsigned long long)h->born_ms, h->draining);
+}
+
+/* the local server gets requests again once its entry is no longer in doubt */
+static void update_local_server(lw_proxy_t *p)
+{
+	bool known;
+	const lw_place_host_t *self = lw_place_self(&p->engine.place, &known);
+
+	if (known && self->doubt_until_us)
+		return;
+	p->local_in_doubt = false;
+	if (known)
+		lw_gate_set_server(&p->engine.gate, self);
+}
+
+static void on_tick(void *ctx)
+{
+	lw_proxy_t *p = ctx;
 
-	lw_log(LW_LOG_entry_back, "server=%s born_ms=%llu draining=%d away_ms=%llu was_draining=%d",
-	       h->id, (unsigned long long)entry->born_ms, entry->draining,
-	       (unsigned long long)((p->evloop.now_us - h->removed_us) / 1000), h->draining);
+	lw_place_end_doubts(&p->engine.place, p->evloop.now_us);
+	if (p->local_in_doubt)
+		update_local_server(p);
 }
 
 /* lw_proxy_news_init() - call after the placement has been initialised. */
@@ -132,7 +163,9 @@
 	p->engine.place.on_leaving_entry = on_leaving_entry;
 	p->engine.place.on_leaving_entry_ctx = p;
 	p->engine.place.on_back = on_back;
+	p->engine.place.on_doubt_ended = on_doubt_ended;
 	p->engine.place.on_back_ctx = p;
+	lw_evloop_on_tick(&p->evloop, on_tick, p);
 }
 
 /* lw_proxy_apply_servers() - uses the list @sl if it is newer; takes ownership of it. */
--- a/src/proxystats.c
+++ b/src/proxystats.c
@@ -300,6 +300,9 @@
 	counter(f, "lw_store_entries_overruled_total",
 		"entries of backend servers that had no effect, as another entry overrules them",
 		s->store_reader.entries_overruled);
+	counter(f, "lw_entries_doubted_total",
+		"listed servers that got no work at first, as they may have left",
+		s->entries_doubted);
 	counter(f, "lw_store_start_times_ignored_total",
 		"start times of backend servers that were ignored, as they are in the future",
 		s->store_reader.start_times_ignored);
--- a/src/proxystats.h
+++ b/src/proxystats.h
@@ -29,6 +29,8 @@
 	uint32_t active;
 	uint32_t level;
 	uint32_t servers;
+	uint64_t
+		entries_doubted; /* listed servers that got no work at first, as they may have left */
 	uint64_t config_version;
 	uint64_t servers_revision;
 	uint64_t news_age_ms;
--- a/src/serverset.c
+++ b/src/serverset.c
@@ -49,6 +49,7 @@
 	uint64_t hold_until_us; /* until when missing entries still count */
 	bool restoring; /* the current read is of a restored copy of the store */
 	uint64_t unproven_until_us; /* unproven entries do not count until then; 0: none */
+	uint64_t complete; /* position up to which all writes are known; 0: none */
 	bool any_missing; /* some entries are missing and still count */
 	bool any_contender; /* some entries are contested */
 	bool changed;
@@ -127,8 +128,7 @@
 {
 	if (same_process(&m->entry, e))
 		return false;
-	return s->restoring ||
-	       (m->entry.draining && !e->draining && e->born_ms < m->entry.born_ms);
+	return s->restoring || (m->entry.draining && !e->draining && e->born_ms < m->entry.born_ms);
 }
 
 static lw_serverset_overruled_t overrule(lw_member_t *m, const lw_server_entry_t *e)
@@ -158,6 +158,12 @@
 	m->overruled = (lw_server_entry_t){ .id = NULL };
 }
 
+/* @e was written after what is known, and not before the store was restored */
+static bool is_news(const lw_serverset_t *s, const lw_server_entry_t *e)
+{
+	return lw_storepos_same_era(e->written, s->complete) && e->written > s->complete;
+}
+
 static lw_member_t *member_add(lw_serverset_t *s, const lw_server_entry_t *e)
 {
 	lw_member_t *m = xcalloc(1, sizeof(*m));
@@ -167,6 +173,14 @@
 	return m;
 }
 
+/* the entry, which only a copy of the store had, is in force */
+static void accept(lw_serverset_t *s, lw_member_t *m, bool proven)
+{
+	m->unproven = false;
+	m->entry.proven = proven;
+	s->changed = true;
+}
+
 /*
  * lw_serverset_put() - an entry was written. A process that is draining remains so; another
  * process under the same id starts without that state.
@@ -176,6 +190,7 @@
 	lw_member_t *m;
 	uint64_t born_ms = e->born_ms;
 	bool draining = e->draining;
+	bool proven;
 
 	HASH_FIND_STR(s->members, e->id, m);
 	if (m && is_contested(s, m, e))
@@ -183,21 +198,23 @@
 	if (!m) {
 		m = member_add(s, e);
 		m->unproven = s->restoring;
+		m->entry.proven = is_news(s, e);
 		s->changed = true;
 	}
-	if (m->unproven && !s->restoring) {
-		m->unproven = false;
-		s->changed = true;
-	}
+	/* another process than the one in the copy runs, but may have left, too */
+	if (m->unproven && !s->restoring)
+		accept(s, m, e->born_ms == m->entry.born_ms);
 	if (same_process(&m->entry, e)) {
 		draining |= m->entry.draining;
 		born_ms = born_ms ? born_ms : m->entry.born_ms;
 	}
 	if (differs(&m->entry, e) || m->missing)
 		s->changed = true;
+	proven = m->entry.proven;
 	m->entry = *e;
 	m->entry.draining = draining;
 	m->entry.born_ms = born_ms;
+	m->entry.proven = proven;
 	m->missing = false;
 	m->seen = true;
 	drop_contender(m);
@@ -224,6 +241,15 @@
 	s->any_missing = true;
 }
 
+/*
+ * lw_serverset_complete() - all writes up to @pos, a position in the store's history, have been
+ * put or removed.
+ */
+void lw_serverset_complete(lw_serverset_t *s, uint64_t pos)
+{
+	s->complete = pos;
+}
+
 /* lw_serverset_begin_read() - a complete read of all entries starts. */
 void lw_serverset_begin_read(lw_serverset_t *s)
 {
@@ -259,6 +285,7 @@
 	}
 	s->any_missing = false;
 	s->any_contender = false;
+	s->complete = in_use->revision;
 }
 
 /* lw_serverset_begin_restore() - the store was restored from an older copy, which is read now. */
@@ -329,10 +356,9 @@
 
 static void accept_unproven(lw_serverset_t *s)
 {
-	for (lw_member_t *m = s->members; m; m = m->hh.next) {
-		s->changed |= m->unproven;
-		m->unproven = false;
-	}
+	for (lw_member_t *m = s->members; m; m = m->hh.next)
+		if (m->unproven)
+			accept(s, m, true);
 	s->unproven_until_us = 0;
 }
 
--- a/src/serverset.h
+++ b/src/serverset.h
@@ -27,6 +27,7 @@
 void lw_serverset_set_services(lw_serverset_t *s, const lw_fleetconf_t *fc);
 lw_serverset_overruled_t lw_serverset_put(lw_serverset_t *s, const lw_server_entry_t *e);
 void lw_serverset_remove(lw_serverset_t *s, const char *id, uint64_t revision);
+void lw_serverset_complete(lw_serverset_t *s, uint64_t pos);
 void lw_serverset_begin_read(lw_serverset_t *s);
 void lw_serverset_end_read(lw_serverset_t *s);
 void lw_serverset_replace(lw_serverset_t *s, const lw_serverlist_t *in_use);
--- a/tests/lwtest.h
+++ b/tests/lwtest.h
@@ -23,6 +23,7 @@
 void suite_organisation(void);
 void suite_notice(void);
 void suite_leaving(void);
+void suite_entryorder(void);
 void suite_handback(void);
 void suite_placement(void);
 bool lw_test_known_red(const char *name);
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -158,6 +158,7 @@
 		e[0] = (lw_server_entry_t){ .slots = 10,
 					    .draining = r->listed_draining,
 					    .born_ms = r->listed_born,
+					    .proven = true,
 					    .id = "i",
 					    .service = "s",
 					    .addr = "10.0.0.1:80",
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -73,9 +73,11 @@
 	lw_load_t report[2]; /* its reports, the newest first */
 } lw_front_t;
 
-static void apply_list(lw_place_t *p, uint64_t born_ms, uint64_t now_us)
+static void apply_list(lw_place_t *p, uint64_t born_ms, bool proven, uint64_t now_us)
 {
-	lw_server_entry_t e = { .zone = lw_name_none, .slots = 10, .born_ms = born_ms };
+	lw_server_entry_t e = {
+		.zone = lw_name_none, .slots = 10, .born_ms = born_ms, .proven = proven
+	};
 	lw_serverlist_t sl = { .servers = &e, .nservers = born_ms ? 1 : 0 };
 
 	e.id = lw_name_c(ID);
@@ -151,13 +153,13 @@
 		deliver(f, &f->report[1], now_us);
 		break;
 	case FRONT_LIST:
-		apply_list(&f->place, f->m.born_ms[0], now_us);
+		apply_list(&f->place, f->m.born_ms[0], true, now_us);
 		break;
 	case FRONT_LIST_FORMER:
-		apply_list(&f->place, f->m.born_ms[1], now_us);
+		apply_list(&f->place, f->m.born_ms[1], false, now_us);
 		break;
 	case FRONT_LIST_NONE:
-		apply_list(&f->place, 0, now_us);
+		apply_list(&f->place, 0, false, now_us);
 		break;
 	default:
 		f->m.back_ms = CLOCK_BACK_MS;
@@ -173,7 +175,7 @@
 
 	model_init(&f.m);
 	lw_place_init(&f.place, "a", "10.0.0.9:80", 7000, (lw_retryallowance_t){ 0 });
-	apply_list(&f.place, f.m.born_ms[0], now_us);
+	apply_list(&f.place, f.m.born_ms[0], true, now_us);
 	for (int i = 0; i < FRONT_DEPTH; i++, run /= FRONT_EVENTS) {
 		now_us += 700000;
 		f.m.now_ms += 700;
@@ -181,7 +183,7 @@
 		good &= !model_is_bound(&f.m) || !picked(&f.place, now_us);
 	}
 	f.m.now_ms += 700;
-	apply_list(&f.place, f.m.born_ms[0], now_us);
+	apply_list(&f.place, f.m.born_ms[0], true, now_us);
 	check_server(&f);
 	deliver(&f, &f.report[0], now_us);
 	good &= f.m.leaving == !picked(&f.place, now_us);
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -27,6 +27,7 @@
 	suite_organisation();
 	suite_notice();
 	suite_leaving();
+	suite_entryorder();
 	suite_handback();
 	suite_placement();
 	suite_decisions(argc > 2 ? argv[2] : "tests/decisions");
