--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -26,6 +26,7 @@
 import mixed  # noqa: E402,F401
 import moves  # noqa: E402,F401
 import news  # noqa: E402,F401
+import oddentries  # noqa: E402,F401
 import operators  # noqa: E402,F401
 import ordering  # noqa: E402,F401
 import organisations  # noqa: E402,F401
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -122,9 +122,10 @@
 
 #define ENTRY(address, info, status, born) \
 	"{\"address\":" address ",\"info\":" info ",\"status\":" status ",\"born\":" born "}"
-#define ADDRESS "\"10.0.0.9:8080\""
-#define INFO	"{\"service\":\"s1\",\"zone\":\"a\",\"slots\":125}"
-#define STATUS	"{\"state\":\"ready\",\"cold_remaining_s\":0,\"sequence\":4}"
+#define ADDRESS	 "\"10.0.0.9:8080\""
+#define INFO	 "{\"service\":\"s1\",\"zone\":\"a\",\"slots\":125}"
+#define SLOTS(n) "{\"service\":\"s1\",\"zone\":\"a\",\"slots\":" n "}"
+#define STATUS	 "{\"state\":\"ready\",\"cold_remaining_s\":0,\"sequence\":4}"
 
 /*
  * An entry of an unknown writer, with fields missing or of the wrong type, must
@@ -157,6 +158,22 @@
 		  "sequence" },
 		{ ENTRY(ADDRESS, INFO, STATUS, "1.5"), "born" },
 		{ ENTRY(ADDRESS, INFO, STATUS, "\"1\""), "born" },
+		{ ENTRY("\"10.0.0.9:0\"", INFO, STATUS, "1"), "address" },
+		{ ENTRY("\"10.0.0.9:-1\"", INFO, STATUS, "1"), "address" },
+		{ ENTRY("\"10.0.0.9:65536\"", INFO, STATUS, "1"), "address" },
+		{ ENTRY("\"10.0.0.9:73616\"", INFO, STATUS, "1"), "address" },
+		{ ENTRY("\"10.0.0.9:18446744073709559696\"", INFO, STATUS, "1"), "address" },
+		{ ENTRY("\"10.0.0.9:\"", INFO, STATUS, "1"), "address" },
+		{ ENTRY("\"10.0.0.9: 80\"", INFO, STATUS, "1"), "address" },
+		{ ENTRY("\"10.0.0.9:http\"", INFO, STATUS, "1"), "address" },
+		{ ENTRY("\"10.0.0.900:80\"", INFO, STATUS, "1"), "address" },
+		{ ENTRY("\"[::1]:80\"", INFO, STATUS, "1"), "address" },
+		{ ENTRY(ADDRESS, SLOTS("4e9"), STATUS, "1"), "slots" },
+		{ ENTRY(ADDRESS, SLOTS("1e12"), STATUS, "1"), "slots" },
+		{ ENTRY(ADDRESS, SLOTS("9223372036854775807"), STATUS, "1"), "slots" },
+		{ ENTRY(ADDRESS, SLOTS("9223372036854775808"), STATUS, "1"), "JSON" },
+		{ ENTRY(ADDRESS, SLOTS("1e400"), STATUS, "1"), "JSON" },
+		{ ENTRY(ADDRESS, INFO, STATUS, "-1"), "born" },
 		{ "[1]", "info" },
 		{ "\xff\xfe", "JSON" },
 	};
@@ -192,6 +209,46 @@
 		}
 }
 
+/* Guards against documents so deeply nested that their reader runs out of stack. */
+static void test_deep_nesting(void)
+{
+	static const char *const open[] = { "[", "{\"info\":" };
+	const size_t levels = 100000;
+	lw_fleetconf_t *fc;
+	lw_server_entry_t e;
+
+	for (size_t i = 0; i < 2; i++) {
+		size_t each = strlen(open[i]);
+		char *text = malloc(levels * each);
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(text);
+		for (size_t k = 0; k < levels; k++)
+			memcpy(text + k * each, open[i], each);
+		CU_ASSERT_EQUAL(lw_document_server(text, levels * each, "i-1", &e), LW_ERR_CONFIG);
+		CU_ASSERT_EQUAL(lw_document_config(text, levels * each, &fc), LW_ERR_CONFIG);
+		free(text);
+	}
+}
+
+/* Guards against a version that is no number and, as the highest of all, is never replaced. */
+static void test_version_out_of_range(void)
+{
+	static const char *const versions[] = { "-1", "\"r99999999999999999999\"", "\"r-1\"",
+						"1e400", "\"r1e5x\"" };
+	lw_fleetconf_t *fc;
+
+	for (size_t i = 0; i < sizeof(versions) / sizeof(versions[0]); i++) {
+		char text[200];
+
+		snprintf(text, sizeof(text),
+			 "{\"version\":%s,\"listeners\":[{\"host\":\"a\",\"rules\":[{\"match\":"
+			 "{\"path_prefix\":\"/\"},\"action\":{\"service\":\"s\"}}]}]}",
+			 versions[i]);
+		CU_ASSERT_EQUAL(lw_document_config(text, strlen(text), &fc), LW_ERR_CONFIG);
+		CU_ASSERT_EQUAL(lw_document_version(text, strlen(text)), 0);
+	}
+}
+
 /*
  * A field of the wrong type must be an error that names the field, and the
  * previous version stays in force. If the default were used, one corrupted
@@ -265,6 +322,8 @@
 	CU_add_test(s, "an entry of an unknown writer is rejected", test_server_refused);
 	CU_add_test(s, "an entry with a corrupted byte is rejected or complete",
 		    test_server_mutated);
+	CU_add_test(s, "deep nesting is refused", test_deep_nesting);
+	CU_add_test(s, "a version out of range is no version", test_version_out_of_range);
 	CU_add_test(s, "a field of the wrong type is named", test_config_field_types);
 	CU_add_test(s, "settings are checked", test_settings);
 }
