Senders tell a node the longest run of a kind that they have seen

Callers saw 502 for orders at the exit of the node beside their server. Cause: a node that has run for some seconds has seen short runs of a kind only, takes them for all that the kind does, and accepts an order that outlasts its exit. The nodes that send the orders have seen the long one: each answer tells how long its request executed. A request now carries the longest recent execution of its kind that its sender knows, and a stopping node expects the longer of that and its own.

The longest run is no longer looked up while no exit is due. A sender that has just started too, or a kind whose first long run comes during the stop, are not covered.

--- a/src/call.h
+++ b/src/call.h
@@ -85,6 +85,8 @@
 	uint32_t target_left_ms;
 	uint32_t rank; /* of the user request that it belongs to, see level.h */
 	uint32_t kind; /* kind of work, see worktime.h; 0: unknown */
+	/* longest recent execution time of the kind that the sender has seen, us; 0: none */
+	uint32_t longest_us;
 	bool idempotent; /* may be executed more than once */
 	bool repeat; /* a retry, or part of a request that is a retry */
 	bool returnable; /* the sender places it elsewhere or puts it back if it is returned */
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -14,6 +14,7 @@
 #include "gate.h"
 #include "histogram.h"
 #include "httphead.h"
+#include "longruns.h"
 #include "loss.h"
 #include "overload.h"
 #include "evloop.h"
@@ -90,6 +91,7 @@
 	/* age of this node's last store update, in ms; may be NULL */
 	uint32_t (*news_age_ms)(void *ctx);
 	void *ctx;
+	lw_longruns_t longruns;
 	lw_engine_stats_t stats;
 	lw_routestats_t routes;
 } lw_engine_t;
--- a/src/exchattempt.c
+++ b/src/exchattempt.c
@@ -89,6 +89,8 @@
 	req->target_left_ms = lw_exchange_remaining_ms(x, x->target_us);
 	req->rank = x->rank;
 	req->kind = lw_worktime_kind(x->route);
+	req->longest_us =
+		lw_longruns_get(&x->engine->longruns, req->kind, x->engine->evloop->now_us);
 	req->idempotent = x->attempts.idempotent;
 	req->repeat = x->repeat || x->attempts.reached;
 	req->notice = x->host->load.notice;
--- a/src/exchoutcome.c
+++ b/src/exchoutcome.c
@@ -136,6 +136,7 @@
 		lw_leavinglog_host(
 			x->host, lw_place_load_reported(x->host, load, e->evloop->now_us), "node");
 	lw_place_add_level(x->service, load->ran_us, e->evloop->now_us, &path.hots);
+	lw_longruns_add(&e->longruns, lw_worktime_kind(x->route), load->ran_us, e->evloop->now_us);
 	lw_overload_on_answer(e->overload, x->route, &path.hots, path.depth, e->evloop->now_us);
 	if (served && !x->nested)
 		lw_overload_add_work(e->overload, x->route, x->rank / LW_RANKS_PER_PRIORITY,
--- a/src/gate.c
+++ b/src/gate.c
@@ -85,6 +85,7 @@
 	lw_stopask_t ask = {
 		.deadline_us = j->deadline_us > now_us ? j->deadline_us - now_us : 0,
 		.kind = j->kind,
+		.longest_us = j->longest_us,
 		.idempotent = j->idempotent,
 	};
 
@@ -133,6 +134,7 @@
 		.wait_us = (uint64_t)lw_admit_expected_wait_ms(st) * 1000,
 		.deadline_us = (uint64_t)req->deadline_ms * 1000,
 		.kind = req->kind,
+		.longest_us = req->longest_us,
 		.idempotent = req->idempotent,
 	};
 
--- a/src/gate_int.h
+++ b/src/gate_int.h
@@ -48,6 +48,7 @@
 	lw_stopverdict_t stop; /* why it was accepted, if this process is stopping */
 	uint32_t rank;
 	uint32_t kind; /* of work, see worktime.h */
+	uint32_t longest_us; /* of that kind, as the sender knows; 0: it knows none */
 	bool idempotent;
 	bool repeat;
 	bool call_failed; /* a nested call failed */
@@ -63,6 +64,7 @@
 	uint64_t wait_us; /* until it starts */
 	uint64_t deadline_us; /* time until its sender gives up */
 	uint32_t kind; /* of work, see worktime.h */
+	uint32_t longest_us; /* of that kind, as the sender knows; 0: it knows none */
 	bool idempotent;
 } lw_stopask_t;
 
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -252,6 +252,7 @@
 	j->window = LW_CALL_WINDOW;
 	j->rank = req->rank;
 	j->kind = req->kind;
+	j->longest_us = req->longest_us;
 	j->idempotent = req->idempotent;
 	j->repeat = req->repeat;
 	lw_bytebuf_append_str(&j->head, req->head);
--- a/src/gatestop.c
+++ b/src/gatestop.c
@@ -13,6 +13,19 @@
 	lw_worktable_duration(&g->work, j->kind, took_us, g->evloop->now_us);
 }
 
+/*
+ * The longest execution that a request as described in @ask may be expected to have: of its own kind
+ * or, if too few are known, of all work. What the sender knows counts as well, as a process that has
+ * just started may have seen only the short ones of a kind.
+ */
+static uint64_t longest_us(const lw_gate_t *g, const lw_stopask_t *ask, uint64_t of_kind_us)
+{
+	uint64_t own_us = of_kind_us ? of_kind_us :
+				       lw_recentmax_get(&g->longest, g->evloop->now_us).longest_us;
+
+	return own_us > ask->longest_us ? own_us : ask->longest_us;
+}
+
 /*
  * lw_gate_judge_stop() - whether a request as described in @ask completes before this process
  * exits. The time until the exit and the longest execution are added here.
@@ -21,19 +34,20 @@
 {
 	const lw_evloop_t *evloop = g->evloop;
 	uint64_t now_us = evloop->now_us;
-	uint64_t of_kind_us = lw_worktable_longest_us(&g->work, ask->kind, now_us);
-	lw_stopwork_t work = {
+	uint64_t of_kind_us;
+	lw_stopwork_t work;
+
+	if (!evloop->exit_us)
+		return (lw_stopverdict_t){ .basis = LW_STOPBASIS_NOT_STOPPING };
+	of_kind_us = lw_worktable_longest_us(&g->work, ask->kind, now_us);
+	work = (lw_stopwork_t){
 		.left_us = evloop->exit_us > now_us ? evloop->exit_us - now_us : 0,
 		.wait_us = ask->wait_us,
 		.deadline_us = ask->deadline_us,
-		.longest_us =
-			of_kind_us ? of_kind_us : lw_recentmax_get(&g->longest, now_us).longest_us,
+		.longest_us = longest_us(g, ask, of_kind_us),
 		.known = of_kind_us > 0,
 		.idempotent = ask->idempotent,
 	};
-
-	if (!evloop->exit_us)
-		return (lw_stopverdict_t){ .basis = LW_STOPBASIS_NOT_STOPPING };
 	return lw_stopplan_judge(&work);
 }
 
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -1946,7 +1946,7 @@
   (ProtobufCMessageInit) lw__arrivals__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__open__field_descriptors[17] =
+static const ProtobufCFieldDescriptor lw__open__field_descriptors[18] =
 {
   {
     "stream",
@@ -2152,6 +2152,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "longest_us",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Open, longest_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__open__field_indices_by_name[] = {
   9,   /* field[9] = body */
@@ -2161,6 +2173,7 @@
   6,   /* field[6] = head */
   16,   /* field[16] = idempotent */
   13,   /* field[13] = kind */
+  17,   /* field[17] = longest_us */
   12,   /* field[12] = notice */
   15,   /* field[15] = put_back */
   2,   /* field[2] = queue_ms */
@@ -2176,7 +2189,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor lw__open__descriptor =
 {
@@ -2186,7 +2199,7 @@
   "Lw__Open",
   "lw",
   sizeof(Lw__Open),
-  17,
+  18,
   lw__open__field_descriptors,
   lw__open__field_indices_by_name,
   2,  lw__open__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -343,6 +343,10 @@
    * the receiver returned the request, and no other host has room
    */
   protobuf_c_boolean put_back;
+  /*
+   * longest recent execution time of the kind, as answers have shown the sender; 0: unknown
+   */
+  uint32_t longest_us;
   /*
    * may be executed more than once; absent from older nodes: counts as not
    */
@@ -350,7 +354,7 @@
 };
 #define LW__OPEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__open__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Lw__Answer
--- a/src/meshcall.c
+++ b/src/meshcall.c
@@ -282,6 +282,7 @@
 		.target_left_ms = o->target_left_ms > late_ms ? o->target_left_ms - late_ms : 0,
 		.rank = o->rank,
 		.kind = o->kind,
+		.longest_us = o->longest_us,
 		.idempotent = o->idempotent,
 		.repeat = o->repeat,
 		.returnable = o->returnable,
@@ -424,6 +425,7 @@
 	o.target_left_ms = req->target_left_ms;
 	o.rank = req->rank;
 	o.kind = req->kind;
+	o.longest_us = req->longest_us;
 	o.idempotent = req->idempotent;
 	o.repeat = req->repeat;
 	o.returnable = req->returnable;
