The last node of a service goes on while a request of unknown duration still ends

Callers saw 503 for 0.6 to 1.2 s although all servers of the service were alive: two nodes that stop within a second exit one after the other before the first has started again, as none knows that it is the last that accepts requests. Of several that stop together they leave in the order of their servers' ids, so that they neither leave together nor wait for each other.

--- a/src/place.c
+++ b/src/place.c
@@ -368,3 +368,29 @@
 {
 	return h && lw_place_usable(h, now_us) && !h->draining && !h->load.leaving;
 }
+
+/* whether @h accepts work once @self has gone; of several that leave, the first id goes first */
+static bool stands_in(const lw_place_host_t *h, const lw_place_host_t *self, uint64_t now_us)
+{
+	if (!h->load_us || !is_eligible(h, now_us) || host_tier(h, now_us) == TIER_SUSPECT)
+		return false;
+	return !h->load.leaving || strcmp(self->id, h->id) < 0;
+}
+
+/*
+ * lw_place_is_last() - whether @self is the last host of its service that accepts work, and others
+ * may accept some again soon. If it is the only one there is, waiting for another is of no use.
+ */
+bool lw_place_is_last(const lw_place_host_t *self, uint64_t now_us)
+{
+	bool others = false;
+
+	for (const lw_place_host_t *h = self->service->hosts; h; h = h->next) {
+		if (h == self || h->draining || !lw_place_usable(h, now_us))
+			continue;
+		if (stands_in(h, self, now_us))
+			return false;
+		others = true;
+	}
+	return others;
+}
--- a/src/place.h
+++ b/src/place.h
@@ -131,6 +131,7 @@
 uint64_t lw_place_process(const char *id, uint64_t born_ms);
 lw_place_host_t *lw_place_pick_trial(const lw_place_service_t *s, uint64_t key,
 				     const uint64_t *crashed, size_t n, uint64_t now_us);
+bool lw_place_is_last(const lw_place_host_t *self, uint64_t now_us);
 bool lw_place_accepts_work(const lw_place_host_t *h, uint64_t now_us);
 void lw_place_request_sent(lw_place_host_t *h);
 void lw_place_request_done(lw_place_host_t *h, bool ok, uint64_t now_us);
--- a/src/proxystop.c
+++ b/src/proxystop.c
@@ -23,6 +23,32 @@
 	return ours > theirs ? ours : theirs;
 }
 
+/* Whether no other node accepts work of the service; not if the local server accepts none. */
+static bool is_last(const lw_proxy_t *p)
+{
+	bool known;
+	const lw_place_host_t *self = lw_place_self(&p->engine.place, &known);
+
+	return known && !self->draining && !lw_gate_leaving(&p->engine.gate) &&
+	       lw_place_is_last(self, p->evloop.now_us);
+}
+
+/*
+ * Connects to the other nodes of the service, to know in time whether they accept work: this node
+ * may never have sent them a request.
+ */
+static void contact_service(lw_proxy_t *p)
+{
+	bool known;
+	const lw_place_host_t *self = lw_place_self(&p->engine.place, &known);
+
+	if (!known)
+		return;
+	for (const lw_place_host_t *h = self->service->hosts; h; h = h->next)
+		if (h != self && lw_place_usable(h, p->evloop.now_us))
+			lw_mesh_connect(p->engine.mesh, h->node);
+}
+
 /* Logs a step of the stop with the work that is left. */
 static void log_step(const lw_proxy_t *p, const char *step, const lw_stopstate_t *state)
 {
@@ -57,6 +83,7 @@
 		.oldest_us = oldest_request_us(p),
 		.refusing_us = p->refusing_us ? p->evloop.now_us - p->refusing_us : 0,
 		.at_work = p->engine.gate.ncalls || !p->engine.gate.exiting,
+		.last = is_last(p),
 	};
 	lw_stopplan_t plan = lw_stopplan(&state);
 
@@ -101,6 +128,7 @@
 	p->stop_began_us = p->evloop.now_us;
 	p->stop_grace_us = (uint64_t)(p->set->grace_s * 1e6);
 	p->evloop.exit_us = p->stop_began_us + lw_stopplan_exit_us(p->stop_grace_us);
+	contact_service(p);
 	ev_timer_init(&p->stop_timer, on_stop_step, LW_STOPPLAN_STEP_S, LW_STOPPLAN_STEP_S);
 	p->stop_timer.data = p;
 	ev_timer_start(loop, &p->stop_timer);
--- a/src/stopplan.c
+++ b/src/stopplan.c
@@ -102,12 +102,25 @@
 	return names[basis];
 }
 
-/* whether to accept nothing more: the requests in flight will end soon, or must */
+/* whether requests that are accepted now may last for @run_us until the exit */
+static bool leaves(const lw_stopstate_t *s, uint64_t run_us)
+{
+	return s->since_us + run_us <= lw_stopplan_exit_us(s->grace_us);
+}
+
+/*
+ * Whether to accept nothing more: the requests in flight will end soon, or must. The last node of
+ * its service goes on as long as a request of unknown duration would end before the exit. Where two
+ * nodes stop within a second, the second one would otherwise exit before the first has started
+ * again, and requests would be refused although all servers are alive.
+ */
 static bool time_to_refuse(const lw_stopstate_t *s)
 {
-	if (s->since_us + RUN_MIN_US > lw_stopplan_exit_us(s->grace_us))
+	if (!leaves(s, RUN_MIN_US))
 		return true;
-	return s->since_us >= CALLERS_KNOW_US && s->oldest_us < STRAGGLER_US;
+	if (s->since_us < CALLERS_KNOW_US || s->oldest_us >= STRAGGLER_US)
+		return false;
+	return !s->last || !leaves(s, RUN_UNKNOWN_US);
 }
 
 /* whether nothing is in flight and all peers know that the node accepts nothing more */
