One place for what puts the local server's process in doubt; entries put in one step

The same three fields were reset in two functions of gatenotice.c; lw_serverset_put() builds the next entry before it compares. No change of behaviour.

--- a/src/gatenotice.c
+++ b/src/gatenotice.c
@@ -43,6 +43,14 @@
 	lw_ratelimit_set(&g->ratelimit, false, 0, g->evloop->now_us);
 }
 
+/* another process may run: its next answer to a health check tells whether it is leaving */
+static void doubt_process(lw_gate_t *g)
+{
+	g->list_draining = false;
+	g->process_in_doubt = true;
+	g->accepting_us = 0;
+}
+
 /*
  * lw_gate_server_changed() - the list names another server on this host. Whether it is leaving is
  * to be checked, as other nodes may remember an announcement of its former process. What other
@@ -52,9 +60,7 @@
 {
 	if (g->server_id[0] || !lw_notice_matches(&g->notice, server->id, server->born_ms))
 		reset_notice(g);
-	g->list_draining = false;
-	g->process_in_doubt = true;
-	g->accepting_us = 0;
+	doubt_process(g);
 }
 
 static void log_leaving_ended(const lw_gate_t *g)
@@ -82,9 +88,7 @@
 		       (unsigned long long)server->born_ms,
 		       (unsigned long long)((g->evloop->now_us - g->leaving_us) / 1000), kept);
 	g->notice.leaving = kept;
-	g->list_draining = false;
-	g->process_in_doubt = true;
-	g->accepting_us = 0;
+	doubt_process(g);
 }
 
 /* Unix time of an observation made at @at_us, ms; later than that of all others before */
--- a/src/serverset.c
+++ b/src/serverset.c
@@ -187,10 +187,8 @@
  */
 lw_serverset_overruled_t lw_serverset_put(lw_serverset_t *s, const lw_server_entry_t *e)
 {
+	lw_server_entry_t next = *e;
 	lw_member_t *m;
-	uint64_t born_ms = e->born_ms;
-	bool draining = e->draining;
-	bool proven;
 
 	HASH_FIND_STR(s->members, e->id, m);
 	if (m && is_contested(s, m, e))
@@ -205,16 +203,13 @@
 	if (m->unproven && !s->restoring)
 		accept(s, m, e->born_ms == m->entry.born_ms);
 	if (same_process(&m->entry, e)) {
-		draining |= m->entry.draining;
-		born_ms = born_ms ? born_ms : m->entry.born_ms;
+		next.draining |= m->entry.draining;
+		next.born_ms = e->born_ms ? e->born_ms : m->entry.born_ms;
 	}
+	next.proven = m->entry.proven;
 	if (differs(&m->entry, e) || m->missing)
 		s->changed = true;
-	proven = m->entry.proven;
-	m->entry = *e;
-	m->entry.draining = draining;
-	m->entry.born_ms = born_ms;
-	m->entry.proven = proven;
+	m->entry = next;
 	m->missing = false;
 	m->seen = true;
 	drop_contender(m);
--- a/tests/decide_retry.c
+++ b/tests/decide_retry.c
@@ -348,8 +348,9 @@
  */
 static void do_stop(world_t *w, const words_t *a)
 {
-	lw_stopstate_t state = { ms(a, 1), ms(a, 2), ms(a, 3),
-				 has(a, "just-refusing") ? ms(a, 5) : ms(a, 1), has(a, "at-work"), has(a, "last") };
+	lw_stopstate_t state = { ms(a, 1),	    ms(a, 2),
+				 ms(a, 3),	    has(a, "just-refusing") ? ms(a, 5) : ms(a, 1),
+				 has(a, "at-work"), has(a, "last") };
 	lw_stopplan_t p = lw_stopplan(&state);
 
 	emit(w, "%s%s%s%s%s%s", p.tell_peers ? "tell_peers " : "",
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -6,6 +6,7 @@
 #include "../platform/documents.h"
 #include "lwtest.h"
 #include "proxyset.h"
+#include "xalloc.h"
 
 static const char config_text[] =
 	"{\"version\":\"r12\",\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":1000,"
@@ -219,9 +220,8 @@
 
 	for (size_t i = 0; i < 2; i++) {
 		size_t each = strlen(open[i]);
-		char *text = malloc(levels * each);
+		char *text = xmalloc(levels * each);
 
-		CU_ASSERT_PTR_NOT_NULL_FATAL(text);
 		for (size_t k = 0; k < levels; k++)
 			memcpy(text + k * each, open[i], each);
 		CU_ASSERT_EQUAL(lw_document_server(text, levels * each, "i-1", &e), LW_ERR_CONFIG);
