--- a/tests/soak/series.py
+++ b/tests/soak/series.py
@@ -41,6 +41,7 @@
                 self.announcing.touched.append((time.monotonic(), ip))
         if store:
             self.store_disturbed = time.monotonic()
+            self.store_faults.append(self.store_disturbed)
 
     def unplanned(self):
         """Records that a disruption other than planned work begins. Returns its span; the
@@ -320,7 +321,10 @@
         # nodes are not disturbed, as they must keep what they know of requests and the store
         ends = [self.bad_request, self.store_copy, self.store_copy, self.change, self.drain,
                 self.drain, self.hangup, self.server_fault]
-        if self.renewing:
+        if self.stepping:
+            mixed = self.stepping.steps() + [
+                self.store_copy, self.store_copy, self.store_fault, self.kill, self.link, self.change]
+        elif self.renewing:
             mixed = [self.announcing.leave_anew] * 5 + [
                 self.store_copy, self.store_copy, self.store_fault, self.store_fault, self.kill,
                 self.link, self.link, self.pause, self.change, self.announcing.limit]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,7 +17,9 @@
 from 1 on hits nodes that ask some others when they start instead of reading the store. Seeds
 from 8000 on draw servers that are started anew under their id, announce that they are leaving
 and are started anew again, while the store fails and is restored from copies. With seeds from
-9000 on, servers reject requests and send second copies of rejections late (copying.py). A seed always draws the same series of faults."""
+9000 on, servers reject requests and send second copies of rejections late (copying.py). With
+seeds from 10000 on, the clocks of servers' hosts step while the servers drain and are started
+anew, and the nodes that read the store are killed (stepping.py). A seed always draws the same series of faults."""
 import argparse
 import asyncio
 import os
@@ -34,6 +36,7 @@
 from copying import Copying  # noqa: E402
 from crashes import Crashes  # noqa: E402
 from series import DRAIN_S, Series  # noqa: E402
+from stepping import Stepping  # noqa: E402
 from tenancy import Tenancy, open_routes, tenants  # noqa: E402
 
 # seconds after its last fault from which a node or the store counts as undisturbed
@@ -66,6 +69,8 @@
 RENEWING_SEEDS = 8000
 # seeds from here on draw servers that send second copies of rejections
 COPYING_SEEDS = 9000
+# seeds from here on draw servers whose hosts' clocks step
+STEPPING_SEEDS = 10000
 # at least this share of a planned seed's requests must be covered by check_planned()
 JUDGED_SHARE = 0.2
 
@@ -76,7 +81,7 @@
         self.chaos_rng = random.Random(f"chaos {seed}")  # for the series of faults only
         self.seconds = seconds
         self.net = net
-        copying = seed >= COPYING_SEEDS
+        copying = COPYING_SEEDS <= seed < STEPPING_SEEDS
         if copying:
             seed -= COPYING_SEEDS
         self.renewing = seed >= RENEWING_SEEDS
@@ -89,6 +94,7 @@
         self.tenancy = (Tenancy(seed, self.fail)
                         if TENANCY_SEEDS <= seed < ANNOUNCING_SEEDS else None)
         self.announcing = Announcing(self) if seed >= ANNOUNCING_SEEDS else None
+        self.stepping = Stepping(self) if seed >= STEPPING_SEEDS else None
         self.copying, self.copies, self.ended_servers = False, 0, 0
         self.broken = []
         self.asked = {}  # id -> (kind, node, time)
@@ -105,6 +111,7 @@
         self.spans = []  # [begin, end] of each disruption that is not planned work
         self.disturbed = {}  # ip -> time of the last fault
         self.store_disturbed = 0.0
+        self.store_faults = []  # times at which the store was disturbed
         self.faults = []
         self.version = 1
         self.changed_at = 0.0
@@ -370,6 +377,8 @@
             self.check_drains()
             if self.announcing:
                 self.announcing.check()
+            if self.stepping:
+                self.stepping.check()
             for n in self.f.all():
                 if n.proc.poll() is not None:
                     self.fail(f"{n.ip}: ended by itself with {n.proc.returncode}")
