A reader that rested takes the era of the list in use, not an old return for a new one

Callers saw requests reach a server up to 3.4 s after its entry had been removed, some time after the store had returned from a copy. Cause: a node that had last read the store before the return, and reads it again now (the one beside the server that left, or the next reader), met the new era and took it for a return that it was the first to see. So it counted the missing server for two seconds more, and reported it to all nodes with the newest revision.

The list in use says in which era the fleet has read already; a node whose own knowledge is of an earlier one begins with that list. The list in use was also handed over one version too old when the removal itself made the node read.

--- a/src/proxynews.c
+++ b/src/proxynews.c
@@ -199,6 +199,9 @@
 	       lw_storepos_era(sl->revision),
 	       (unsigned long long)lw_storepos_revision(sl->revision), from, known ? self->id : "",
 	       known && self->draining);
+	/* what follows may start to read the store, which begins with the list in use */
+	lw_serverlist_free(p->servers);
+	p->servers = sl;
 	if (known) {
 		lw_gate_set_server(&p->engine.gate, self);
 		lw_proxy_check_process_in_doubt(p);
@@ -212,8 +215,6 @@
 		lw_proxy_lease_entry_missing(p);
 	}
 	p->server_was_listed |= known;
-	lw_serverlist_free(p->servers);
-	p->servers = sl;
 	before = p->fanout;
 	lw_fanout_plan(sl, p->set->backend, p->set->zone, &p->fanout);
 	lw_fanout_keep_turn(&p->fanout, &before);
--- a/tests/mesh/eras.py
+++ b/tests/mesh/eras.py
@@ -257,6 +257,39 @@
     check(not too_late, (len(too_late), max(too_late, default=0)))
 
 
+@test({"front": 2, "back": 6})
+async def test_servers_leave_some_time_after_a_return(f):
+    """Guards against work for servers that left because a node that reads the store again, here
+    the one beside each, takes a return of the store long ago for one that it has just seen."""
+    await asyncio.sleep(1)
+    copy = f.store.copy()
+    rests = [n for n in f.nodes["back"] if await n.metric("lw_store_reader") != 1]
+    stop = []
+
+    async def leaves(server):
+        f.store.remove("servers/" + server.id)
+        since = time.monotonic()
+        for i in range(20):  # other entries change meanwhile, so that lists are made
+            await asyncio.sleep(0.2)
+            rests[0].server.slots = 16 + i % 2
+            f.register(rests[0].server)
+        return late(server, since)
+
+    async def fn():
+        await away(f, 0, copy)
+        for n in f.all():
+            f.register(n.server)
+        await asyncio.sleep(6)
+        f.beats.cancel()
+        too_late = [t for n in rests[1:4] for t in await leaves(n.server)]
+        stop.append(1)
+        return too_late
+    writing = asyncio.ensure_future(keep_writing(f, stop))
+    too_late, _ = await play(f, fn)
+    await writing
+    check(not too_late, (len(too_late), max(too_late, default=0)))
+
+
 @test({"front": 2, "back": 2})
 async def test_entry_that_the_copy_does_not_have(f):
     """Guards against requests that find no server when the copy is older than all servers
