--- a/src/serverset.c
+++ b/src/serverset.c
@@ -1,11 +1,9 @@
 /* Entries of backend servers; see serverset.h. */
-#include "serverset.h"
-
 #include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
-#include <uthash.h>
 
+#include "serverset_int.h"
 #include "storepos.h"
 #include "xalloc.h"
 
@@ -22,47 +20,14 @@
  */
 #define OUTAGE_MIN_US 2000000
 
-/*
- * An entry that only the restored copy of the store contains belongs to a server that
- * left, or to one that has just started; a late write of a process that has ended looks like
- * one of the process that runs. Within three heartbeats the entry either expires or is
- * written again. Unit us.
- */
-#define UNPROVEN_US 5000000
-
-typedef struct lw_member {
-	lw_server_entry_t entry;
-	lw_server_entry_t overruled; /* the last one that had no effect; id NULL: none */
-	lw_server_entry_t contender; /* of another process, in doubt; id NULL: none */
-	uint64_t contender_us; /* since when; 0: since the last read */
-	bool unproven; /* read from a restored copy of the store and not known before */
-	bool missing; /* removed from the store, but still counts as present */
-	bool seen; /* found in the current read */
-	UT_hash_handle hh;
-	UT_hash_handle by_addr;
-} lw_member_t;
-
-struct lw_serverset {
-	lw_member_t *members;
-	uint64_t unreachable_since_us; /* since when the store has not answered; 0: it answers */
-	uint64_t reachable_revision; /* revision of the store when it became reachable */
-	uint64_t hold_until_us; /* until when missing entries still count */
-	bool restoring; /* the current read is of a restored copy of the store */
-	uint64_t unproven_until_us; /* unproven entries do not count until then; 0: none */
-	uint64_t complete; /* position up to which all writes are known; 0: none */
-	bool any_missing; /* some entries are missing and still count */
-	bool any_contender; /* some entries are contested */
-	bool changed;
-	lw_fleetconf_t *known_services; /* services named by the configuration; NULL: not set yet */
-};
-
 /* lw_serverset_new() - an empty set. */
 lw_serverset_t *lw_serverset_new(void)
 {
 	return xcalloc(1, sizeof(lw_serverset_t));
 }
 
-static void member_free(lw_serverset_t *s, lw_member_t *m)
+/* lw_serverset_member_free() - removes @m from the set. */
+void lw_serverset_member_free(lw_serverset_t *s, lw_member_t *m)
 {
 	HASH_DEL(s->members, m);
 	free(m);
@@ -75,7 +40,7 @@
 
 	HASH_ITER(hh, s->members, m, tmp)
 	{
-		member_free(s, m);
+		lw_serverset_member_free(s, m);
 	}
 	lw_fleetconf_free(s->known_services);
 	free(s);
@@ -96,14 +61,6 @@
 	s->changed = true;
 }
 
-static bool counts(const lw_serverset_t *s, const lw_member_t *m)
-{
-	if (m->unproven)
-		return false;
-	return !s->known_services || !s->known_services->nservices ||
-	       lw_fleetconf_service(s->known_services, m->entry.service);
-}
-
 /* whether the parts that matter differ; a heartbeat rewrites the whole entry */
 static bool differs(const lw_server_entry_t *a, const lw_server_entry_t *b)
 {
@@ -152,7 +109,8 @@
 	return overrule(m, e);
 }
 
-static void drop_contender(lw_member_t *m)
+/* lw_member_drop_contender() - the entry of another process does not count any more. */
+void lw_member_drop_contender(lw_member_t *m)
 {
 	m->contender = (lw_server_entry_t){ .id = NULL };
 	m->overruled = (lw_server_entry_t){ .id = NULL };
@@ -173,8 +131,8 @@
 	return m;
 }
 
-/* the entry, which only a copy of the store had, is in force */
-static void accept(lw_serverset_t *s, lw_member_t *m, bool proven)
+/* lw_serverset_accept() - the entry @m, which only a copy of the store had, is in force. */
+void lw_serverset_accept(lw_serverset_t *s, lw_member_t *m, bool proven)
 {
 	m->unproven = false;
 	m->entry.proven = proven;
@@ -201,7 +159,7 @@
 	}
 	/* another process than the one in the copy runs, but may have left, too */
 	if (m->unproven && !s->restoring)
-		accept(s, m, e->born_ms == m->entry.born_ms);
+		lw_serverset_accept(s, m, e->born_ms == m->entry.born_ms);
 	if (same_process(&m->entry, e)) {
 		next.draining |= m->entry.draining;
 		next.born_ms = e->born_ms ? e->born_ms : m->entry.born_ms;
@@ -212,7 +170,7 @@
 	m->entry = next;
 	m->missing = false;
 	m->seen = true;
-	drop_contender(m);
+	lw_member_drop_contender(m);
 	return (lw_serverset_overruled_t){ .by = NULL };
 }
 
@@ -228,7 +186,7 @@
 	if (!m || m->missing)
 		return;
 	if (revision > s->reachable_revision) {
-		member_free(s, m);
+		lw_serverset_member_free(s, m);
 		s->changed = true;
 		return;
 	}
@@ -272,7 +230,7 @@
 
 	HASH_ITER(hh, s->members, m, tmp)
 	{
-		member_free(s, m);
+		lw_serverset_member_free(s, m);
 	}
 	for (size_t i = 0; i < in_use->nservers; i++) {
 		m = member_add(s, &in_use->servers[i]);
@@ -334,113 +292,3 @@
 	}
 	s->unreachable_since_us = 0;
 }
-
-static void remove_missing(lw_serverset_t *s)
-{
-	lw_member_t *m, *tmp;
-
-	HASH_ITER(hh, s->members, m, tmp)
-	{
-		if (m->missing) {
-			member_free(s, m);
-			s->changed = true;
-		}
-	}
-	s->any_missing = false;
-}
-
-static void accept_unproven(lw_serverset_t *s)
-{
-	for (lw_member_t *m = s->members; m; m = m->hh.next)
-		if (m->unproven)
-			accept(s, m, true);
-	s->unproven_until_us = 0;
-}
-
-/* entries that have remained for UNPROVEN_US are in force */
-static void accept_contenders(lw_serverset_t *s, uint64_t now_us)
-{
-	s->any_contender = false;
-	for (lw_member_t *m = s->members; m; m = m->hh.next) {
-		if (!m->contender.id)
-			continue;
-		if (!m->contender_us)
-			m->contender_us = now_us;
-		if (now_us - m->contender_us < UNPROVEN_US) {
-			s->any_contender = true;
-			continue;
-		}
-		m->entry = m->contender;
-		drop_contender(m);
-		s->changed = true;
-	}
-}
-
-/*
- * Whether @a was written before @b. Entries from before and after a restore of the store
- * have no common order; the start times of the servers decide then.
- */
-static bool written_before(const lw_server_entry_t *a, const lw_server_entry_t *b)
-{
-	if (!lw_storepos_same_era(a->created, b->created) && a->born_ms && b->born_ms)
-		return a->born_ms < b->born_ms;
-	return a->created < b->created;
-}
-
-/*
- * The newest entry of each address. The entry of a crashed server remains until it
- * expires, seconds after another server has started at its address, and requests sent
- * according to it are rejected. After a power failure of the whole fleet, this can affect
- * half of all requests for two seconds.
- */
-static lw_member_t *newest_by_addr(lw_serverset_t *s)
-{
-	lw_member_t *newest = NULL, *m, *other;
-
-	for (m = s->members; m; m = m->hh.next) {
-		if (!counts(s, m))
-			continue;
-		HASH_FIND(by_addr, newest, m->entry.addr, strlen(m->entry.addr), other);
-		if (other && !written_before(&other->entry, &m->entry))
-			continue;
-		if (other)
-			HASH_DELETE(by_addr, newest, other);
-		HASH_ADD_KEYPTR(by_addr, newest, m->entry.addr, strlen(m->entry.addr), m);
-	}
-	return newest;
-}
-
-/* lw_serverset_empty() - no entry was read yet, or all have been removed. */
-bool lw_serverset_empty(const lw_serverset_t *s)
-{
-	return !s->members;
-}
-
-/*
- * lw_serverset_take_changes() - the servers that count as present, if they differ from the
- * last list returned; else NULL. The caller owns the list.
- */
-lw_serverlist_t *lw_serverset_take_changes(lw_serverset_t *s, uint64_t now_us)
-{
-	lw_serverlist_t *sl;
-	lw_member_t *newest, *m, *tmp;
-
-	if (s->any_missing && now_us >= s->hold_until_us)
-		remove_missing(s);
-	if (s->unproven_until_us && now_us >= s->unproven_until_us)
-		accept_unproven(s);
-	if (s->any_contender)
-		accept_contenders(s, now_us);
-	if (!s->changed)
-		return NULL;
-	s->changed = false;
-	sl = xcalloc(1, sizeof(*sl));
-	sl->servers = xcalloc(HASH_COUNT(s->members) + 1, sizeof(*sl->servers));
-	newest = newest_by_addr(s);
-	HASH_ITER(by_addr, newest, m, tmp)
-	{
-		sl->servers[sl->nservers++] = m->entry;
-		HASH_DELETE(by_addr, newest, m);
-	}
-	return sl;
-}
