Log why a server without an entry gets work: who vouched, on which evidence

Late requests at a server that had left could not be traced: E1210 did not say which call had failed, E1211 neither how long the entry had been gone nor what the vouching node had read, and nothing told an entry that was withdrawn from one that expired. Added: failed_call, failed_status, failed_in_row, pending in E1210; missing_ms, read_ms, news_ms in E1211 (two fields in the status frame); E1219 and two counters at the nodes that read: age of the last write at the removal, and whether the entry can have expired (removal.c).

--- a/fuzz/fuzz_storeitems.c
+++ b/fuzz/fuzz_storeitems.c
@@ -18,6 +18,7 @@
 #include "../src/xalloc.h"
 
 #define STEP_US	      700000
+#define HEARTBEAT_S   1.5
 #define END	      0xff
 #define KEYS	      4
 #define FLAG_REMOVED  0x10 /* the entry is removed */
@@ -121,7 +122,7 @@
 {
 	run_t r = { .now_us = 1000000, .conf = { .release = release_config } };
 
-	r.items.servers = lw_serverset_new();
+	lw_storeitems_init(&r.items, lw_expiry(HEARTBEAT_S));
 	r.items.stats = &r.stats;
 	r.items.conf = &r.conf;
 	r.items.era = 1;
--- a/src/log.h
+++ b/src/log.h
@@ -61,6 +61,8 @@
 	  "a backend server whose entry was missing is in the server list again")                  \
 	X(1218, entry_accepted, LOG_NOTICE,                                                        \
 	  "an entry that was in doubt has remained: its backend server gets new requests")         \
+	X(1219, entry_removed, LOG_INFO,                                                           \
+	  "an entry is gone from the store; withdrawn: sooner than it can have expired")           \
 	X(1211, server_vouched, LOG_NOTICE,                                                        \
 	  "a node asserts that its backend server is alive although its entry has expired")        \
 	X(1300, request_shed, LOG_INFO, "a request was refused at admission (not executed)")       \
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -295,7 +295,7 @@
 
 	m->evloop = evloop;
 	m->gate = gate;
-	m->lapsed_id = lw_name_none;
+	m->liveness.server = lw_name_none;
 	m->ops = ops;
 	m->ctx = ctx;
 	m->incarnation = (uint64_t)lw_evloop_random(evloop, UINT32_MAX) << 32 | 1 |
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -21,17 +21,25 @@
 
 typedef struct lw_mesh lw_mesh_t;
 
+/*
+ * A node asserts that its backend server is alive although the server's entry is gone, with its
+ * evidence.
+ */
+typedef struct lw_liveness {
+	const char *server; /* id; empty: nothing is asserted */
+	uint64_t born_ms; /* start of the server's process */
+	uint64_t missing_us; /* since when its entry is missing at that node */
+	uint64_t read_us; /* when that node last read the store; 0: never */
+} lw_liveness_t;
+
 /*
  * Callbacks through which the mesh reports to the rest of the node and reads its state.
  * @ctx is the context passed to lw_mesh_new().
  */
 typedef struct lw_mesh_ops {
 	void (*load)(void *ctx, const char *node, const lw_load_t *load);
-	/*
-	 * @node asserts that its backend server is alive although the server's lease in the
-	 * store expired
-	 */
-	void (*server_alive)(void *ctx, const char *node, const char *server, uint64_t born_ms);
+	/* @node asserts that its backend server is alive */
+	void (*server_alive)(void *ctx, const char *node, const lw_liveness_t *said);
 	/*
 	 * the connection to @node was lost or went silent; @used: it had carried requests or
 	 * the peer's status
@@ -108,7 +116,8 @@
 bool lw_mesh_has_unwritten_answers(const lw_mesh_t *m);
 void lw_mesh_close_all(lw_mesh_t *m);
 void lw_mesh_broadcast_status(lw_mesh_t *m);
-void lw_mesh_set_lapsed_server(lw_mesh_t *m, const char *server, uint64_t born_ms);
+void lw_mesh_assert_liveness(lw_mesh_t *m, const lw_liveness_t *said);
+void lw_mesh_end_liveness(lw_mesh_t *m);
 void lw_mesh_send_state(lw_mesh_t *m, const char *node);
 uint32_t lw_mesh_request_status(lw_mesh_t *m, uint32_t nodes);
 void lw_mesh_ask_for_state(lw_mesh_t *m, const char *node);
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -2552,7 +2552,7 @@
   (ProtobufCMessageInit) lw__failed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__status__field_descriptors[11] =
+static const ProtobufCFieldDescriptor lw__status__field_descriptors[13] =
 {
   {
     "is_reply",
@@ -2686,6 +2686,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lapsed_missing_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Status, lapsed_missing_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lapsed_read_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Status, lapsed_read_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__status__field_indices_by_name[] = {
   9,   /* field[9] = fetches */
@@ -2693,6 +2717,8 @@
   0,   /* field[0] = is_reply */
   7,   /* field[7] = lapsed_born_ms */
   6,   /* field[6] = lapsed_id */
+  11,   /* field[11] = lapsed_missing_ms */
+  12,   /* field[12] = lapsed_read_ms */
   5,   /* field[5] = link */
   1,   /* field[1] = load */
   2,   /* field[2] = news_age_ms */
@@ -2704,7 +2730,7 @@
 {
   { 1, 0 },
   { 3, 1 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor lw__status__descriptor =
 {
@@ -2714,7 +2740,7 @@
   "Lw__Status",
   "lw",
   sizeof(Lw__Status),
-  11,
+  13,
   lw__status__field_descriptors,
   lw__status__field_indices_by_name,
   2,  lw__status__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -459,6 +459,14 @@
    * start of the process of that server
    */
   uint64_t lapsed_born_ms;
+  /*
+   * since when its entry is missing at the sender
+   */
+  uint32_t lapsed_missing_ms;
+  /*
+   * since when the sender has not read the store
+   */
+  uint32_t lapsed_read_ms;
   /*
    * random id of the connection, chosen by the node that opened it
    */
@@ -478,7 +486,7 @@
 };
 #define LW__STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__status__descriptor) \
-    , 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -111,9 +111,7 @@
 	lw_meshoutcomes_t outcomes; /* recent outcomes of requests of other nodes */
 	lw_meshclosed_t closed_links; /* closed connections of other nodes */
 	uint64_t incarnation; /* random id of this process */
-	/* id of the local backend server while its lease is expired; empty: not expired */
-	const char *lapsed_id;
-	uint64_t lapsed_born_ms;
+	lw_liveness_t liveness; /* what this node asserts of the local backend server */
 	ev_timer watch_timer; /* active while requests are in flight */
 	lw_docfetch_t fetch[LW_MESH_DOCUMENTS];
 	lw_link_t *dirty;
--- a/src/meshstatus.c
+++ b/src/meshstatus.c
@@ -48,6 +48,33 @@
 	return lw_revdoc_version(servers_document(m));
 }
 
+static uint32_t age_ms(uint64_t since_us, uint64_t now_us)
+{
+	uint64_t ms = since_us && now_us > since_us ? (now_us - since_us) / 1000 : 0;
+
+	return ms < UINT32_MAX ? (uint32_t)ms : UINT32_MAX;
+}
+
+static void fill_liveness(const lw_mesh_t *m, Lw__Status *status)
+{
+	const lw_liveness_t *said = &m->liveness;
+
+	status->lapsed_id = (char *)(uintptr_t)said->server;
+	status->lapsed_born_ms = said->born_ms;
+	status->lapsed_missing_ms = age_ms(said->missing_us, m->evloop->now_us);
+	status->lapsed_read_ms = age_ms(said->read_us, m->evloop->now_us);
+}
+
+static void on_liveness(lw_link_t *l, const Lw__Status *w)
+{
+	uint64_t now_us = l->mesh->evloop->now_us;
+	lw_liveness_t said = { .server = w->lapsed_id, .born_ms = w->lapsed_born_ms };
+
+	said.missing_us = now_us - (uint64_t)w->lapsed_missing_ms * 1000;
+	said.read_us = now_us - (uint64_t)w->lapsed_read_ms * 1000;
+	l->mesh->ops->server_alive(l->mesh->ctx, l->node, &said);
+}
+
 /* sends this node's state; @read_store: the peer is asked to read the store */
 static void send_state(lw_link_t *l, bool is_reply, bool read_store)
 {
@@ -65,8 +92,7 @@
 	status.servers_hash = lw_revdoc_hash(servers_document(l->mesh));
 	status.fetches = true;
 	status.incarnation = l->mesh->incarnation;
-	status.lapsed_id = (char *)(uintptr_t)l->mesh->lapsed_id;
-	status.lapsed_born_ms = l->mesh->lapsed_born_ms;
+	fill_liveness(l->mesh, &status);
 	status.link = l->outgoing ? l->name : 0;
 	status.read_store = read_store;
 	f.body_case = LW__MESH_FRAME__BODY_STATUS;
@@ -171,7 +197,7 @@
 	if (w->load)
 		l->peer_version = w->load->config_version;
 	if (l->outgoing && w->lapsed_id[0])
-		l->mesh->ops->server_alive(l->mesh->ctx, l->node, w->lapsed_id, w->lapsed_born_ms);
+		on_liveness(l, w);
 	if (l->outgoing && w->load)
 		l->mesh->ops->load(l->mesh->ctx, l->node, &load);
 	l->peer_revision = w->servers_revision;
@@ -194,13 +220,19 @@
 }
 
 /*
- * lw_mesh_set_lapsed_server() - from now on every status asserts that @server is alive
- * although its lease expired; with an empty @server no status does.
+ * lw_mesh_assert_liveness() - from now on every status asserts that this server is alive although
+ * its entry is gone.
  */
-void lw_mesh_set_lapsed_server(lw_mesh_t *m, const char *server, uint64_t born_ms)
+void lw_mesh_assert_liveness(lw_mesh_t *m, const lw_liveness_t *said)
+{
+	m->liveness = *said;
+	m->liveness.server = lw_name_c(said->server);
+}
+
+/* lw_mesh_end_liveness() - no further status asserts that. */
+void lw_mesh_end_liveness(lw_mesh_t *m)
 {
-	m->lapsed_id = lw_name_c(server);
-	m->lapsed_born_ms = born_ms;
+	m->liveness = (lw_liveness_t){ .server = lw_name_none };
 }
 
 /*
--- a/src/proxyjoin.c
+++ b/src/proxyjoin.c
@@ -34,7 +34,7 @@
 /* boot time of the last failed call if the store has not answered since; else 0 */
 static uint64_t store_failed_us(const lw_proxy_t *p)
 {
-	uint64_t failed_us = lw_storereader_last_failure_us(&p->store_reader);
+	uint64_t failed_us = lw_storereader_last_failure(&p->store_reader).at_us;
 
 	return failed_us > lw_storereader_last_read_us(&p->store_reader) ? failed_us : 0;
 }
--- a/src/proxylease.c
+++ b/src/proxylease.c
@@ -21,7 +21,7 @@
 	return (lw_lease_evidence_t){
 		.now_us = p->evloop.now_us,
 		.store_read_us = lw_storereader_last_read_us(&p->store_reader),
-		.store_failed_us = lw_storereader_last_failure_us(&p->store_reader),
+		.store_failed_us = lw_storereader_last_failure(&p->store_reader).at_us,
 		.pending = lw_storereader_call_overdue(&p->store_reader, LW_LEASE_PENDING_US),
 		.healthy_us = p->probe.healthy_us,
 		.leaving = p->probe.leaving || p->engine.gate.list_draining ||
@@ -31,8 +31,10 @@
 
 static void log_change(const lw_proxy_t *p, const lw_lease_evidence_t *ev)
 {
+	lw_storereader_failure_t failed = lw_storereader_last_failure(&p->store_reader);
+
 	lw_log(LW_LOG_lease_changed,
-	       "server=%s state=%s by=%s missing_ms=%llu read_ms=%llu failed_ms=%llu healthy_ms=%llu leaving=%d",
+	       "server=%s state=%s by=%s missing_ms=%llu read_ms=%llu failed_ms=%llu failed_call=%s failed_status=%d failed_in_row=%u pending=%d healthy_ms=%llu leaving=%d",
 	       p->engine.gate.server_id, lw_lease_state_name(p->lease.state),
 	       lw_lease_cause_name(p->lease.cause),
 	       (unsigned long long)((ev->now_us - p->lease.lapsed_us) / 1000),
@@ -41,6 +43,7 @@
 	       (unsigned long long)(ev->store_failed_us ?
 					    (ev->now_us - ev->store_failed_us) / 1000 :
 					    0),
+	       failed.call ? failed.call : "none", failed.status, failed.in_row, ev->pending,
 	       (unsigned long long)(ev->healthy_us ? (ev->now_us - ev->healthy_us) / 1000 : 0),
 	       ev->leaving);
 }
@@ -72,11 +75,15 @@
  * Asserts to the other nodes and to this node's own placement that the server is
  * alive.
  */
-static void assert_liveness(lw_proxy_t *p)
+static void assert_liveness(lw_proxy_t *p, const lw_lease_evidence_t *ev)
 {
 	lw_place_assert_alive(&p->engine.place, p->mesh_addr, p->engine.gate.server_id, p->born_ms,
 			      p->evloop.now_us);
-	lw_mesh_set_lapsed_server(p->engine.mesh, p->engine.gate.server_id, p->born_ms);
+	lw_mesh_assert_liveness(p->engine.mesh,
+				&(lw_liveness_t){ .server = p->engine.gate.server_id,
+						  .born_ms = p->born_ms,
+						  .missing_us = p->lease.lapsed_us,
+						  .read_us = ev->store_read_us });
 	lw_mesh_broadcast_status(p->engine.mesh);
 }
 
@@ -93,7 +100,7 @@
 	}
 	if (p->lease.state == LW_LEASE_GONE && p->lease.server_left) {
 		ev_timer_stop(loop, w);
-		lw_mesh_set_lapsed_server(p->engine.mesh, "", 0);
+		lw_mesh_end_liveness(p->engine.mesh);
 		lw_mesh_broadcast_status(p->engine.mesh);
 		return;
 	}
@@ -103,9 +110,9 @@
 	p->last_check_us = p->evloop.now_us;
 	check_health(p);
 	if (lw_lease_asserts_liveness(&p->lease, &ev))
-		assert_liveness(p);
+		assert_liveness(p, &ev);
 	else
-		lw_mesh_set_lapsed_server(p->engine.mesh, "", 0);
+		lw_mesh_end_liveness(p->engine.mesh);
 }
 
 /*
@@ -137,7 +144,7 @@
 	lw_lease_entry_found(&p->lease);
 	lw_log(LW_LOG_lease_changed, "server=%s state=held by=list", p->engine.gate.server_id);
 	ev_timer_stop(p->evloop.loop, &p->lease_timer);
-	lw_mesh_set_lapsed_server(p->engine.mesh, "", 0);
+	lw_mesh_end_liveness(p->engine.mesh);
 }
 
 /* lw_proxy_lease_init() - the lease is held until the entry is missing from a list. */
--- a/src/proxymesh.c
+++ b/src/proxymesh.c
@@ -24,13 +24,21 @@
 			changed, changed->leaving.on ? LW_LEAVING_BEGAN : LW_LEAVING_ENDED, "node");
 }
 
-static void mesh_liveness_asserted(void *ctx, const char *node, const char *server,
-				   uint64_t born_ms)
+static uint64_t ms_since(const lw_proxy_t *p, uint64_t us)
+{
+	return (p->evloop.now_us - us) / 1000;
+}
+
+static void mesh_liveness_asserted(void *ctx, const char *node, const lw_liveness_t *said)
 {
 	lw_proxy_t *p = ctx;
+	uint64_t now_us = p->evloop.now_us;
 
-	if (lw_place_assert_alive(&p->engine.place, node, server, born_ms, p->evloop.now_us))
-		lw_log(LW_LOG_server_vouched, "server=%s node=%s", server, node);
+	if (!lw_place_assert_alive(&p->engine.place, node, said->server, said->born_ms, now_us))
+		return;
+	lw_log(LW_LOG_server_vouched, "server=%s node=%s missing_ms=%llu read_ms=%llu news_ms=%u",
+	       said->server, node, (unsigned long long)ms_since(p, said->missing_us),
+	       (unsigned long long)ms_since(p, said->read_us), lw_proxy_update_age_ms(p));
 }
 
 static uint32_t mesh_list_levels(void *ctx, lw_level_report_t *out, uint32_t most)
--- a/src/proxystats.c
+++ b/src/proxystats.c
@@ -300,6 +300,12 @@
 	counter(f, "lw_store_entries_overruled_total",
 		"entries of backend servers that had no effect, as another entry overrules them",
 		s->store_reader.entries_overruled);
+	counter(f, "lw_store_entries_removed_total",
+		"entries of backend servers that were found to be gone",
+		s->store_reader.entries_removed);
+	counter(f, "lw_store_entries_withdrawn_total",
+		"those of them that cannot have expired, as they were written shortly before",
+		s->store_reader.entries_withdrawn);
 	counter(f, "lw_entries_doubted_total",
 		"listed servers that got no work at first, as they may have left",
 		s->entries_doubted);
--- a/src/serverset.c
+++ b/src/serverset.c
@@ -46,6 +46,38 @@
 	free(s);
 }
 
+/* lw_serverset_set_expiry() - sets how long entries live; without, it is not known. */
+void lw_serverset_set_expiry(lw_serverset_t *s, lw_expiry_t expiry)
+{
+	s->expiry = expiry;
+}
+
+/* lw_serverset_on_removed() - calls @fn for each entry that is found to be removed. */
+void lw_serverset_on_removed(lw_serverset_t *s, lw_serverset_removed_fn fn, void *ctx)
+{
+	s->on_removed = fn;
+	s->on_removed_ctx = ctx;
+}
+
+/* lw_serverset_observe() - what is put or removed from now on happened within @when. */
+void lw_serverset_observe(lw_serverset_t *s, lw_span_t when)
+{
+	s->observed = when;
+}
+
+/* lw_serverset_member_gone() - @m does not count any more. */
+void lw_serverset_member_gone(lw_serverset_t *s, lw_member_t *m)
+{
+	lw_withdrawn_t w = { .id = m->entry.id,
+			     .born_ms = m->entry.born_ms,
+			     .at_us = s->observed.to_us };
+
+	if (m->withdrawn && !m->entry.draining)
+		lw_withdrawnlist_add(&s->withdrawn, &w);
+	lw_serverset_member_free(s, m);
+	s->changed = true;
+}
+
 /*
  * lw_serverset_set_services() - from now on, entries count only if @fc contains their
  * service. Otherwise a foreign entry with the address of a live server and a service that
@@ -122,6 +154,20 @@
 	return lw_storepos_same_era(e->written, s->complete) && e->written > s->complete;
 }
 
+/*
+ * When @e, known as @m, was written. Writes that a restored copy lacks are lost, and when it was
+ * made is not known.
+ */
+static lw_span_t written_span(const lw_serverset_t *s, const lw_member_t *m,
+			      const lw_server_entry_t *e)
+{
+	if (is_news(s, e) && !s->restoring)
+		return s->observed;
+	if (m->written.to_us && !s->restoring)
+		return m->written;
+	return (lw_span_t){ .to_us = s->observed.to_us };
+}
+
 static lw_member_t *member_add(lw_serverset_t *s, const lw_server_entry_t *e)
 {
 	lw_member_t *m = xcalloc(1, sizeof(*m));
@@ -148,13 +194,17 @@
 	lw_server_entry_t next = *e;
 	lw_member_t *m;
 
+	lw_withdrawnlist_forget(&s->withdrawn, e->id);
 	HASH_FIND_STR(s->members, e->id, m);
+	if (m)
+		m->written = written_span(s, m, e);
 	if (m && is_contested(s, m, e))
 		return contend(s, m, e);
 	if (!m) {
 		m = member_add(s, e);
 		m->unproven = s->restoring;
 		m->entry.proven = is_news(s, e);
+		m->written = written_span(s, m, e);
 		s->changed = true;
 	}
 	/* another process than the one in the copy runs, but may have left, too */
@@ -174,26 +224,48 @@
 	return (lw_serverset_overruled_t){ .by = NULL };
 }
 
-/*
- * lw_serverset_remove() - an entry was removed from the store at @revision. An entry that
- * is removed after the store's return did not expire because of the outage.
- */
-void lw_serverset_remove(lw_serverset_t *s, const char *id, uint64_t revision)
+/* the entry @m is no longer in the store; @removed: it was seen to be removed */
+static void note_removal(lw_serverset_t *s, lw_member_t *m, bool removed)
+{
+	m->withdrawn = removed && lw_expiry_withdrawn(&s->expiry, m->written, s->observed);
+	if (s->on_removed)
+		s->on_removed(s->on_removed_ctx, &m->entry, m->withdrawn, m->written, s->observed);
+}
+
+static void remove_entry(lw_serverset_t *s, const char *id, uint64_t revision, bool removed)
 {
 	lw_member_t *m;
 
 	HASH_FIND_STR(s->members, id, m);
 	if (!m || m->missing)
 		return;
+	note_removal(s, m, removed);
 	if (revision > s->reachable_revision) {
-		lw_serverset_member_free(s, m);
-		s->changed = true;
+		lw_serverset_member_gone(s, m);
 		return;
 	}
 	m->missing = true;
 	s->any_missing = true;
 }
 
+/*
+ * lw_serverset_remove() - an entry was removed from the store at @revision. An entry that
+ * is removed after the store's return did not expire because of the outage.
+ */
+void lw_serverset_remove(lw_serverset_t *s, const char *id, uint64_t revision)
+{
+	remove_entry(s, id, revision, true);
+}
+
+/*
+ * lw_serverset_invalidate() - an entry was overwritten at @revision by one that is invalid, which
+ * does not show that its server has left.
+ */
+void lw_serverset_invalidate(lw_serverset_t *s, const char *id, uint64_t revision)
+{
+	remove_entry(s, id, revision, false);
+}
+
 /*
  * lw_serverset_complete() - all writes up to @pos, a position in the store's history, have been
  * put or removed.
@@ -213,11 +285,14 @@
 /* lw_serverset_end_read() - the read is complete: entries not found in it are missing. */
 void lw_serverset_end_read(lw_serverset_t *s)
 {
-	for (lw_member_t *m = s->members; m; m = m->hh.next)
-		if (!m->seen && !m->missing) {
-			m->missing = true;
-			s->any_missing = true;
-		}
+	for (lw_member_t *m = s->members; m; m = m->hh.next) {
+		if (m->seen || m->missing)
+			continue;
+		/* a restored copy lacks what was written since */
+		note_removal(s, m, !s->restoring);
+		m->missing = true;
+		s->any_missing = true;
+	}
 }
 
 /*
--- a/src/serverset.h
+++ b/src/serverset.h
@@ -13,6 +13,7 @@
 #include <stdint.h>
 
 #include "fleetconf.h"
+#include "removal.h"
 
 typedef struct lw_serverset lw_serverset_t;
 
@@ -22,11 +23,19 @@
 	bool again; /* the last one without effect said the same */
 } lw_serverset_overruled_t;
 
+/* Called for the entry @e, which was last seen to be @written and then @removed. */
+typedef void (*lw_serverset_removed_fn)(void *ctx, const lw_server_entry_t *e, bool withdrawn,
+					lw_span_t written, lw_span_t removed);
+
 lw_serverset_t *lw_serverset_new(void);
 void lw_serverset_free(lw_serverset_t *s);
+void lw_serverset_set_expiry(lw_serverset_t *s, lw_expiry_t expiry);
+void lw_serverset_on_removed(lw_serverset_t *s, lw_serverset_removed_fn fn, void *ctx);
+void lw_serverset_observe(lw_serverset_t *s, lw_span_t when);
 void lw_serverset_set_services(lw_serverset_t *s, const lw_fleetconf_t *fc);
 lw_serverset_overruled_t lw_serverset_put(lw_serverset_t *s, const lw_server_entry_t *e);
 void lw_serverset_remove(lw_serverset_t *s, const char *id, uint64_t revision);
+void lw_serverset_invalidate(lw_serverset_t *s, const char *id, uint64_t revision);
 void lw_serverset_complete(lw_serverset_t *s, uint64_t pos);
 void lw_serverset_begin_read(lw_serverset_t *s);
 void lw_serverset_end_read(lw_serverset_t *s);
--- a/src/serverset_int.h
+++ b/src/serverset_int.h
@@ -4,6 +4,7 @@
 
 #include <uthash.h>
 
+#include "removal.h"
 #include "serverset.h"
 
 /*
@@ -19,6 +20,8 @@
 	lw_server_entry_t overruled; /* the last one that had no effect; id NULL: none */
 	lw_server_entry_t contender; /* of another process, in doubt; id NULL: none */
 	uint64_t contender_us; /* since when; 0: since the last read */
+	lw_span_t written; /* when it was written last */
+	bool withdrawn; /* missing, and it cannot have expired */
 	bool unproven; /* read from a restored copy of the store and not known before */
 	bool missing; /* removed from the store, but still counts as present */
 	bool seen; /* found in the current read */
@@ -36,11 +39,17 @@
 	uint64_t complete; /* position up to which all writes are known; 0: none */
 	bool any_missing; /* some entries are missing and still count */
 	bool any_contender; /* some entries are contested */
+	lw_span_t observed; /* when what is being read was written or removed */
+	lw_expiry_t expiry;
+	lw_withdrawnlist_t withdrawn;
+	lw_serverset_removed_fn on_removed; /* may be NULL */
+	void *on_removed_ctx;
 	bool changed;
 	lw_fleetconf_t *known_services; /* services named by the configuration; NULL: not set yet */
 };
 
 void lw_serverset_member_free(lw_serverset_t *s, lw_member_t *m);
+void lw_serverset_member_gone(lw_serverset_t *s, lw_member_t *m);
 void lw_serverset_accept(lw_serverset_t *s, lw_member_t *m, bool proven);
 void lw_member_drop_contender(lw_member_t *m);
 
--- a/src/serversetlist.c
+++ b/src/serversetlist.c
@@ -20,10 +20,8 @@
 
 	HASH_ITER(hh, s->members, m, tmp)
 	{
-		if (m->missing) {
-			lw_serverset_member_free(s, m);
-			s->changed = true;
-		}
+		if (m->missing)
+			lw_serverset_member_gone(s, m);
 	}
 	s->any_missing = false;
 }
--- a/src/storereader.c
+++ b/src/storereader.c
@@ -173,9 +173,15 @@
 	__atomic_store_n(&r->due_us, due, __ATOMIC_RELEASE);
 }
 
-/* lw_storereader_call_failed() - reader thread: the call failed. */
-void lw_storereader_call_failed(lw_storereader_t *r)
+/*
+ * lw_storereader_call_failed() - reader thread: the call @call, a constant, failed with the HTTP
+ * status @status; 0: none.
+ */
+void lw_storereader_call_failed(lw_storereader_t *r, const char *call, int status)
 {
+	__atomic_store_n(&r->failed_call, call, __ATOMIC_RELAXED);
+	__atomic_store_n(&r->failed_status, status, __ATOMIC_RELAXED);
+	__atomic_add_fetch(&r->failed_in_row, 1, __ATOMIC_RELAXED);
 	__atomic_store_n(&r->failed_us, lw_now_boot_us(), __ATOMIC_RELEASE);
 	__atomic_store_n(&r->due_us, 0, __ATOMIC_RELEASE);
 }
@@ -183,6 +189,7 @@
 /* lw_storereader_call_succeeded() - reader thread: the store answered just now. */
 void lw_storereader_call_succeeded(lw_storereader_t *r)
 {
+	__atomic_store_n(&r->failed_in_row, 0, __ATOMIC_RELAXED);
 	__atomic_store_n(&r->read_us, lw_now_boot_us(), __ATOMIC_RELEASE);
 	__atomic_store_n(&r->due_us, 0, __ATOMIC_RELEASE);
 	ev_async_send(r->conf.loop, r->conf.wake);
@@ -237,13 +244,15 @@
 	return own > others ? own : others;
 }
 
-/*
- * lw_storereader_last_failure_us() - returns the boot time of the last failed call; 0 if
- * there was none.
- */
-uint64_t lw_storereader_last_failure_us(const lw_storereader_t *r)
+/* lw_storereader_last_failure() - returns the last failed call. */
+lw_storereader_failure_t lw_storereader_last_failure(const lw_storereader_t *r)
 {
-	return __atomic_load_n(&r->failed_us, __ATOMIC_ACQUIRE);
+	return (lw_storereader_failure_t){
+		.at_us = __atomic_load_n(&r->failed_us, __ATOMIC_ACQUIRE),
+		.call = __atomic_load_n(&r->failed_call, __ATOMIC_RELAXED),
+		.status = __atomic_load_n(&r->failed_status, __ATOMIC_RELAXED),
+		.in_row = __atomic_load_n(&r->failed_in_row, __ATOMIC_RELAXED),
+	};
 }
 
 /*
--- a/src/storereader.h
+++ b/src/storereader.h
@@ -32,11 +32,21 @@
 	uint64_t events;
 	uint64_t resyncs; /* full reads from scratch */
 	uint64_t entries_overruled; /* entries of servers without effect, as others overrule them */
+	uint64_t entries_removed; /* entries found to be gone */
+	uint64_t entries_withdrawn; /* those that cannot have expired */
 	uint64_t start_times_ignored; /* start times of servers that are in the future */
 	uint64_t configs_rejected; /* versions of the configuration that failed their checks */
 	uint64_t rejected_version; /* the last of them; 0: none, or it has no version */
 } lw_storereader_stats_t;
 
+/* A failed call to the store. */
+typedef struct lw_storereader_failure {
+	uint64_t at_us; /* boot time; 0: none failed yet */
+	const char *call; /* what was called; NULL: none failed yet */
+	int status; /* HTTP status of the answer; 0: there was none */
+	uint32_t in_row; /* calls that failed since the last one that was answered */
+} lw_storereader_failure_t;
+
 typedef struct lw_storereader {
 	const lw_proxy_settings_t *set;
 	lw_mailbox_t conf; /* lw_fleetconf_t */
@@ -53,6 +63,9 @@
 	/* boot time at which the answer of the current call is due; 0: no call; atomic */
 	uint64_t due_us;
 	uint64_t failed_us; /* boot time of the last failed call; atomic */
+	const char *failed_call; /* what was called; atomic */
+	int failed_status; /* HTTP status of its answer; 0: there was none; atomic */
+	uint32_t failed_in_row; /* calls that failed since the last answer; atomic */
 	uint64_t remote_read_us; /* boot time of another node's last known read; atomic */
 	uint64_t remote_resumed_us; /* boot time of their first read after a pause; atomic */
 	bool read_now; /* the last read is known to be outdated; protected by the lock */
@@ -87,13 +100,13 @@
 void lw_storereader_read_now(lw_storereader_t *r);
 void lw_storereader_pause(lw_storereader_t *r, uint32_t ms);
 void lw_storereader_call_started(lw_storereader_t *r, uint32_t wait_ms);
-void lw_storereader_call_failed(lw_storereader_t *r);
+void lw_storereader_call_failed(lw_storereader_t *r, const char *call, int status);
 void lw_storereader_call_succeeded(lw_storereader_t *r);
 void lw_storereader_note_remote_read(lw_storereader_t *r, uint64_t at_us);
 bool lw_storereader_remote_read_recently(const lw_storereader_t *r);
 uint64_t lw_storereader_last_read_us(const lw_storereader_t *r);
 uint64_t lw_storereader_last_known_read_us(const lw_storereader_t *r);
-uint64_t lw_storereader_last_failure_us(const lw_storereader_t *r);
+lw_storereader_failure_t lw_storereader_last_failure(const lw_storereader_t *r);
 bool lw_storereader_call_overdue(const lw_storereader_t *r, uint64_t us);
 
 #endif
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -10,7 +10,7 @@
 SAN="-g -O1 -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=undefined"
 INC="-D_GNU_SOURCE -Isrc -I/usr/include/neon"
 mkdir -p $OUT
-SRC="xalloc lwstr status log platconf settings tomlkeys frame lw.pb-c request linux/clock httpd linux/sock bytebuf httphead notice overload overloadcost pathlevels level call fleetconf mesh.pb-c revdoc docfetch meshframe organisation credential name mailbox serverset admit leaving place placestate placecost zoneplan machine placeindex placelist placeleaving placelevel retrylimit recentmax worktime"
+SRC="xalloc lwstr status log platconf settings tomlkeys frame lw.pb-c request linux/clock httpd linux/sock bytebuf httphead notice overload overloadcost pathlevels level call fleetconf mesh.pb-c revdoc docfetch meshframe organisation credential name mailbox serverset serversetlist removal admit leaving place placestate placecost zoneplan machine placeindex placelist placeleaving placelevel retrylimit recentmax worktime"
 OBJS=""
 for f in $SRC; do
 	o=$OUT/$(echo "$f" | tr / _).o
