Failing tests: a server that left is vouched for again when a call fails

The entry of a server is removed, it goes on; the first call of the node beside it after the news fails, and single ones later. The stand-in's store can fail the calls of one address in each way and cut its waiting watches; the tests check that a call failed and that the server had work.

--- a/tests/mesh/standin.py
+++ b/tests/mesh/standin.py
@@ -18,7 +18,10 @@
         self.page = page
         self.mode = "ok"  # ok, silent, 503, 429, reset
         self.refused = set()  # IP addresses that get 503
-        self.turned_away = 0
+        self.failing = {}  # IP address -> mode of the store for it alone
+        self.turned_away = 0  # calls that failed because of the caller's address
+        self.watching = {}  # IP address -> connections on which a watch waits
+        self.last_caller = None  # IP address of the last call that was answered
         self.calls = 0
         self.changed = asyncio.Event()
         self.era = 7
@@ -75,8 +78,8 @@
     async def answer(self, target, writer):
         self.calls += 1
         peer = writer.get_extra_info("peername")[0]
-        mode = "503" if peer in self.refused else self.mode
-        self.turned_away += peer in self.refused
+        mode = "503" if peer in self.refused else self.failing.get(peer, self.mode)
+        self.turned_away += peer in self.refused or peer in self.failing
         if mode == "silent":
             await asyncio.sleep(3600)
         if mode == "reset":
@@ -85,12 +88,22 @@
         path, _, query = target.partition("?")
         args = {k: urllib.parse.unquote_plus(v)
                 for k, v in (p.split("=", 1) for p in query.split("&") if "=" in p)}
+        waiting = self.watching.setdefault(peer, set())
+        waiting.add(writer)
         status, body = (int(mode), {}) if mode in ("503", "429") else await self.read(path, args)
+        waiting.discard(writer)
+        self.last_caller = peer
         data = json.dumps(body).encode()
         writer.write(f"HTTP/1.1 {status} X\r\nStore-Era: {self.era}\r\n"
                      f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
         await writer.drain()
 
+    def cut_watch(self, peer):
+        """Resets the connections on which calls of this address wait; counts them."""
+        for writer in self.watching.pop(peer, ()):
+            self.turned_away += 1
+            writer.transport.abort()
+
     async def read(self, path, args):
         prefix = args.get("path_prefix", "")
         if path == "/v1/kv-range":
