A good health check no longer ends the doubt about a server that was removed

Cause: both readers and the node beside the server had started anew; the nodes that saw the removal put the entry in doubt, but the new node reported the server's health check, which stays good for a silent leaver, and that ended the doubt. Class: health says that a server runs, not that it stays. A server that said itself that it leaves is still believed when it says that it accepts work.

--- a/src/place.h
+++ b/src/place.h
@@ -33,6 +33,7 @@
 	bool list_draining; /* its process is stopping according to the list; never reset */
 	/* until then its entry may be an old one of a server that left, us; 0: no doubt */
 	uint64_t doubt_until_us;
+	bool removed_in_doubt; /* a list lacked its entry, so that its health check shows nothing */
 	lw_leaving_t leaving; /* whether its process is stopping according to its answers */
 	bool leaving_in_doubt; /* that answer may be of another process with the same id */
 	bool withdrawn; /* its entry was withdrawn, so its server left */
--- a/src/placeleaving.c
+++ b/src/placeleaving.c
@@ -38,10 +38,13 @@
 	update_draining(h, now_us);
 }
 
-/* a server that accepts work, as it has just told the node beside it, has not left */
+/*
+ * A server that drained, and tells the node beside it that it accepts work, has been started anew.
+ * One whose entry was removed may go on with a good health check although it left.
+ */
 static void end_doubt(lw_place_host_t *h, bool leaving)
 {
-	if (!leaving)
+	if (!leaving && !h->removed_in_doubt)
 		h->doubt_until_us = 0;
 }
 
@@ -125,6 +128,7 @@
 	if (!r->drained && !gone)
 		return;
 	h->doubt_until_us = now_us + DOUBT_US;
+	h->removed_in_doubt = !proven && !r->drained && !h->leaving.on;
 	update_draining(h, now_us);
 	p->doubted++;
 }
--- a/src/serverset.c
+++ b/src/serverset.c
@@ -207,9 +207,9 @@
 		m->written = written_span(s, m, e);
 		s->changed = true;
 	}
-	/* another process than the one in the copy runs, but may have left, too */
+	/* it runs, or a process that has ended wrote late; or it runs and has left */
 	if (m->unproven && !s->restoring)
-		lw_serverset_accept(s, m, e->born_ms == m->entry.born_ms);
+		lw_serverset_accept(s, m, false);
 	if (same_process(&m->entry, e)) {
 		next.draining |= m->entry.draining;
 		next.born_ms = e->born_ms ? e->born_ms : m->entry.born_ms;
--- a/tests/mesh/eras.py
+++ b/tests/mesh/eras.py
@@ -209,13 +209,16 @@
     f.store.remove("servers/" + server.id)
 
 
-async def readers_started_after_a_copy(f):
+async def readers_started_after_a_copy(f, beside=False):
     """A server leaves without a report, and the store is restored from a copy that has its
-    entry; the nodes that read for all are restarted just after that. Returns late requests."""
+    entry; the nodes that read for all are restarted just after that, and the one beside the
+    server, too (beside). Returns late requests."""
     await asyncio.sleep(1)
     copy = f.store.copy()
     server = f.nodes["back"][0].server
     readers = [n for n in f.all() if await n.metric("lw_store_reader") == 1]
+    if beside and f.nodes["back"][0] not in readers:
+        readers.append(f.nodes["back"][0])
 
     async def fn():
         f.beats.cancel()
@@ -257,6 +260,14 @@
     check(not too_late, (len(too_late), max(too_late, default=0)))
 
 
+@test({"front": 4, "back": 4})
+async def test_entry_of_one_that_left_is_read_by_new_readers_and_it_is_healthy(f):
+    """Guards against the same because the node beside the server starts anew as well, and takes
+    the health check of the server, which goes on for a while, for proof that it stays."""
+    too_late = await readers_started_after_a_copy(f, beside=True)
+    check(not too_late, (len(too_late), max(too_late, default=0)))
+
+
 @test({"front": 2, "back": 6})
 async def test_servers_leave_some_time_after_a_return(f):
     """Guards against work for servers that left because a node that reads the store again, here
--- a/tests/test_entryorder.c
+++ b/tests/test_entryorder.c
@@ -30,6 +30,7 @@
 	FOREIGN, /* another writer leaves an entry without a start time */
 	COPY, /* the store is restored from a copy taken at the beginning */
 	READER, /* another node, which has just started, reads the store */
+	ANSWER, /* the node beside the server tells that its health check is good */
 	EVENTS
 } event_t;
 
@@ -40,6 +41,7 @@
 
 typedef struct play {
 	uint64_t now_ms, born_ms, former_ms;
+	bool drains; /* its health check says so */
 	bool stopping; /* the process drains, or its entry was removed */
 	entry_t entry, copy;
 	uint64_t revision;
@@ -59,6 +61,7 @@
 	p->former_ms = p->born_ms;
 	p->born_ms = p->now_ms + ahead_ms;
 	p->stopping = false;
+	p->drains = false;
 	store_write(p, p->born_ms, false);
 }
 
@@ -76,6 +79,19 @@
 	p->era++;
 }
 
+/* a server that left without a drain goes on for some time with a good health check */
+static void answer(play_t *p)
+{
+	lw_place_service_t *s = lw_place_service(&p->place, "s");
+	lw_notice_t n = { .server = lw_notice_server_digest(ID),
+			  .born_ms = p->born_ms,
+			  .leaving = p->drains,
+			  .seen_ms = p->now_ms };
+
+	for (lw_place_host_t *h = s->hosts; h; h = h->next)
+		lw_place_notice_reported(h, &n, p->now_ms * 1000);
+}
+
 static void apply(play_t *p, event_t what)
 {
 	switch (what) {
@@ -91,6 +107,7 @@
 		break;
 	case DRAIN:
 		p->stopping = true;
+		p->drains = true;
 		store_write(p, p->born_ms, true);
 		break;
 	case LEAVE:
@@ -110,8 +127,11 @@
 	case COPY:
 		restore_copy(p);
 		break;
-	default:
+	case READER:
 		start_reader(p);
+		break;
+	default:
+		answer(p);
 	}
 }
 
@@ -192,13 +212,14 @@
 		read_store(p);
 		p->now_ms += BEAT_MS;
 		apply(p, BEAT);
+		answer(p);
 	}
 	read_store(p);
 	return gets_work(p);
 }
 
-static const char *const names[EVENTS] = { "restart", "restart_ahead", "beat", "drain", "leave",
-					   "late",    "foreign",       "copy", "reader" };
+static const char *const names[EVENTS] = { "restart", "restart_ahead", "beat", "drain",	 "leave",
+					   "late",    "foreign",       "copy", "reader", "answer" };
 
 static void report(uint32_t run, const char *what)
 {
