A withdrawn entry does not count on after an outage of the store

Callers: a server that left during an outage shorter than an entry lives could get requests for two seconds after the store's return, at every node. Cause: a reader took each entry that is missing at the return for one that had expired. Found by looking for the cause elsewhere; shown by a scripted run only.

--- a/src/serverset.c
+++ b/src/serverset.c
@@ -240,7 +240,7 @@
 	if (!m || m->missing)
 		return;
 	note_removal(s, m, removed);
-	if (revision > s->reachable_revision) {
+	if (m->withdrawn || revision > s->reachable_revision) {
 		lw_serverset_member_gone(s, m);
 		return;
 	}
@@ -250,7 +250,7 @@
 
 /*
  * lw_serverset_remove() - an entry was removed from the store at @revision. An entry that
- * is removed after the store's return did not expire because of the outage.
+ * is removed after the store's return, or was withdrawn, did not expire because of the outage.
  */
 void lw_serverset_remove(lw_serverset_t *s, const char *id, uint64_t revision)
 {
@@ -282,14 +282,24 @@
 		m->seen = false;
 }
 
-/* lw_serverset_end_read() - the read is complete: entries not found in it are missing. */
+/*
+ * lw_serverset_end_read() - the read is complete: entries not found in it are missing. Those that
+ * cannot have expired are gone.
+ */
 void lw_serverset_end_read(lw_serverset_t *s)
 {
-	for (lw_member_t *m = s->members; m; m = m->hh.next) {
+	lw_member_t *m, *tmp;
+
+	HASH_ITER(hh, s->members, m, tmp)
+	{
 		if (m->seen || m->missing)
 			continue;
 		/* a restored copy lacks what was written since */
 		note_removal(s, m, !s->restoring);
+		if (m->withdrawn) {
+			lw_serverset_member_gone(s, m);
+			continue;
+		}
 		m->missing = true;
 		s->any_missing = true;
 	}
--- a/tests/decide_place.c
+++ b/tests/decide_place.c
@@ -7,7 +7,7 @@
 #include "xalloc.h"
 
 /*
- * entry ID SERVICE ADDR ZONE SLOTS CREATED [draining] [born N] [era N] |
+ * entry ID SERVICE ADDR ZONE SLOTS CREATED [draining] [born N] [era N] [written N] |
  * entry-gone ID [REVISION] | entry-list AT
  */
 static lw_server_entry_t entry_of(const words_t *a)
@@ -24,6 +24,8 @@
 			e.born_ms = (uint64_t)num(a, i + 1);
 		else if (strcmp(word(a, i), "era") == 0)
 			e.created = lw_storepos((uint32_t)num(a, i + 1), e.created);
+		else if (strcmp(word(a, i), "written") == 0)
+			e.written = (uint64_t)num(a, i + 1);
 	return e;
 }
 
@@ -39,6 +41,13 @@
 	lw_serverset_remove(w->entries, word(a, 1), (uint64_t)num(a, 2));
 }
 
+/* observed FROM TO: when the following entries are written or gone; entries live 4.5 s */
+static void do_observed(world_t *w, const words_t *a)
+{
+	lw_serverset_set_expiry(w->entries, lw_expiry(1.5));
+	lw_serverset_observe(w->entries, (lw_span_t){ ms(a, 1), ms(a, 2) });
+}
+
 /* store-back AT [REVISION]: the store is reachable | store-away AT: it is not */
 static void do_store_back(world_t *w, const words_t *a)
 {
@@ -280,6 +289,7 @@
 const command_t decide_place_commands[] = {
 	{ "entry", do_entry },
 	{ "entry-gone", do_entry_gone },
+	{ "observed", do_observed },
 	{ "services", do_services },
 	{ "vouch", do_vouch },
 	{ "store-back", do_store_back },
