Tests whose store refused nobody let it refuse hosts for real, each checked

Callers: none; three tests played no fault. They let the store refuse hosts by their IP addresses, but without relays the store sees 127.0.0.1 for each. test_drain_told_by_who_saw_the_return, test_two_returns_in_a_row and test_keys_taken_away_in_the_dark use relays now, the last two with the elected readers among the refused; f.refuse() demands relays, f.check_refused() is beside each such set (eight). Checks as before.

--- a/tests/mesh/eras.py
+++ b/tests/mesh/eras.py
@@ -115,7 +115,7 @@
     check(not too_late, (len(too_late), max(too_late, default=0)))
 
 
-@test({"front": 3, "back": 3})
+@test({"front": 3, "back": 3}, relays=True)
 async def test_drain_told_by_who_saw_the_return(f):
     """Guards against a node, partitioned from the store, that takes updates from a node
     that saw the restored store for outdated ones, and so sends work to a leaving
@@ -126,15 +126,16 @@
     cut = [f.nodes["front"][0], f.nodes["back"][1]]
 
     async def fn():
-        f.store.refused = {n.ip for n in cut}
+        f.refuse(cut)
         await away(f, 1.5, copy)
         await asyncio.sleep(3)
+        f.check_refused()
         return await says_that_it_leaves(f, server)
     too_late, _ = await play(f, fn)
     check(not too_late, (len(too_late), max(too_late, default=0)))
 
 
-@test({"front": 2, "back": 3})
+@test({"front": 2, "back": 3}, relays=True)
 async def test_two_returns_in_a_row(f):
     """Guards against late work for a leaving server when the store is restored twice, while
     it rejects the reads of every second node and then those of the other nodes, so that
@@ -142,18 +143,22 @@
     copy = f.store.copy()
     raise_revisions(f, 200)
     server = f.nodes["back"][0].server
-    some = {n.ip for n in f.all()[::2]}
-    others = {n.ip for n in f.all()[1::2]}
+    await asyncio.sleep(1)
+    readers = [n for n in f.all() if await n.metric("lw_store_reader") == 1]
+    rest = [n for n in f.all() if n not in readers]
+    some, others = readers[:1] + rest[::2], readers[1:] + rest[1::2]
 
     async def fn():
-        f.store.refused = some
+        f.refuse(some)
         await away(f, 0.6, copy)
         await asyncio.sleep(0.8)
+        f.check_refused()
         write_much(f, 150)
-        f.store.refused = others
+        f.refuse(others)
         await away(f, 0.6, copy)
         await asyncio.sleep(0.8)
-        f.store.refused = set()
+        f.check_refused()
+        f.refuse([])
         await asyncio.sleep(2)
         return await says_that_it_leaves(f, server)
     too_late, _ = await play(f, fn)
@@ -388,7 +393,7 @@
     await asyncio.sleep(1)
     f.beats.cancel()
     f.store.mode = "reset"
-    await asyncio.sleep(3)
+    await asyncio.sleep(5)  # as long as an entry lives, and more
     f.store.remove("servers/" + f.nodes["back"][0].server.id)
     f.store.put("op/config", config(6, f.rules))
     f.store.mode = "ok"
--- a/tests/mesh/fleet.py
+++ b/tests/mesh/fleet.py
@@ -7,6 +7,7 @@
 import time
 
 import standin
+from harness import check
 from relay import Relay
 
 CALLERS, READY, BACKEND, MESH, METRICS, STORE = 8100, 8101, 8102, 8103, 8104, 8109
@@ -224,6 +225,16 @@
         for n in nodes:
             self.register(n.server)
 
+    def refuse(self, nodes):
+        """The store turns the calls of these nodes away, and no others. It tells them apart by
+        the addresses of their relays; without relays all have the same address."""
+        check(all(n.store_relay for n in nodes), "without relays the store refuses nobody")
+        self.store.refused = {n.store_relay.addr[0] for n in nodes}
+        self.store.turned_away_from = set()
+
+    def check_refused(self):
+        check(self.store.refused & self.store.turned_away_from, "the store turned nobody away")
+
     async def until_ready(self, nodes=None, timeout=10):
         for n in nodes or self.all():
             await until(lambda n=n: n.ready(), lambda s: s == 200, timeout)
--- a/tests/mesh/organisations.py
+++ b/tests/mesh/organisations.py
@@ -119,15 +119,17 @@
             check(not name or head_of(f, rid).get("x-tenant-id") == name, (key, name))
 
 
-@test({"front": 6, "back": 2})
+@test({"front": 6, "back": 2}, relays=True)
 async def test_keys_taken_away_in_the_dark(f):
     """Guards against hosts that accept a removed key because the store rejects their
-    reads. They receive the new configuration from other nodes."""
+    reads, among them those that read for all. They receive the new configuration from other
+    nodes."""
     await put(f, keyed(2))
-    for n in f.all()[:3]:
-        f.store.refused.add(n.ip)
+    readers = [n for n in f.all() if await n.metric("lw_store_reader") == 1]
+    f.refuse(readers + [n for n in f.all() if n not in readers][:2])
     f.store.put("op/config", keyed(3, {"red": KEYS["red"]}))
     await asyncio.sleep(2.5)
+    f.check_refused()
     for i, node in enumerate(f.all()):
         check(await status(node, f"d{i}", bearer("key-of-blue")) == 401, node.ip)
         check(await status(node, f"e{i}", bearer(KEYS["red"][0])) == 200, node.ip)
--- a/tests/mesh/standin.py
+++ b/tests/mesh/standin.py
@@ -20,6 +20,7 @@
         self.refused = set()  # IP addresses that get 503
         self.failing = {}  # IP address -> mode of the store for it alone
         self.turned_away = 0  # calls that failed because of the caller's address
+        self.turned_away_from = set()  # these addresses
         self.watching = {}  # IP address -> connections on which a watch waits
         self.hide_beats = False  # a write that changes nothing is not shown to readers
         self.last_caller = None  # IP address of the last call that was answered
@@ -83,7 +84,9 @@
         self.calls += 1
         peer = writer.get_extra_info("peername")[0]
         mode = "503" if peer in self.refused else self.failing.get(peer, self.mode)
-        self.turned_away += peer in self.refused or peer in self.failing
+        if peer in self.refused or peer in self.failing:
+            self.turned_away += 1
+            self.turned_away_from.add(peer)
         if mode == "silent":
             await asyncio.sleep(3600)
         if mode == "reset":
--- a/tests/mesh/starts.py
+++ b/tests/mesh/starts.py
@@ -81,10 +81,11 @@
 async def test_seeds_cannot_reach_the_store(f):
     """Guards against a fleet that does not start because the store rejects the three hosts
     that all others wait for."""
-    f.store.refused = {n.store_relay.addr[0] for n in f.all()[:3]}
+    f.refuse(f.all()[:3])
     await start_empty(f)
     await fill_store(f, 0)
     await f.until_ready(timeout=4)
+    f.check_refused()
 
 
 @test({"front": 12, "back": 12}, start=False, seeds=3)
--- a/tests/mesh/stores.py
+++ b/tests/mesh/stores.py
@@ -109,7 +109,7 @@
     readers = await until(lambda: reading(f), lambda r: len(r) == 2)
     asked = f.nodes["front"][0]
     other = f.nodes["back"][2] if asked in readers else readers[0]
-    f.store.refused = {n.store_relay.addr[0] for n in (asked, other)}
+    f.refuse([asked, other])
     await asyncio.sleep(1)
     f.store.put("op/config", config(5, [route("get", "/get/", "back")]))
     f.nodes["back"][0].server.draining = True
@@ -121,7 +121,7 @@
         check(a.status == 200 and a.body.startswith(b"i-back"), a)
     late = [r for t, r in f.nodes["back"][0].server.ran if t > since]
     check(not late, late)
-    check(f.store.turned_away, "the store turned nobody away")
+    f.check_refused()
 
 
 async def ask_for(f, seconds, prefix):
@@ -144,11 +144,12 @@
     lapse, until the partition heals and the entries return. A missing entry alone must
     not be taken for a server that left."""
     backs = f.nodes["back"]
-    f.store.refused = {n.store_relay.addr[0] for n in backs}
+    f.refuse(backs)
     await f.expire(backs)
     bad = await ask_for(f, 4, "cut")
     check(not bad, bad)
     check(all(n.server.checks for n in backs), "nobody asked the servers")
+    f.check_refused()
     f.store.refused = set()
     await asyncio.sleep(0.3)
     f.write_again(backs)
@@ -165,7 +166,7 @@
     hear from them that they are alive has no connection to them."""
     backs = f.nodes["back"]
     await asyncio.sleep(11)  # unused connections are closed
-    f.store.refused = {n.store_relay.addr[0] for n in backs}
+    f.refuse(backs)
     await f.expire(backs)
     await asyncio.sleep(3)  # longer than a server that left may be used
     lost = []
@@ -174,6 +175,7 @@
             a = await n.caller().ask("GET", "/leaf/1", f"{n.ip}-{i}")
             if a.status != 200:
                 lost.append((n.ip, a.status))
+    f.check_refused()
     check(not lost, lost)
 
 
@@ -196,10 +198,11 @@
     """Returns a node whose host is partitioned from the store and whose server's entry
     has lapsed; checks that the server still gets requests."""
     node = f.nodes["back"][0]
-    f.store.refused = {node.store_relay.addr[0]}
+    f.refuse([node])
     await f.expire([node])
     check(not await ask_for(f, 2.5, "a"), "requests failed")
     check([t for t, r in node.server.ran if r.startswith("a")][-1:], "it was not used on")
+    f.check_refused()
     return node
 
 
@@ -284,7 +287,7 @@
     node beside that server, must not take this for an outage of the store and keep
     the removed entry in force."""
     readers = await until(lambda: reading(f), lambda r: len(r) == 2)
-    f.store.refused = {n.store_relay.addr[0] for n in readers}
+    f.refuse(readers)
     await asyncio.sleep(3)
     leaving = readers[0]
     f.store.remove("servers/" + leaving.server.id)
@@ -293,6 +296,7 @@
     extra = fl.standin.Server("i-extra", "other", f"127.{f.net}.0.99", fl.BACKEND)
     f.register(extra)
     await asyncio.sleep(0.3)
+    f.check_refused()
     f.store.refused = set()
     i = 0
     while time.monotonic() < since + 3.5:
@@ -300,7 +304,6 @@
         a = await f.nodes["back"][i % 5].caller().ask("GET", "/leaf/1", f"r{i}")
         check(a.status == 200, a)
         await asyncio.sleep(0.01)
-    check(f.store.turned_away, "the store turned nobody away")
     late = [t - since for t, _ in leaving.server.ran if t > since + 2]
     check(not late, f"{len(late)} requests late, the last after {late[-1:]} s")
 
@@ -308,16 +311,18 @@
 @test({"front": 2, "back": 2})
 async def test_store_away(f):
     """Guards against an outage of the store, or the end of one, that stops the traffic:
-    the store is silent for three seconds, entries lapse meanwhile, the store returns, and
+    the store is silent for six seconds, entries lapse meanwhile, the store returns, and
     servers write their entries again a second later. A missing entry must not be taken
     for a server that is gone."""
     f.store.mode = "silent"
     f.beats.cancel()
-    for n in f.all():
-        f.store.remove("servers/" + n.server.id)
-    end = time.monotonic() + 3
+    lapse = time.monotonic() + fl.EXPIRY_S
+    end = time.monotonic() + 6
     i = 0
     while time.monotonic() < end + 3:
+        if lapse < time.monotonic() < end:
+            for n in f.all():
+                f.store.remove("servers/" + n.server.id)
         if time.monotonic() > end and f.store.mode == "silent":
             f.store.mode = "ok"
         if time.monotonic() > end + 1:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,7 +19,8 @@
 and are started anew again, while the store fails and is restored from copies. With seeds from
 9000 on, servers reject requests and send second copies of rejections late (copying.py). With
 seeds from 10000 on, the clocks of servers' hosts step while the servers drain and are started
-anew, and the nodes that read the store are killed (stepping.py). A seed always draws the same series of faults."""
+anew, and the nodes that read the store are killed (stepping.py). With seeds from 11000 on,
+servers leave without a word while the store turns single hosts away (turning.py). A seed always draws the same series of faults."""
 import argparse
 import asyncio
 import os
@@ -38,6 +39,7 @@
 from series import DRAIN_S, Series  # noqa: E402
 from stepping import Stepping  # noqa: E402
 from tenancy import Tenancy, open_routes, tenants  # noqa: E402
+from turning import Turning  # noqa: E402
 
 # seconds after its last fault from which a node or the store counts as undisturbed
 TOUCH_S = 3.0
@@ -71,6 +73,8 @@
 COPYING_SEEDS = 9000
 # seeds from here on draw servers whose hosts' clocks step
 STEPPING_SEEDS = 10000
+# seeds from here on draw servers that leave without a word, and a store that turns hosts away
+TURNING_SEEDS = 11000
 # at least this share of a planned seed's requests must be covered by check_planned()
 JUDGED_SHARE = 0.2
 
@@ -94,7 +98,9 @@
         self.tenancy = (Tenancy(seed, self.fail)
                         if TENANCY_SEEDS <= seed < ANNOUNCING_SEEDS else None)
         self.announcing = Announcing(self) if seed >= ANNOUNCING_SEEDS else None
-        self.stepping = Stepping(self) if seed >= STEPPING_SEEDS else None
+        turning = seed >= TURNING_SEEDS
+        self.stepping = (Turning(self) if turning else
+                         Stepping(self) if seed >= STEPPING_SEEDS else None)
         self.copying, self.copies, self.ended_servers = False, 0, 0
         self.broken = []
         self.asked = {}  # id -> (kind, node, time)
