--- a/Makefile
+++ b/Makefile
@@ -102,7 +102,7 @@
 	SIM=$(BUILD)/lwsim sh tests/sim.sh
 	SPREAD=$(BUILD)/lwspread sh tests/spread.sh
 	LWPROXY=$(BUILD)/lwproxy python3 tests/mesh/run.py
-	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1,2,18,1001,2002,3001,4002,8006,9002,10001 --seconds 8
+	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1,2,18,1001,2002,3001,4002,8006,9002,10001,11001 --seconds 8
 
 lint:
 	@sh tools/lint.sh
@@ -128,7 +128,7 @@
 	$(BUILD)/listbench
 
 soak: all
-	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1-50,1001-1050,2001-2050,3001-3050,4001-4050,8001-8050,9001-9050,10001-10050 --seconds 15
+	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1-50,1001-1050,2001-2050,3001-3050,4001-4050,8001-8050,9001-9050,10001-10050,11001-11050 --seconds 15
 
 fuzz: deps
 	@sh tools/fuzz.sh
