Test runs lock their loopback net

Two runs of tests/mesh/run.py, or one beside a soak, took their addresses from their pids modulo 200 and could meet in one net: nodes of one run then connect to the store and the nodes of the other, and all requests fail. A run now claims its net with a lock that ends with the process. The port of tests/faults.sh can be set, so that it can be played in series.

--- a/tests/faults.sh
+++ b/tests/faults.sh
@@ -15,7 +15,8 @@
 trap 'cluster_stop' EXIT
 # processes are also stopped when the reader of the output closes the pipe
 trap 'exit 130' INT TERM HUP PIPE
-PORTS=29000
+# first port; two runs at once need different ones
+PORTS=${PORTS:-29000}
 pass=0
 fail=0
 
--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -26,6 +26,7 @@
 import links  # noqa: E402,F401
 import mixed  # noqa: E402,F401
 import moves  # noqa: E402,F401
+import nets  # noqa: E402
 import news  # noqa: E402,F401
 import oddentries  # noqa: E402,F401
 import operators  # noqa: E402,F401
@@ -72,10 +73,10 @@
     chosen = [t for t in TESTS if t[0] not in red and
               (len(sys.argv) < 2 or t[0] in sys.argv[1:])]
     passed = failed = 0
-    net = 10 + os.getpid() % 200
+    net = nets.claim(os.getpid())
     for name, fn, layout, options in chosen:
         begin = time.monotonic()
-        why = asyncio.run(play(name, fn, layout, dict(options), net))
+        why = asyncio.run(play(name, fn, layout, dict(options), net.number))
         print(f"{'FAILED' if why else 'passed'} {name} ({time.monotonic() - begin:.1f} s)",
               flush=True)
         if why:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,12 +26,12 @@
 import os
 import random
 import shutil
-import socket
 import sys
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "mesh"))
 import fleet as fl  # noqa: E402
+import nets  # noqa: E402
 import standin  # noqa: E402
 from announcing import Announcing  # noqa: E402
 from copying import Copying  # noqa: E402
@@ -404,17 +404,6 @@
         yield from range(int(first), int(last or first) + 1)
 
 
-def free_net(first):
-    """Returns the first net number from `first` on at which no store listens, as other
-    soaks may run on the same machine."""
-    for i in range(200):
-        net = 10 + (first + i) % 200
-        with socket.socket() as s:
-            if s.connect_ex((f"127.{net}.0.250", fl.STORE)):
-                return net
-    raise OSError("all nets are in use")
-
-
 def main():
     p = argparse.ArgumentParser()
     p.add_argument("--seeds", default="1")
@@ -424,8 +413,10 @@
     args = p.parse_args()
     passed = failed = 0
     for seed in seeds_of(args.seeds):
-        s = Soak(seed, args.seconds, args.nodes, free_net(os.getpid() + seed))
+        net = nets.claim(os.getpid() + seed)
+        s = Soak(seed, args.seconds, args.nodes, net.number)
         requests = asyncio.run(s.run())
+        net.release()
         failed += bool(s.broken)
         passed += not s.broken
         if not s.broken:
