Log a process that ends by a fault, and the requests that end with it

A handler of fatal signals now writes E1009 with the signal and the instruction (an offset for addr2line), writes the lines that wait for the log's writer thread, and one E1319 for each request in progress; lwctl account counts these as process_failed. The signal then ends the process as before.

test_failing_process_names_its_requests failed before (there is no E1009) and passes.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	src/frame.c src/lw.pb-c.c src/pool.c src/httpd.c src/httpc.c src/answer.c src/request.c src/cli.c \
 	src/backend.c src/node.c src/inbound.c src/outbound.c src/peersrv.c src/heartbeat.c \
 	src/confwatch.c src/adminpage.c \
-	src/tomlkeys.c src/linux/clock.c src/linux/sock.c
+	src/tomlkeys.c src/linux/clock.c src/linux/fatal.c src/linux/sock.c
 # the streaming node, lwproxy
 PROXY_SRC = src/proxyset.c src/evloop.c src/bytebuf.c src/httphead.c src/call.c src/fleetconf.c \
 	src/serverset.c src/serversetlist.c src/mailbox.c src/admit.c src/level.c src/overload.c src/overloadcost.c src/pathlevels.c src/recentmax.c src/longruns.c src/worktime.c src/slotshare.c src/waitq.c src/leaving.c src/notice.c src/ratelimit.c src/bconn.c src/gate.c src/gatejob.c src/gateanswer.c src/gatereturn.c src/gatestop.c src/handback.c src/gatelevel.c src/gatekind.c src/gateconn.c src/gatecrash.c src/gatenotice.c src/fingerprint.c src/quarantine.c src/place.c src/placestate.c src/placecost.c src/zoneplan.c src/machine.c src/placeindex.c src/placelist.c src/placeleaving.c src/leavinglog.c src/placelevel.c src/lease.c src/removal.c src/probe.c src/proxylease.c \
--- a/src/account.c
+++ b/src/account.c
@@ -30,6 +30,7 @@
 	{ "request_ended", LW_LOSS_CAUSES, false },
 	{ "request_lost", LW_LOSS_CAUSES, false },
 	{ "answer_cut", LW_LOSS_CUT, false },
+	{ "request_interrupted", LW_LOSS_PROCESS_FAILED, false },
 	{ "not_identified", LW_LOSS_NOT_IDENTIFIED, false },
 	{ "path_busy", LW_FAIL_PATH_BUSY, true },
 	{ "over_limit", LW_FAIL_OVER_LIMIT, true },
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -9,6 +9,9 @@
 #include "log.h"
 #include "xalloc.h"
 
+/* a failing process logs at most this many of its requests, oldest first */
+#define INTERRUPTED_LINES_MAX 256
+
 /* lw_engine_oldest_us() - age of the oldest request in progress, at least 1; 0: there is none. */
 uint64_t lw_engine_oldest_us(const lw_engine_t *e)
 {
@@ -208,6 +211,23 @@
 		end_for_exit(e->exchanges);
 }
 
+/*
+ * lw_engine_log_interrupted() - from the handler of a fatal signal: logs the requests whose
+ * connections close without an answer when the process ends now.
+ */
+void lw_engine_log_interrupted(const lw_engine_t *e)
+{
+	uint32_t n = 0;
+
+	for (const lw_exchange_t *x = e->exchanges; x && n < INTERRUPTED_LINES_MAX;
+	     x = x->next, n++)
+		lw_log_emergency(LW_LOG_request_interrupted,
+				 "id=%s route=%s org=%s service=%s given=%u sent=%d", x->request_id,
+				 x->route, lw_exchange_org(x),
+				 x->service ? x->service->name : "unknown", x->attempts.reached,
+				 x->call != NULL);
+}
+
 /* lw_exchange_on_timeout() - timer: the caller's deadline or the route's timeout has passed. */
 void lw_exchange_on_timeout(struct ev_loop *loop, ev_timer *w, int revents)
 {
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -105,6 +105,7 @@
 
 uint64_t lw_engine_oldest_us(const lw_engine_t *e);
 void lw_engine_finish_all(lw_engine_t *e);
+void lw_engine_log_interrupted(const lw_engine_t *e);
 lw_exchange_t *lw_exchange_start(lw_engine_t *e, lw_reply_t *reply,
 				 const lw_exchange_request_t *req);
 void lw_exchange_send(lw_exchange_t *x);
--- a/src/log.c
+++ b/src/log.c
@@ -246,6 +246,40 @@
 	}
 }
 
+/*
+ * lw_log_begin_emergency() - for the handler of a fatal signal: writes the lines that wait for the
+ * writer thread, unless a thread holds them.
+ */
+void lw_log_begin_emergency(void)
+{
+	if (output.fd < 0 || pthread_mutex_trylock(&output.lock))
+		return;
+	write_all(output.bytes, output.len);
+	output.len = 0;
+	pthread_mutex_unlock(&output.lock);
+}
+
+/*
+ * lw_log_emergency() - writes an event at once, from the handler of a fatal signal. It takes no lock
+ * of this module and allocates nothing, as the interrupted code may be doing either.
+ */
+void lw_log_emergency(lw_event_id_t ev, const char *fmt, ...)
+{
+	const struct event_info *info = event_find(ev);
+	char fields[FIELDS_USUAL_BYTES];
+	char line[LINE_USUAL_BYTES];
+	va_list ap;
+
+	if (!info)
+		return;
+	va_start(ap, fmt);
+	vsnprintf(fields, sizeof(fields), fmt, ap);
+	va_end(ap);
+	if (write(output.fd >= 0 ? output.fd : STDERR_FILENO, line,
+		  format_line(line, sizeof(line), info, fields)) < 0)
+		return;
+}
+
 /* Logs how many lines were dropped since the last such report. */
 static void report_dropped(void)
 {
--- a/src/log.h
+++ b/src/log.h
@@ -28,6 +28,8 @@
 	  "what this node did since its start and holds now; lwfleet adds these up over a fleet")  \
 	X(1008, loss_summary, LOG_INFO,                                                            \
 	  "requests lost at this node since its start, by cause; lwctl account checks with them")  \
+	X(1009, process_failed, LOG_CRIT,                                                          \
+	  "a signal ends this process because of a fault in it; at is an offset for addr2line")    \
 	X(1100, settings_invalid, LOG_ERR, "settings file rejected; the node does not start")      \
 	X(1101, args_invalid, LOG_ERR, "command line rejected")                                    \
 	X(1200, config_accepted, LOG_NOTICE, "a newer valid configuration is in force")            \
@@ -99,6 +101,8 @@
 	  "a backend server answered with a 5xx status, or the caller left; why tells which")      \
 	X(1318, request_cut_off, LOG_INFO,                                                         \
 	  "the exit of this process interrupted a request that its backend server was executing")  \
+	X(1319, request_interrupted, LOG_WARNING,                                                  \
+	  "the failure of this process closed the connection of a request without an answer")      \
 	X(1602, suspect_changed, LOG_NOTICE,                                                       \
 	  "a request during which backend servers crashed is now isolated, refused or cleared")    \
 	X(1400, peer_suspected, LOG_WARNING,                                                       \
@@ -169,6 +173,8 @@
 void lw_log_start_writer(int fd);
 void lw_log_flush(void);
 uint64_t lw_log_dropped(void);
+void lw_log_begin_emergency(void);
+void lw_log_emergency(lw_event_id_t ev, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
 void lw_log(lw_event_id_t ev, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
 int lw_log_level_parse(const char *name);
 void lw_log_catalogue(void);
--- a/src/loss.c
+++ b/src/loss.c
@@ -4,9 +4,13 @@
 #include <string.h>
 
 static const char *const names[LW_LOSS_CAUSES] = {
-	[LW_LOSS_CUT] = "cut",		 [LW_LOSS_SERVER_FAILED] = "server_failed",
-	[LW_LOSS_LEFT] = "left",	 [LW_LOSS_NOT_IDENTIFIED] = "not_identified",
-	[LW_LOSS_NO_ROUTE] = "no_route", [LW_LOSS_NO_CONFIG] = "no_config",
+	[LW_LOSS_CUT] = "cut",
+	[LW_LOSS_SERVER_FAILED] = "server_failed",
+	[LW_LOSS_LEFT] = "left",
+	[LW_LOSS_NOT_IDENTIFIED] = "not_identified",
+	[LW_LOSS_NO_ROUTE] = "no_route",
+	[LW_LOSS_NO_CONFIG] = "no_config",
+	[LW_LOSS_PROCESS_FAILED] = "process_failed",
 };
 
 /* lw_loss_name() - name of @cause in log lines. */
--- a/src/loss.h
+++ b/src/loss.h
@@ -15,6 +15,7 @@
 	LW_LOSS_LEFT, /* the caller disconnected before the end of the answer */
 	LW_LOSS_NOT_IDENTIFIED, /* its API key is missing, unknown or ambiguous */
 	LW_LOSS_NO_ROUTE, /* it matches no route; leaves no line */
+	LW_LOSS_PROCESS_FAILED, /* a signal ended the process because of a fault in it */
 	LW_LOSS_NO_CONFIG, /* the node had no configuration yet; leaves no line */
 	LW_LOSS_CAUSES
 } lw_loss_t;
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "linux/clock.h"
+#include "linux/fatal.h"
 #include "log.h"
 #include "proxy_int.h"
 #include "proxystats.h"
@@ -158,6 +159,14 @@
 	return st;
 }
 
+/* called in the handler of a fatal signal */
+static void log_interrupted(void *ctx)
+{
+	const lw_proxy_t *p = ctx;
+
+	lw_engine_log_interrupted(&p->engine);
+}
+
 /*
  * lw_proxy_run() - runs until SIGTERM and until the requests in progress have
  * ended. Fails only during startup, with the reason in lw_error_last().
@@ -201,6 +210,7 @@
 		return st;
 	lw_log(LW_LOG_started, "service=%s zone=%s callers=%s backend=%s", set->service, set->zone,
 	       set->callers, set->backend);
+	lw_fatal_install(log_interrupted, p);
 	lw_proxy_mask_signals(SIG_UNBLOCK);
 	ev_run(p->evloop.loop, 0);
 	lw_proxy_summary_log(p);
--- a/tests/mesh/accounts.py
+++ b/tests/mesh/accounts.py
@@ -7,7 +7,7 @@
 
 import fleet as fl
 from fleet import route, until
-from harness import check, test
+from harness import check, lines_with, test
 
 RULES = [route("plain", "/p/", "back", "safe", 2, 2, 0.4),
          route("order", "/o/", "back", "unsafe", 0, 2, 0.4)]
@@ -85,3 +85,21 @@
     check([counts.get(c) for c in ("server_failed", "broken", "no_route", "left")] ==
           [10, 10, 10, 4], counts)
     check(not warnings, warnings)
+
+
+@test({"front": 1, "back": 1}, rules=RULES)
+async def test_failing_process_names_its_requests(f):
+    """Guards against a process that ends by a fault in it and leaves no line: its requests
+    end without an answer, and it looks like one that was killed."""
+    f.nodes["back"][0].server.behave = behave
+    node = f.nodes["front"][0]
+    task = asyncio.ensure_future(node.caller().ask("GET", "/p/", "left-1"))
+    await until(lambda: f.nodes["back"][0].server.ran, bool)
+    node.signal(signal.SIGFPE)
+    ended = await asyncio.gather(task, return_exceptions=True)
+    check(isinstance(ended[0], (OSError, asyncio.IncompleteReadError)), ended)
+    await until(node.proc.poll, lambda rc: rc == -signal.SIGFPE, 2)
+    check(lines_with(node, "E1009", "signal=8 at=0x"), node.logged("E1009"))
+    check(lines_with(node, "E1319", "id=left-1"), node.logged("E1319"))
+    rows, _ = account(f, "--by", "cause")
+    check([(r["cause"], r["requests"]) for r in rows] == [("process_failed", "1")], rows)
