--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -14,6 +14,7 @@
 import copies  # noqa: E402,F401
 import crashes  # noqa: E402,F401
 import endless  # noqa: E402,F401
+import ends  # noqa: E402,F401
 import cutheads  # noqa: E402,F401
 import eras  # noqa: E402,F401
 import exits  # noqa: E402,F401
