A stopping process no longer divides by its limit of 0

What callers saw: around a planned stop, connections of one host closed at once without an answer, among them orders at which their servers were at work (LOST), and each client of that host had to connect anew.

Cause: a node that has announced that it accepts nothing has a limit of 0. Since the gate estimates a request's wait before it looks whether it takes requests at all, and that estimate divides by the limit. Only the first request that comes between the announcement and the exit meets it, as the refusal tells the sender of the limit.

Fix: a limit of 0 means that no request ever starts, so the expected wait is LW_ADMIT_NEVER_MS, for all callers of the function. The gate then refuses the request as leaving, unexecuted, and it goes to another host or gets 503.

--- a/src/admit.c
+++ b/src/admit.c
@@ -32,6 +32,8 @@
 {
 	uint64_t ahead = st->ahead;
 
+	if (!st->load.limit)
+		return LW_ADMIT_NEVER_MS;
 	if (st->work_us)
 		return (uint32_t)(st->slot_wait_us / 1000);
 	if (st->load.running < st->load.limit && !ahead)
@@ -39,7 +41,10 @@
 	return (uint32_t)((ahead + 1) * st->load.service_us / st->load.limit / 1000);
 }
 
-/* lw_admit_expected_wait_ms() - time until a request that arrives now starts executing. */
+/*
+ * lw_admit_expected_wait_ms() - time until a request that arrives now starts executing;
+ * LW_ADMIT_NEVER_MS if the backend server gets no more requests.
+ */
 uint32_t lw_admit_expected_wait_ms(const lw_admit_state_t *st)
 {
 	uint32_t slot_ms = slot_wait_ms(st);
--- a/src/admit.h
+++ b/src/admit.h
@@ -11,6 +11,9 @@
 
 #include "call.h"
 
+/* Expected wait at a limit of 0, which a node reports that accepts nothing, ms. */
+#define LW_ADMIT_NEVER_MS UINT32_MAX
+
 typedef struct lw_admit_state {
 	lw_load_t load;
 	uint32_t ahead; /* queued requests that would start before this one */
