Failing test: reads are answered 502 or 503 while their servers run them

A connection that brought a rejection without an id carries idempotent requests. The late second copy of the rejection is taken for the answer to such a request. If that happens at both servers, or at the second after a first attempt that may have run, the caller gets 503 or 502 while its server is at work.

--- a/tests/mesh/copies.py
+++ b/tests/mesh/copies.py
@@ -8,6 +8,7 @@
 from harness import check, runs, test
 
 ORDERS = [route("get", "/get/", "front"), route("put", "/put/", "back", "unsafe", 0, 5, 2, attempts=1)]
+READS = [route("read", "/read/", "back")]
 REQUESTS = 30
 REFUSALS = (408, 421, 429, 503)
 
@@ -81,3 +82,27 @@
     await asyncio.sleep(1.5)
     answers = [await node.caller().ask("GET", "/leaf/1", f"anew{i}") for i in range(10)]
     check([a.status for a in answers[3:]] == [200] * 7, answers)
+
+
+async def shed_full(s, head, rid, stage):
+    """Rejects the requests whose id begins with "full", with a late second copy."""
+    if stage == "head":
+        return "shed-copied" if rid.startswith("full") else None
+    await asyncio.sleep(0.05)
+
+
+@test({"front": 1, "back": 2}, rules=READS)
+async def test_copy_of_a_rejection_meets_a_read(f):
+    """Guards against a read that is answered 502 or 503 while its servers are at work on it: the
+    late second copies of rejections without an id are taken for the answers to both attempts."""
+    node = f.nodes["front"][0]
+    for n in f.nodes["back"]:
+        n.server.names_rejections, n.server.behave = False, shed_full
+    answers = {}
+    for i in range(REQUESTS):
+        await node.caller().ask("GET", "/read/1", f"full{i}")
+        answers[f"r{i}"] = (await node.caller().ask("GET", "/read/1", f"r{i}")).status
+    rejected = [a for a in answers if not runs(f, a)]
+    bad = [(a, s, runs(f, a)) for a, s in answers.items() if runs(f, a) and s != 200]
+    check(not bad, f"{len(bad)} of {REQUESTS} reads ran and were not answered: {bad[:3]}")
+    check(len(rejected) < REQUESTS / 2, f"{len(rejected)} of {REQUESTS} reads reached no server")
