A connection that brought an answer without an id carries no more requests

Cause: after a rejection without an id a connection still carried idempotent requests. Running twice does them no harm, but the late copy of the rejection ended the attempt at which the server was at work; when the attempts were used up, the caller got a refusal instead of the answer. Nothing in the bytes tells the copy from the rejection of the request in hand, so no request may meet it.

Change: lw_gate_keep_connection() closes such a connection. With it goes the distinction between requests that may meet a copy and those that may not. Each such answer costs one new connection; they are counted (lw_gate_connections_unnamed_total).

--- a/src/gate.h
+++ b/src/gate.h
@@ -32,6 +32,7 @@
 	uint64_t connections; /* connections opened to the backend server */
 	/* those of them opened as no idle connection could carry the request */
 	uint64_t connections_apart;
+	uint64_t connections_unnamed; /* closed after an answer without a request id */
 	uint64_t invalid_answers;
 	uint64_t invalid_machine; /* reports of the speed of the machine out of range */
 	uint64_t invalid_limits; /* answers that announce a rate limit which is not a number */
--- a/src/gate_int.h
+++ b/src/gate_int.h
@@ -38,8 +38,6 @@
 	ev_timer timer;
 	bool fin; /* the request body is complete */
 	bool head_sent; /* the head of the answer was forwarded to the sink */
-	/* its connection carried an answer without an id, a copy of which may come now */
-	bool copy_possible;
 	bool not_executed; /* the backend server reported that it did not execute the request */
 	bool dead;
 	bool broken; /* its connection closed; the sink is notified after the crash check */
--- a/src/gateanswer.c
+++ b/src/gateanswer.c
@@ -104,8 +104,8 @@
 /*
  * A faulty server may send a second answer late, in place of the answer to the next request. The
  * caller would then receive another request's data; only the request id reveals the mismatch. A
- * rejection may have no id; lw_gate_take_connection() sees to it that it is not such a copy where
- * that matters.
+ * rejection may have no id; it is no such copy, as lw_gate_keep_connection() closes the connection
+ * after an answer without an id.
  */
 static bool is_answer_to(const lw_job_t *j, lw_str_t id, bool not_executed)
 {
@@ -126,10 +126,8 @@
 		return false;
 	}
 	j->conn->answered_without_id = !id.len;
-	if (id.len || !j->copy_possible) {
-		lw_gate_learn_load(g, lw_httphead_find(h, LW_HEADER_LOAD));
-		apply_notice(j, h);
-	}
+	lw_gate_learn_load(g, lw_httphead_find(h, LW_HEADER_LOAD));
+	apply_notice(j, h);
 	j->not_executed = not_executed;
 	j->answer_head.status = h->status;
 	if (not_executed) {
--- a/src/gateconn.c
+++ b/src/gateconn.c
@@ -28,12 +28,15 @@
 }
 
 /*
- * lw_gate_keep_connection() - add @c to the idle connections for reuse. If none but idempotent
- * requests can use it, it is closed when there are enough others for them.
+ * lw_gate_keep_connection() - add @c to the idle connections for reuse, or close it after an answer
+ * without a request id. A faulty server may send a second copy of an answer where the next one is
+ * expected. Without an id, nothing tells that copy from the answer to the next request, which would
+ * then be answered as rejected while its server executes it.
  */
 void lw_gate_keep_connection(lw_gate_t *g, lw_bconn_t *c)
 {
-	if (c->answered_without_id && g->nidle >= g->limit) {
+	if (c->answered_without_id) {
+		g->stats.connections_unnamed++;
 		lw_bconn_close(c);
 		return;
 	}
@@ -81,15 +84,13 @@
 }
 
 /*
- * Whether @c can carry the request of @j. A faulty server may send a second copy of an answer where
- * the next one is expected; if that is taken for the answer to a request that executes, the request
- * is refused and executed, or executed once more elsewhere. So no connection carries one id twice,
- * and after an answer without an id only requests that may be executed twice. An answer with an id
- * ends that, as the copy would have come before it.
+ * Whether @c can carry the request of @j. The second copy of an answer has the id of its request, so
+ * no connection carries one id twice: the copy of the answer to an earlier attempt would be taken for
+ * the answer to this one.
  */
 static bool can_carry(const lw_bconn_t *c, const lw_job_t *j)
 {
-	return (!c->answered_without_id || j->idempotent) && !lw_bconn_has_carried(c, j->id_digest);
+	return !lw_bconn_has_carried(c, j->id_digest);
 }
 
 /* takes the first idle connection that can carry the request out of the list; NULL: none */
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -168,7 +168,6 @@
 	g->stats.started++;
 	count_arrival(j);
 	lw_histogram_add(&g->stats.wait, j->started_us - j->arrived_us);
-	j->copy_possible = j->conn->answered_without_id;
 	lw_bconn_start(j->conn, &lw_job_conn_ops, j, is_head);
 	lw_bconn_remember(j->conn, j->id_digest);
 	if (j->body_length < 0 || j->body_length > LW_CALL_WINDOW)
--- a/src/proxystats.c
+++ b/src/proxystats.c
@@ -148,6 +148,9 @@
 	counter(f, "lw_gate_connections_apart_total",
 		"those of them opened although idle ones were there, as these could not carry the request",
 		s->gate.connections_apart);
+	counter(f, "lw_gate_connections_unnamed_total",
+		"connections closed after an answer without a request id",
+		s->gate.connections_unnamed);
 	counter(f, "lw_gate_invalid_total", "answers without a matching request",
 		s->gate.invalid_answers);
 	fprintf(f,
