Failing tests: what lies unread while a node stands still

A process that stands still (SIGSTOP, suspended or starved machine) runs its timers before it reads what arrived meanwhile. Connections of callers are then closed as idle with a request unread in the kernel, a head that arrived is answered 408, and answers that arrived are taken for stalled, so that reads run twice.

--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -35,6 +35,7 @@
 import overloads  # noqa: E402,F401
 import pipelines  # noqa: E402,F401
 import reborn  # noqa: E402,F401
+import standstill  # noqa: E402,F401
 import starts  # noqa: E402,F401
 import stops  # noqa: E402,F401
 import stores  # noqa: E402,F401
