Callers' time-outs first read what lies unread

A process that stood still runs its timers before it reads what arrived meanwhile, and the whole standstill counted as the caller's: over the idle timeout, over the header timeout, and in a stop over the half second after which idle connections are closed. Closing a connection with unread bytes resets it.

Change: before a connection is closed or rejected for its time, caller.c looks for unread bytes. If there are any, they are read instead, and the connection is judged at the next tick. The same covers a request that arrives in the very loop iteration in which an idle connection is closed, without a standstill.

--- a/src/caller.c
+++ b/src/caller.c
@@ -214,6 +214,19 @@
 	ev_io_stop(l->set->evloop->loop, &l->io);
 }
 
+/*
+ * Whether bytes of the caller lie unread in the kernel; they are then read next. After a standstill
+ * of this process, timers run before arrived data is read, and all the time of the standstill
+ * counts as the caller's. A connection closed then would lose a request that arrived in time.
+ */
+static bool reads_unread(lw_caller_t *c)
+{
+	if (!lw_sock_stale(c->fd))
+		return false;
+	ev_feed_event(c->set->evloop->loop, &c->io, EV_READ);
+	return true;
+}
+
 static void check_timeouts(lw_callers_t *cs, lw_caller_t *c, uint64_t now)
 {
 	uint64_t quiet_ms = (now - c->since_us) / 1000;
@@ -224,12 +237,12 @@
 		return;
 	}
 	if (c->state == CALLER_HEAD && lw_bytebuf_len(&c->in)) {
-		if (quiet_ms > cs->limits.header_timeout_ms) {
+		if (quiet_ms > cs->limits.header_timeout_ms && !reads_unread(c)) {
 			cs->stats.head_timeouts++;
 			lw_caller_reject(c, 408, "head_timeout");
 		}
 	} else if (c->state == CALLER_HEAD && !c->closing) {
-		if (quiet_ms > cs->limits.idle_timeout_ms) {
+		if (quiet_ms > cs->limits.idle_timeout_ms && !reads_unread(c)) {
 			cs->stats.idle_closed++;
 			lw_caller_close(c);
 		}
@@ -284,7 +297,8 @@
 	for (lw_caller_t *c = cs->conns; c; c = next) {
 		next = c->next;
 		if (cs->evloop->now_us - c->since_us >= IDLE_GRACE_US && c->state == CALLER_HEAD &&
-		    !lw_bytebuf_len(&c->in) && !c->ready_only && !lw_bytebuf_len(&c->out))
+		    !lw_bytebuf_len(&c->in) && !c->ready_only && !lw_bytebuf_len(&c->out) &&
+		    !reads_unread(c))
 			lw_caller_close(c);
 	}
 }
