An attempt whose check is late after a standstill is not taken for stalled at once

Seen: reads ran twice, on two servers, though the first answer had arrived: a node that stood still for 0.6 s ran the timers of its attempts before it read the answers (3 to 5 of 8 reads in each of 3 plays of test_answer_during_a_standstill). Such a repeat costs retry allowance, and ends with 502 if the second server rejects it.

Change: the check of an attempt knows when it was due. If it is late, or this process stood still in this loop iteration, it is made again a little later, after what arrived has been read.

--- a/src/exchange_int.h
+++ b/src/exchange_int.h
@@ -46,6 +46,7 @@
 	lw_place_tried_t tried;
 	ev_timer timer;
 	ev_timer stall; /* expires when the attempt counts as stalled */
+	uint64_t stall_due_us; /* when it is due */
 	ev_timer hold; /* until the next search for a host, or while crash reports are awaited */
 	lw_fail_t hold_reason;
 	/* all hosts were retried once, as none of them had received the request */
@@ -87,6 +88,7 @@
 void lw_exchange_after_failure(lw_exchange_t *x, lw_fail_t why);
 void lw_exchange_send_body(lw_exchange_t *x);
 void lw_exchange_on_stall_timer(struct ev_loop *loop, ev_timer *w, int revents);
+void lw_exchange_watch_stall(lw_exchange_t *x, uint64_t after_us);
 void lw_exchange_on_hold_timer(struct ev_loop *loop, ev_timer *w, int revents);
 void lw_exchange_attempt(lw_exchange_t *x, lw_fail_t last);
 void lw_exchange_attempt_at(lw_exchange_t *x, lw_place_host_t *host, lw_fail_t last);
--- a/src/exchattempt.c
+++ b/src/exchattempt.c
@@ -65,9 +65,7 @@
 		return;
 	if (after_us < STALL_MIN_US)
 		after_us = STALL_MIN_US;
-	ev_timer_init(&x->stall, lw_exchange_on_stall_timer, (double)after_us / 1e6, 0);
-	x->stall.data = x;
-	ev_timer_start(x->engine->evloop->loop, &x->stall);
+	lw_exchange_watch_stall(x, after_us);
 }
 
 static void fill_request(const lw_exchange_t *x, lw_call_request_t *req)
--- a/src/exchoutcome.c
+++ b/src/exchoutcome.c
@@ -7,8 +7,10 @@
 
 /* by how much the clocks of two hosts may differ, ms */
 #define CLOCK_DIFFERENCE_MAX_MS 5000
-/* if no other server has room, a stalled attempt is checked again after this, in seconds */
-#define STALL_RECHECK_S 0.1
+/* if no other server has room, a stalled attempt is checked again after this, us */
+#define STALL_RECHECK_US 100000
+/* the check is repeated if it is later than this, us */
+#define STALL_LATE_MAX_US 50000
 
 static bool take_retry(lw_exchange_t *x)
 {
@@ -343,17 +345,6 @@
 		reply->ops->data(reply, data, fin);
 }
 
-/* schedules another check whether a server has room */
-static void schedule_room_check(lw_exchange_t *x)
-{
-	struct ev_loop *loop = x->engine->evloop->loop;
-
-	ev_timer_stop(loop, &x->stall);
-	ev_timer_init(&x->stall, lw_exchange_on_stall_timer, STALL_RECHECK_S, 0);
-	x->stall.data = x;
-	ev_timer_start(loop, &x->stall);
-}
-
 /*
  * abandons the call in progress for another attempt: @v says where, @room is a host that has room
  */
@@ -392,7 +383,7 @@
 	v = lw_exchange_verdict(x) == LW_QUARANTINE_CLEAR ? lw_retry_verdict_silent(&x->attempts) :
 							    LW_VERDICT_FAIL;
 	if (!room && (confirmed || v == LW_VERDICT_RETRY_OTHER_COUNTED)) {
-		schedule_room_check(x);
+		lw_exchange_watch_stall(x, STALL_RECHECK_US);
 		return;
 	}
 	if (v == LW_VERDICT_RESEND_SAME_COUNTED &&
@@ -418,10 +409,18 @@
 	.silent = sink_silent,
 };
 
+/* whether this process stood still until now, so that the answer may have arrived unread */
+static bool stood_still(const lw_exchange_t *x)
+{
+	const lw_evloop_t *evloop = x->engine->evloop;
+
+	return evloop->suspended_us || evloop->now_us > x->stall_due_us + STALL_LATE_MAX_US;
+}
+
 /*
  * lw_exchange_on_stall_timer() - timer: the attempt takes much longer than usual. The answer was
  * lost, the server hangs, or the call spent a long time in a queue. A node that is stopping
- * abandons nothing.
+ * abandons nothing. After a standstill, timers run before arrived data is read.
  */
 void lw_exchange_on_stall_timer(struct ev_loop *loop, ev_timer *w, int revents)
 {
@@ -429,6 +428,22 @@
 
 	(void)loop;
 	(void)revents;
-	if (!x->engine->evloop->leaving && !x->dead && !x->answering)
+	if (x->engine->evloop->leaving || x->dead || x->answering)
+		return;
+	if (stood_still(x))
+		lw_exchange_watch_stall(x, STALL_RECHECK_US);
+	else
 		abandon_stalled(x, true);
 }
+
+/* lw_exchange_watch_stall() - the attempt in progress counts as stalled in @after_us. */
+void lw_exchange_watch_stall(lw_exchange_t *x, uint64_t after_us)
+{
+	struct ev_loop *loop = x->engine->evloop->loop;
+
+	ev_timer_stop(loop, &x->stall);
+	ev_timer_init(&x->stall, lw_exchange_on_stall_timer, (double)after_us / 1e6, 0);
+	x->stall.data = x;
+	x->stall_due_us = x->engine->evloop->now_us + after_us;
+	ev_timer_start(loop, &x->stall);
+}
