--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -24,6 +24,7 @@
 import leaving  # noqa: E402,F401
 import limits  # noqa: E402,F401
 import links  # noqa: E402,F401
+import losses  # noqa: E402,F401
 import mixed  # noqa: E402,F401
 import moves  # noqa: E402,F401
 import nets  # noqa: E402
