A further SIGTERM to a stopping process is logged

Operators who asked twice saw one line, so that a record could not show which signal a stop counted from.

--- a/src/proxystop.c
+++ b/src/proxystop.c
@@ -111,6 +111,18 @@
 	}
 }
 
+/* Logs a further signal to stop; it changes neither the steps nor the exit. */
+static void log_again(const lw_proxy_t *p, int signum)
+{
+	uint64_t now_us = p->evloop.now_us;
+	uint64_t left_us = p->evloop.exit_us > now_us ? p->evloop.exit_us - now_us : 0;
+
+	lw_log(LW_LOG_stopping,
+	       "signal=%d again=1 since_ms=%llu exit_in_ms=%llu active=%u running=%u", signum,
+	       (unsigned long long)((now_us - p->stop_began_us) / 1000),
+	       (unsigned long long)(left_us / 1000), p->engine.active, p->engine.gate.ncalls);
+}
+
 /*
  * lw_proxy_on_term() - handles SIGTERM and SIGINT: callers are told that the node
  * is stopping, and the further steps follow stopplan.c.
@@ -120,8 +132,10 @@
 	lw_proxy_t *p = w->data;
 
 	(void)revents;
-	if (p->evloop.leaving)
+	if (p->evloop.leaving) {
+		log_again(p, w->signum);
 		return;
+	}
 	lw_log(LW_LOG_stopping, "signal=%d active=%u running=%u", w->signum, p->engine.active,
 	       p->engine.gate.ncalls);
 	p->evloop.leaving = true;
--- a/tests/mesh/exits.py
+++ b/tests/mesh/exits.py
@@ -111,3 +111,15 @@
     await f.until_ready([busy])
     await asyncio.sleep(1)
     check_all_told(f, await two_stops(f, [("up", 10)] * 30, "/up/1", "POST", 3200))
+
+
+@test({"front": 1})
+async def test_second_sigterm_is_logged(f):
+    """Guards against a stop whose record does not show that it was asked for twice."""
+    node = f.nodes["front"][0]
+    node.signal(signal.SIGTERM)
+    await asyncio.sleep(1)
+    node.signal(signal.SIGTERM)
+    check(await asyncio.to_thread(node.proc.wait, 4) == 0, node.proc.returncode)
+    check(len(node.logged("E1001")) == 2 and len(lines_with(node, "E1001", "again=1")) == 1,
+          node.logged("E1001"))
