--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -19,6 +19,7 @@
 import exits  # noqa: E402,F401
 import fates  # noqa: E402,F401
 import late  # noqa: E402,F401
+import lateorders  # noqa: E402,F401
 import leases  # noqa: E402,F401
 import lengths  # noqa: E402,F401
 import leaving  # noqa: E402,F401
