A stopping machine judges a slow upload again before it passes its end on

Cause: what is taken is judged when its head arrives; its body may take until the exit, and the server begins when the body is whole. Change: where the body took over 0.1 s, lw_stopplan judges the request again with the time that is left, by the same table, before the bytes that complete it are passed on: at the gate, and at the machine that took it for a server elsewhere. What would not end is ended then, with 502, as the server has a part of it; a server does not execute a body that is cut short. Weighed: refusing fails the request here, so that an unknown kind has to leave a second, not 2.6; passing all on (cut at work, LOST); refusing slow uploads by their length when they begin (their rate is not known).

--- a/src/exchadmit.c
+++ b/src/exchadmit.c
@@ -11,6 +11,8 @@
 #include "retryafter.h"
 #include "credential.h"
 #include "log.h"
+#include "longruns.h"
+#include "stopplan.h"
 #include "xalloc.h"
 
 /* deadline of a request if neither the caller nor the route sets one, ms */
@@ -250,6 +252,29 @@
 	return false;
 }
 
+/*
+ * lw_exchange_outlasts_exit() - whether this process is likely to exit before the request has its
+ * answer, by what the answers to its kind of work have shown; @begun: a server has received a part
+ * of its body. Nested calls are not refused, as the work that makes them fails with them.
+ */
+bool lw_exchange_outlasts_exit(const lw_exchange_t *x, bool begun)
+{
+	const lw_engine_t *e = x->engine;
+	uint64_t now_us = e->evloop->now_us;
+	uint64_t exit_us = e->evloop->exit_us;
+	uint32_t longest_us = lw_longruns_get(&e->longruns, lw_worktime_kind(x->route), now_us);
+	lw_stopwork_t work = {
+		.left_us = exit_us > now_us ? exit_us - now_us : 0,
+		.deadline_us = (uint64_t)lw_exchange_remaining_ms(x, x->give_up_us) * 1000,
+		.longest_us = longest_us,
+		.known = longest_us > 0,
+		.idempotent = x->attempts.idempotent,
+		.begun = begun,
+	};
+
+	return exit_us && !x->parent_id.len && lw_stopplan_judge(&work).basis == LW_STOPBASIS_NONE;
+}
+
 /* returns false if the request was refused */
 static bool admit(lw_exchange_t *x, const lw_organisation_t *org)
 {
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -7,6 +7,7 @@
 
 #include "retryafter.h"
 #include "log.h"
+#include "stopplan.h"
 #include "xalloc.h"
 
 /* lw_engine_oldest_us() - age of the oldest request in progress, at least 1; 0: there is none. */
@@ -234,6 +235,28 @@
 	return lw_bytebuf_len(&x->body) >= 2 * BODY_RETAINED_BYTES;
 }
 
+/* whether the body was incomplete until its latest @bytes, which complete it */
+static bool completes_body(const lw_exchange_t *x, size_t bytes, bool fin)
+{
+	uint64_t received = x->body_base + lw_bytebuf_len(&x->body);
+	uint64_t length = (uint64_t)x->body_length;
+
+	if (x->body_length < 0)
+		return fin;
+	return received >= length && received - bytes < length;
+}
+
+/*
+ * Whether the body is complete so late that the exit would interrupt the execution. A server does
+ * not execute a request whose body is cut short.
+ */
+static bool body_too_late(const lw_exchange_t *x, size_t bytes, bool fin)
+{
+	return completes_body(x, bytes, fin) && !x->answering &&
+	       x->engine->evloop->now_us - x->started_us >= LW_STOPPLAN_SLOW_BODY_US &&
+	       lw_exchange_outlasts_exit(x, true);
+}
+
 /* lw_exchange_body() - add @data to the request body; @fin: the body is complete. */
 void lw_exchange_body(lw_exchange_t *x, lw_str_t data, bool fin)
 {
@@ -242,6 +265,10 @@
 	lw_bytebuf_append_str(&x->body, data);
 	x->fin = fin;
 	lw_fingerprinter_body(&x->print, data, fin);
+	if (body_too_late(x, data.len, fin)) {
+		end_for_exit(x);
+		return;
+	}
 	if (x->awaits_body && x->print.known) {
 		x->awaits_body = false;
 		lw_exchange_attempt(x, LW_FAIL_NO_SERVER);
--- a/src/exchange_int.h
+++ b/src/exchange_int.h
@@ -75,6 +75,7 @@
 const char *lw_exchange_org(const lw_exchange_t *x);
 uint32_t lw_exchange_remaining_ms(const lw_exchange_t *x, uint64_t until_us);
 void lw_exchange_on_timeout(struct ev_loop *loop, ev_timer *w, int revents);
+bool lw_exchange_outlasts_exit(const lw_exchange_t *x, bool begun);
 void lw_exchange_refuse(lw_exchange_t *x, lw_fail_t why);
 void lw_exchange_release(lw_exchange_t *x);
 void lw_exchange_count_lost(lw_exchange_t *x, lw_loss_t cause);
--- a/src/gate_int.h
+++ b/src/gate_int.h
@@ -31,6 +31,7 @@
 	uint64_t target_us; /* when the user request misses its latency objective */
 	uint64_t arrived_us;
 	uint64_t started_us; /* 0 while queued */
+	uint64_t body_sent; /* body bytes queued on the connection */
 	size_t unacked; /* body bytes queued on the connection but not yet credited */
 	size_t rejection_bytes; /* of the body of a rejection */
 	size_t head_left; /* bytes of the head not written yet */
@@ -66,6 +67,7 @@
 	uint32_t kind; /* of work, see worktime.h */
 	uint32_t longest_us; /* of that kind, as the sender knows; 0: it knows none */
 	bool idempotent;
+	bool begun; /* a part of its body was sent to the backend server */
 } lw_stopask_t;
 
 /* lw_job_of_waiter() - the job that @w is part of. */
@@ -88,6 +90,7 @@
 void lw_gate_dispatch(lw_gate_t *g);
 void lw_gate_record_duration(const lw_job_t *j, uint64_t took_us);
 lw_stopverdict_t lw_gate_judge_stop(const lw_gate_t *g, const lw_stopask_t *ask);
+bool lw_gate_body_too_late(lw_job_t *j, size_t bytes, bool fin);
 void lw_gate_return_queued(lw_gate_t *g);
 uint32_t lw_gate_promised_us(const lw_gate_t *g, const lw_call_request_t *req);
 void lw_gate_reject_queued(lw_gate_t *g, lw_fail_t why);
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -110,6 +110,7 @@
 		if (j->body_length < 0)
 			lw_bconn_queue(j->conn, LW_STR("\r\n"));
 		j->unacked += data.len;
+		j->body_sent += data.len;
 	}
 	if (fin && j->body_length < 0)
 		lw_bconn_queue(j->conn, LW_STR("0\r\n\r\n"));
@@ -197,6 +198,11 @@
 		j->gate->queued_bytes += data.len;
 		return;
 	}
+	/* a server does not execute a request whose body is cut short */
+	if (lw_gate_body_too_late(j, data.len, fin)) {
+		lw_job_fail(j, LW_FAIL_BROKEN);
+		return;
+	}
 	send_body(j, data, fin);
 	lw_bconn_flush(j->conn);
 }
--- a/src/gatestop.c
+++ b/src/gatestop.c
@@ -47,10 +47,43 @@
 		.longest_us = longest_us(g, ask, of_kind_us),
 		.known = of_kind_us > 0,
 		.idempotent = ask->idempotent,
+		.begun = ask->begun,
 	};
 	return lw_stopplan_judge(&work);
 }
 
+/* whether the backend server has the whole body once it has @bytes more of it */
+static bool completes_body(const lw_job_t *j, size_t bytes, bool fin)
+{
+	uint64_t length = (uint64_t)j->body_length;
+
+	if (j->body_length < 0)
+		return fin;
+	return j->body_sent < length && j->body_sent + bytes >= length;
+}
+
+/*
+ * lw_gate_body_too_late() - whether the body of the request @j, which the backend server is
+ * receiving, is complete with these @bytes, and so late that the exit would interrupt the
+ * execution. The request was accepted by what was known when its head arrived.
+ */
+bool lw_gate_body_too_late(lw_job_t *j, size_t bytes, bool fin)
+{
+	uint64_t now_us = j->gate->evloop->now_us;
+	lw_stopask_t ask = {
+		.deadline_us = j->deadline_us > now_us ? j->deadline_us - now_us : 0,
+		.kind = j->kind,
+		.longest_us = j->longest_us,
+		.idempotent = j->idempotent,
+		.begun = true,
+	};
+
+	if (!completes_body(j, bytes, fin) || now_us - j->started_us < LW_STOPPLAN_SLOW_BODY_US)
+		return false;
+	j->stop = lw_gate_judge_stop(j->gate, &ask);
+	return j->stop.basis == LW_STOPBASIS_NONE;
+}
+
 /*
  * lw_gate_stop_admitting() - this node is about to exit: reject all queued and new requests, let
  * executing requests complete.
--- a/src/stopplan.c
+++ b/src/stopplan.c
@@ -68,11 +68,14 @@
 	return grace_us > 2 * EXIT_MARGIN_US ? grace_us - EXIT_MARGIN_US : grace_us / 2;
 }
 
-/* how long the request is expected to execute, us */
+/*
+ * how long the request is expected to execute, us; one that has begun fails if it is refused, while
+ * others cost a detour, so that little knowledge is no reason to refuse it
+ */
 static uint64_t expected_run_us(const lw_stopwork_t *w)
 {
 	uint64_t spare_us = w->longest_us / (w->idempotent ? SPARE_DIVISOR : ORDER_SPARE_DIVISOR);
-	uint64_t least_us = w->known ? RUN_MIN_US : RUN_UNKNOWN_US;
+	uint64_t least_us = w->known || w->begun ? RUN_MIN_US : RUN_UNKNOWN_US;
 	uint64_t run_us = w->longest_us + spare_us;
 
 	return run_us > least_us ? run_us : least_us;
--- a/src/stopplan.h
+++ b/src/stopplan.h
@@ -33,6 +33,12 @@
 	bool last; /* no other node of the service accepts work */
 } lw_stopstate_t;
 
+/*
+ * A body that takes longer than this from the first byte to the last, in microseconds, is judged
+ * again before its end is passed on.
+ */
+#define LW_STOPPLAN_SLOW_BODY_US 100000
+
 /* Why a request is expected to end before the process exits. */
 typedef enum lw_stopbasis {
 	LW_STOPBASIS_NOT_STOPPING, /* no exit is due */
@@ -49,6 +55,7 @@
 	uint64_t longest_us; /* longest recent execution; of its kind of work if @known */
 	bool known; /* enough executions of its kind of work are known */
 	bool idempotent; /* may be executed again if it is interrupted */
+	bool begun; /* a server has received a part of its body: it fails if it is refused now */
 } lw_stopwork_t;
 
 /* Whether a stopping node accepts a request. */
--- a/tests/decide_retry.c
+++ b/tests/decide_retry.c
@@ -360,8 +360,9 @@
 }
 
 /*
- * stop-takes LEFT WAIT LONGEST DEADLINE [order] [unknown]: whether a stopping node accepts such a
- * request. order: it is not idempotent; unknown: LONGEST is that of all kinds of work
+ * stop-takes LEFT WAIT LONGEST DEADLINE [order] [unknown] [begun]: whether a stopping node accepts
+ * such a request. order: it is not idempotent; unknown: LONGEST is that of all kinds of work;
+ * begun: its body is complete now, and the server has received a part of it
  */
 static void do_stop_takes(world_t *w, const words_t *a)
 {
@@ -372,6 +373,7 @@
 		.deadline_us = ms(a, 4),
 		.known = !has(a, "unknown"),
 		.idempotent = !has(a, "order"),
+		.begun = has(a, "begun"),
 	};
 
 	emit(w, lw_stopplan_judge(&work).basis == LW_STOPBASIS_NONE ? "refused" : "taken");
