--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -20,11 +20,13 @@
 import exits  # noqa: E402,F401
 import fates  # noqa: E402,F401
 import late  # noqa: E402,F401
+import lateorders  # noqa: E402,F401
 import leases  # noqa: E402,F401
 import lengths  # noqa: E402,F401
 import leaving  # noqa: E402,F401
 import limits  # noqa: E402,F401
 import links  # noqa: E402,F401
+import losses  # noqa: E402,F401
 import mixed  # noqa: E402,F401
 import moves  # noqa: E402,F401
 import nets  # noqa: E402
