--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -11,6 +11,7 @@
 import accounts  # noqa: E402,F401
 import answers  # noqa: E402,F401
 import attempts  # noqa: E402,F401
+import configstops  # noqa: E402,F401
 import copies  # noqa: E402,F401
 import crashes  # noqa: E402,F401
 import endless  # noqa: E402,F401
