--- a/tests/lwtest.h
+++ b/tests/lwtest.h
@@ -12,6 +12,7 @@
 void suite_decisions(const char *dir);
 void suite_meshframe(void);
 void suite_meshclosed(void);
+void suite_fates(void);
 void suite_meshoutcomes(void);
 void suite_docfetch(void);
 void suite_documents(void);
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -17,6 +17,7 @@
 	suite_meshframe();
 	suite_meshclosed();
 	suite_meshoutcomes();
+	suite_fates();
 	suite_docfetch();
 	suite_documents();
 	suite_lease();
