A stopping machine refuses callers whose request would outlast its exit

LOST excuses what was sent up to 3 s after the SIGTERM; the orders are lost all the same, and could not be repeated. Cause: a request was judged only beside its server; the machine that takes it from the caller looked at the clock alone. Change: it judges with the same table, by the longest run of the kind that answers have shown it in the last minute or two. Weighed: the usual duration (half of such orders would still be cut), the deadline alone (refuses short work with a long deadline until callers know of the stop).

--- a/src/exchadmit.c
+++ b/src/exchadmit.c
@@ -278,7 +278,8 @@
 /* returns false if the request was refused */
 static bool admit(lw_exchange_t *x, const lw_organisation_t *org)
 {
-	if (x->engine->evloop->callers_refused && !x->parent_id.len) {
+	if ((x->engine->evloop->callers_refused && !x->parent_id.len) ||
+	    lw_exchange_outlasts_exit(x, false)) {
 		lw_exchange_refuse(x, LW_FAIL_LEAVING);
 		return false;
 	}
