Failing test: orders meet the exit when the announcement travels for longer than 0.2 s

The node exits 0.2 s after it announced that it accepts nothing more (E1006 step=refusing, step=exit); orders that were sent before the announcement arrived meet a process that is gone. The relay of the test still accepts connections for it, so the sender asks for their fate until the time-out (E1408, over and over).

--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -17,6 +17,7 @@
 import cutheads  # noqa: E402,F401
 import eras  # noqa: E402,F401
 import exits  # noqa: E402,F401
+import farpeers  # noqa: E402,F401
 import fates  # noqa: E402,F401
 import late  # noqa: E402,F401
 import leases  # noqa: E402,F401
