--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -19,6 +19,7 @@
 import cutheads  # noqa: E402,F401
 import eras  # noqa: E402,F401
 import exits  # noqa: E402,F401
+import farpeers  # noqa: E402,F401
 import fates  # noqa: E402,F401
 import late  # noqa: E402,F401
 import lateorders  # noqa: E402,F401
