--- a/tests/mesh/ends.py
+++ b/tests/mesh/ends.py
@@ -1,5 +1,7 @@
 """Failure tests of node processes that end by themselves."""
 import asyncio
+import os
+import resource
 import signal
 
 from fleet import until
@@ -40,3 +42,33 @@
     check(not lost, f"given to the server and not answered: {lost}")
     check(all(end in (200, 503) for end in ends.values()), ends)
     check(node.proc.poll() == 0, f"ended with {node.proc.poll()}: {node.logged('E1009')}")
+
+
+def limit_descriptors(node, spare):
+    """Lets the process open `spare` more descriptors than it has; None: as many as it likes."""
+    pid = node.proc.pid
+    used = max(int(fd) for fd in os.listdir(f"/proc/{pid}/fd")) + 1
+    most = resource.prlimit(pid, resource.RLIMIT_NOFILE)[1]
+    resource.prlimit(pid, resource.RLIMIT_NOFILE,
+                     (most if spare is None else used + spare, most))
+
+
+@test({"front": 1, "back": 1})
+async def test_no_descriptor_for_a_connection_to_the_server(f):
+    """Guards against a process that ends by a fault when it has no descriptor left to connect to its
+    server or to another node: the request is refused, and others are served later."""
+    node = f.nodes["front"][0]
+    callers = [node.caller() for _ in range(3)]
+    for c in callers:
+        await c.open()
+    limit_descriptors(node, 0)
+    answers = await asyncio.gather(
+        callers[0].ask("PUT", "/put/1", "own", body=b"x"),
+        callers[1].ask("PUT", "/put/1", "slowly", body=b"x" * 200000),
+        callers[2].ask("POST", "/up/1", "other", body=b"x"), return_exceptions=True)
+    check(node.proc.poll() is None, f"ended with {node.proc.poll()}: {node.logged('E1009')}")
+    check([getattr(a, "status", a) for a in answers] == [503] * 3, answers)
+    check(not any(runs(f, rid) for rid in ("own", "slowly", "other")), "refused, though executed")
+    limit_descriptors(node, None)
+    a = await node.caller().ask("PUT", "/put/1", "again", body=b"x")
+    check(a.status == 200, a)
