A request without a connection to the server is rejected by the return value

What callers saw: all requests at a host ended without an answer when its process could open no connection to its server: no descriptor was left.

Cause: lw_gate_submit() invoked the sink before it had returned the call. The request then went on without a host (SIGSEGV in lw_exchange_submit), or its next attempt was overwritten by a call that had ended, so that its body and its cancellation went nowhere. The convention of call.h, that the half which ended a call is not invoked afterwards, was kept by every other path: the gate rejects by the return value, connections report errors later.

Fix: lw_job_start() says whether it could start; a request that had just arrived is rejected by the return value as no_server, not executed, and a queued one through its sink as before.

--- a/src/gate.c
+++ b/src/gate.c
@@ -97,7 +97,8 @@
 	lw_gate_count_start(g, w);
 	lw_waitq_remove(&g->queue, w);
 	g->queued_bytes -= lw_bytebuf_len(&j->body);
-	lw_job_start(j);
+	if (!lw_job_start(j))
+		lw_job_fail(j, LW_FAIL_NO_SERVER);
 }
 
 /* lw_gate_dispatch() - start the queued requests for which there is room. */
@@ -203,6 +204,20 @@
 	lw_worktable_arrival(&g->work, &arrival, g->evloop->now_us);
 }
 
+/*
+ * Starts a request that did not have to wait. Without a connection it is rejected by the return
+ * value: its sink is not ready to be invoked before lw_gate_submit() has returned the call.
+ */
+static bool start_arrived(lw_job_t *j, lw_fail_t *why)
+{
+	if (lw_job_start(j))
+		return true;
+	*why = LW_FAIL_NO_SERVER;
+	j->gate->stats.refused[*why]++;
+	lw_job_release(j);
+	return false;
+}
+
 /*
  * lw_gate_submit() - send a request to the backend server or add it to the queue.
  * Returns the call, whose outcome is reported to @sink. On rejection returns NULL, sets the reason
@@ -253,8 +268,7 @@
 	j->waiter = candidate;
 	if (lw_gate_starts_at_once(g, &candidate)) {
 		lw_gate_count_start(g, &j->waiter);
-		lw_job_start(j);
-		return &j->call;
+		return start_arrived(j, why) ? &j->call : NULL;
 	}
 	g->queued_bytes += body.len;
 	lw_waitq_push(&g->queue, &j->waiter);
--- a/src/gate_int.h
+++ b/src/gate_int.h
@@ -84,7 +84,7 @@
 void lw_gate_keep_connection(lw_gate_t *g, lw_bconn_t *c);
 void lw_gate_close_expired_idle(void *ctx);
 lw_bconn_t *lw_gate_take_connection(lw_gate_t *g, const lw_job_t *j);
-void lw_job_start(lw_job_t *j);
+bool lw_job_start(lw_job_t *j);
 void lw_gate_dispatch(lw_gate_t *g);
 void lw_gate_record_duration(const lw_job_t *j, uint64_t took_us);
 lw_stopverdict_t lw_gate_judge_stop(const lw_gate_t *g, const lw_stopask_t *ask);
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -149,8 +149,11 @@
 					    j->started_us);
 }
 
-/* lw_job_start() - send the request to the backend server. */
-void lw_job_start(lw_job_t *j)
+/*
+ * lw_job_start() - send the request to the backend server. Returns false if no connection to it
+ * can be opened; the job then has to be failed or released.
+ */
+bool lw_job_start(lw_job_t *j)
 {
 	lw_gate_t *g = j->gate;
 	bool is_head =
@@ -162,10 +165,8 @@
 	lw_slotuse_start(&g->use, &j->waiter);
 	g->started_since_report++;
 	lw_ratelimit_take(&g->ratelimit, g->evloop->now_us);
-	if (!j->conn) {
-		lw_job_fail(j, LW_FAIL_NO_SERVER);
-		return;
-	}
+	if (!j->conn)
+		return false;
 	g->stats.started++;
 	count_arrival(j);
 	lw_histogram_add(&g->stats.wait, j->started_us - j->arrived_us);
@@ -182,6 +183,7 @@
 	j->timer.data = j;
 	ev_timer_start(g->evloop->loop, &j->timer);
 	lw_bconn_flush(j->conn);
+	return true;
 }
 
 static void job_body(lw_call_t *call, lw_str_t data, bool fin)
