--- /dev/null
+++ b/tests/mesh/flood.py
@@ -0,0 +1,125 @@
+"""Failure tests of bytes without end from callers, other nodes and the store: what a node buffers for
+all of them together stays within its memory, and others are served meanwhile."""
+import asyncio
+import time
+
+from fleet import CALLERS, MESH, Fleet, route, until
+from harness import check, test
+from standin import Store
+
+MEMORY_MB = 64
+RULES = [route("get", "/get/", "front", timeout=5), route("put", "/put/", "front", "unsafe"),
+         route("up", "/up/", "back", "upload", timeout=30)]
+
+
+def peak_mb(node):
+    with open(f"/proc/{node.proc.pid}/status", encoding="utf-8") as f:
+        return next(int(line.split()[1]) / 1024 for line in f if line.startswith("VmHWM"))
+
+
+async def begin(f, ready=True):
+    """Starts the fleet with nodes that have MEMORY_MB."""
+    for n in f.all():
+        n.settings = lambda n=n, old=n.settings: old().replace("memory_mb = 260",
+                                                               f"memory_mb = {MEMORY_MB}")
+    await f.start(ready)
+
+
+async def others_served(node, seconds, method="GET", path="/get/1"):
+    """Sends requests through the node for a while; returns the longest wait in s."""
+    longest, end = 0, time.monotonic() + seconds
+    while time.monotonic() < end:
+        check(node.proc.poll() is None, f"the process ended with {node.proc.returncode}")
+        check(peak_mb(node) < MEMORY_MB, f"{peak_mb(node):.0f} MB of {MEMORY_MB}")
+        at = time.monotonic()
+        a = await node.caller().ask(method, path, f"other{at}")
+        check(a.status == 200, a)
+        longest = max(longest, time.monotonic() - at)
+        await asyncio.sleep(0.02)
+    return longest
+
+
+def check_calm(node, longest):
+    check(node.proc.poll() is None, f"the process ended with {node.proc.returncode}")
+    check(peak_mb(node) < MEMORY_MB, f"{peak_mb(node):.0f} MB of {MEMORY_MB}")
+    check(longest < 0.5, f"another request waited {longest:.2f} s")
+
+
+async def send_without_end(address, data, seconds, first=b""):
+    """Sends the same bytes over and over and reads nothing; returns how many were taken."""
+    _, w = await asyncio.open_connection(*address)
+    w.transport.set_write_buffer_limits(0)
+    w.transport.pause_reading()
+    sent, end = 0, time.monotonic() + seconds
+    try:
+        w.write(first)
+        while time.monotonic() < end:
+            w.write(data)
+            await asyncio.wait_for(w.drain(), max(0.01, end - time.monotonic()))
+            sent += len(data)
+            await asyncio.sleep(0)
+    except (OSError, asyncio.TimeoutError):
+        pass
+    w.transport.abort()
+    return sent
+
+
+@test({"front": 1}, start=False)
+async def test_caller_that_pipelines_and_reads_nothing(f):
+    """Guards against answers that pile up in the memory of the node, without bound, for a caller that
+    sends further requests and reads none of the answers."""
+    await begin(f)
+    node = f.nodes["front"][0]
+
+    async def answer(s, head, rid, stage):
+        return (None, 200, b"a" * 60000) if stage == "run" and not rid.startswith("other") else None
+    node.server.behave = answer
+    refused = b"GET /none/ HTTP/1.1\r\nHost: h.example\r\n\r\n" * 200
+    served = b"GET /get/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r\r\n\r\n" * 20
+    longest, *_ = await asyncio.gather(
+        others_served(node, 2),
+        *[send_without_end((node.ip, CALLERS), data, 2) for data in (refused, served)])
+    check_calm(node, longest)
+
+
+class EndlessStore(Store):
+    """A store that answers without end in one way, once `kind` is set."""
+    kind = None
+    ended = 0  # answers that the caller closed
+
+    async def answer(self, target, writer):
+        if not self.kind:
+            return await super().answer(target, writer)
+        first, more = {
+            "head": (b"HTTP/1.1 200 OK\r\nX-Field: ", b"x" * 8192),
+            "body": (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", b" " * 65536),
+            "extensions": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                           b"1;" + b"x" * 4000 + b"\r\n \r\n"),
+            "items": (b"HTTP/1.1 200 OK\r\n\r\n{\"store_revision\": 9, \"items\": [{}",
+                      b",{}" * 20000),
+        }[self.kind]
+        writer.write(first)
+        try:
+            while not writer.transport.is_closing():
+                writer.write(more)
+                await writer.drain()
+                await asyncio.sleep(0)
+        except OSError:
+            pass
+        self.ended += 1
+        raise ConnectionError
+
+
+@test({"front": 1}, start=False)
+async def test_store_that_answers_without_end(f):
+    """Guards against an answer of the store that is read until the memory of the node is used up, or
+    for ever, so that the node never hears of a change again."""
+    f.store = EndlessStore()
+    await begin(f)
+    node = f.nodes["front"][0]
+    for kind in ("head", "body", "extensions", "items"):
+        ended, f.store.kind = f.store.ended, kind
+        longest = await others_served(node, 2.5)
+        check(f.store.ended > ended, f"{kind}: read without end, {peak_mb(node):.0f} MB")
+        check_calm(node, longest)
+    f.store.kind = None
--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -18,6 +18,7 @@
 import eras  # noqa: E402,F401
 import exits  # noqa: E402,F401
 import fates  # noqa: E402,F401
+import flood  # noqa: E402,F401
 import late  # noqa: E402,F401
 import leases  # noqa: E402,F401
 import lengths  # noqa: E402,F401
