The next request of a caller waits until it has read the answers before

Callers: one that pipelines requests and reads none of the answers ends the process of the node by its memory, and the requests of all others on that machine with it (228 MB in 2 s, two connections). Cause: only bytes that a caller sends were bounded (80 KiB unprocessed). Answers that are complete need no credit, so the next request began however much was unwritten. Fix: a request begins only while at most one window (64 KiB) of answers is unwritten, and the connection is not read meanwhile.

--- a/src/caller.c
+++ b/src/caller.c
@@ -14,6 +14,8 @@
 #define IDLE_DEFAULT_MS	   15000
 /* when the node stops, a connection is closed once it has had no request for this long, us */
 #define IDLE_GRACE_US 500000
+/* answers that a caller may leave unread before its next request waits, in bytes */
+#define UNREAD_MAX_BYTES LW_CALL_WINDOW
 /* bytes discarded per read */
 #define DISCARD_BYTES 16384
 /* how long a connection that this node has ended stays open for the caller to close it, ms */
@@ -30,6 +32,16 @@
 	return READ_AHEAD_BYTES + c->set->limits.max_header_bytes;
 }
 
+/*
+ * lw_caller_answers_unread() - whether the caller leaves so much of its answers unread that its next
+ * request has to wait. Otherwise a caller that sends requests and reads nothing would fill the
+ * memory of the process with answers.
+ */
+bool lw_caller_answers_unread(const lw_caller_t *c)
+{
+	return lw_bytebuf_len(&c->out) > UNREAD_MAX_BYTES;
+}
+
 /*
  * lw_caller_watch() - wait for the events that the connection needs next: readable, writable or
  * both.
@@ -38,6 +50,7 @@
 {
 	int events = 0;
 	bool full = (c->state == CALLER_BODY && c->x && lw_exchange_body_full(c->x)) ||
+		    (c->state == CALLER_HEAD && lw_caller_answers_unread(c)) ||
 		    lw_bytebuf_len(&c->in) >= lw_caller_read_ahead(c);
 
 	if (c->closed)
@@ -223,6 +236,11 @@
 			lw_caller_close(c);
 		return;
 	}
+	/* the request waits for this node, not for the caller to complete it */
+	if (c->state == CALLER_HEAD && lw_caller_answers_unread(c)) {
+		c->since_us = now;
+		return;
+	}
 	if (c->state == CALLER_HEAD && lw_bytebuf_len(&c->in)) {
 		if (quiet_ms > cs->limits.header_timeout_ms) {
 			cs->stats.head_timeouts++;
--- a/src/callerread.c
+++ b/src/callerread.c
@@ -202,7 +202,8 @@
 		switch (c->state) {
 		case CALLER_HEAD:
 			skip_empty_lines(c);
-			more = lw_bytebuf_len(&c->in) && read_head(c);
+			more = lw_bytebuf_len(&c->in) && !lw_caller_answers_unread(c) &&
+			       read_head(c);
 			break;
 		case CALLER_BODY:
 			more = read_body(c);
--- a/tests/mesh/flood.py
+++ b/tests/mesh/flood.py
@@ -76,10 +76,18 @@
     node.server.behave = answer
     refused = b"GET /none/ HTTP/1.1\r\nHost: h.example\r\n\r\n" * 200
     served = b"GET /get/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r\r\n\r\n" * 20
+    late = node.caller()
+    await late.open()
+    late.writer.transport.pause_reading()
+    await late.raw(served * 5)
     longest, *_ = await asyncio.gather(
         others_served(node, 2),
         *[send_without_end((node.ip, CALLERS), data, 2) for data in (refused, served)])
     check_calm(node, longest)
+    late.writer.transport.resume_reading()
+    for i in range(100):
+        a = await late.answer(2)
+        check(a.status == 200 and a.whole, f"answer {i} of a caller that reads late: {a}")
 
 
 class EndlessStore(Store):
