--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -21,6 +21,7 @@
 import exits  # noqa: E402,F401
 import farpeers  # noqa: E402,F401
 import fates  # noqa: E402,F401
+import flood  # noqa: E402,F401
 import late  # noqa: E402,F401
 import lateorders  # noqa: E402,F401
 import leases  # noqa: E402,F401
