A process without a free descriptor no longer spins on its listening sockets

What callers saw: at a host whose process has no descriptor left, requests in progress are served slowly or not: a connection that waits to be accepted keeps the listening socket readable, so the loop comes round at once and uses up the processor (34 to 74 hundredths of a second in one second beside a load of 25).

The tests exhaust descriptors by the lowest free number: those below the highest in use were free before.

--- a/src/caller.c
+++ b/src/caller.c
@@ -210,6 +210,12 @@
 	lw_caller_watch(c);
 }
 
+/* the readiness check is answered also while callers have to wait */
+static bool may_accept(const lw_listener_t *l)
+{
+	return l->ready_only || l->set->count + FDS_RESERVED < l->set->evloop->set->max_fds;
+}
+
 static void on_accept(struct ev_loop *loop, ev_io *w, int revents)
 {
 	lw_listener_t *l = w->data;
@@ -217,8 +223,10 @@
 
 	(void)loop;
 	(void)revents;
-	while (l->set->count + FDS_RESERVED < l->set->evloop->set->max_fds || l->ready_only) {
+	while (may_accept(l)) {
 		fd = lw_sock_accept(l->fd);
+		if (fd < 0 && lw_sock_accept_exhausted())
+			break;
 		if (fd < 0)
 			return;
 		caller_new(l, fd);
@@ -279,8 +287,7 @@
 		check_timeouts(cs, c, now);
 	}
 	for (lw_listener_t *l = cs->listeners; l; l = l->next)
-		if (l->fd >= 0 && !ev_is_active(&l->io) &&
-		    cs->count + FDS_RESERVED < cs->evloop->set->max_fds)
+		if (l->fd >= 0 && !ev_is_active(&l->io) && may_accept(l))
 			ev_io_start(cs->evloop->loop, &l->io);
 }
 
--- a/src/linux/sock.c
+++ b/src/linux/sock.c
@@ -136,6 +136,16 @@
 	return fd;
 }
 
+/*
+ * lw_sock_accept_exhausted() - after lw_sock_accept() has failed: whether the process can take no
+ * further connection for now. The listening socket stays readable all the while, so that waiting
+ * for it would use up the processor.
+ */
+bool lw_sock_accept_exhausted(void)
+{
+	return errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
+}
+
 /*
  * lw_sock_start_connect() - starts to connect to "ip:port" without waiting. The
  * socket is non-blocking; it becomes writable when the result is known, which
--- a/src/linux/sock.h
+++ b/src/linux/sock.h
@@ -12,6 +12,7 @@
 lw_status_t lw_sock_connect(const char *addr, int timeout_ms, int *fd);
 void lw_sock_peer(int fd, char *dst, size_t len);
 int lw_sock_accept(int lfd);
+bool lw_sock_accept_exhausted(void);
 lw_status_t lw_sock_start_connect(const char *addr, int *fd);
 void lw_sock_nonblock(int fd);
 int lw_sock_connect_error(int fd);
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -230,6 +230,8 @@
 		check_link(l, now);
 	}
 	lw_mesh_fetch_any(m);
+	if (m->accepting)
+		ev_io_start(m->evloop->loop, &m->accept_io);
 }
 
 /* after a suspend of this host: the data in the buffers is older by the length of the suspend */
@@ -263,7 +265,6 @@
 	lw_mesh_t *m = w->data;
 	int fd;
 
-	(void)loop;
 	(void)revents;
 	while ((fd = lw_sock_accept(m->listen_fd)) >= 0) {
 		lw_link_t *l = lw_link_new(m, fd, false);
@@ -271,6 +272,8 @@
 		lw_sock_peer(fd, l->node, sizeof(l->node));
 		lw_mesh_send_status(l, false);
 	}
+	if (lw_sock_accept_exhausted())
+		ev_io_stop(loop, &m->accept_io);
 }
 
 /* lw_mesh_listen() - accepts connections of other nodes at "ip:port". */
@@ -284,6 +287,7 @@
 	ev_io_init(&m->accept_io, on_accept, m->listen_fd, EV_READ);
 	m->accept_io.data = m;
 	ev_io_start(m->evloop->loop, &m->accept_io);
+	m->accepting = true;
 	return LW_OK;
 }
 
--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -103,6 +103,7 @@
 	void *ctx;
 	int listen_fd;
 	ev_io accept_io;
+	bool accepting; /* the listening socket is open */
 	lw_link_t *links;
 	lw_link_t *orphans; /* lost connections whose requests still wait for their outcome */
 	lw_stream_t *sent; /* requests sent by this node, by origin */
--- a/tests/mesh/ends.py
+++ b/tests/mesh/ends.py
@@ -4,6 +4,8 @@
 import resource
 import signal
 
+import fleet as fl
+import standin
 from fleet import until
 from harness import check, runs, test
 
@@ -44,13 +46,18 @@
     check(node.proc.poll() == 0, f"ended with {node.proc.poll()}: {node.logged('E1009')}")
 
 
-def limit_descriptors(node, spare):
-    """Lets the process open `spare` more descriptors than it has; None: as many as it likes."""
+def exhaust_descriptors(node):
+    """The process can open no further descriptor: the limit is the lowest number not in use."""
     pid = node.proc.pid
-    used = max(int(fd) for fd in os.listdir(f"/proc/{pid}/fd")) + 1
-    most = resource.prlimit(pid, resource.RLIMIT_NOFILE)[1]
+    used = {int(fd) for fd in os.listdir(f"/proc/{pid}/fd")}
+    free = next(n for n in range(len(used) + 1) if n not in used)
     resource.prlimit(pid, resource.RLIMIT_NOFILE,
-                     (most if spare is None else used + spare, most))
+                     (free, resource.prlimit(pid, resource.RLIMIT_NOFILE)[1]))
+
+
+def free_descriptors(node):
+    most = resource.prlimit(node.proc.pid, resource.RLIMIT_NOFILE)[1]
+    resource.prlimit(node.proc.pid, resource.RLIMIT_NOFILE, (most, most))
 
 
 @test({"front": 1, "back": 1})
@@ -61,7 +68,7 @@
     callers = [node.caller() for _ in range(3)]
     for c in callers:
         check((await c.ask("GET", "/none/", "first")).status == 404, "not accepted")
-    limit_descriptors(node, 0)
+    exhaust_descriptors(node)
     answers = await asyncio.gather(
         callers[0].ask("PUT", "/put/1", "own", body=b"x"),
         callers[1].ask("PUT", "/put/1", "slowly", body=b"x" * 200000),
@@ -70,6 +77,33 @@
     check([getattr(a, "status", a) for a in answers[:2]] == [503] * 2, answers)
     check(not runs(f, "own") + runs(f, "slowly"), "refused, though executed")
     check(getattr(answers[2], "status", 0) in (200, 503), answers)
-    limit_descriptors(node, None)
+    free_descriptors(node)
     a = await node.caller().ask("PUT", "/put/1", "again", body=b"x")
     check(a.status == 200, a)
+
+
+def processor_ticks(node):
+    """Processor time of the process so far, in hundredths of a second."""
+    with open(f"/proc/{node.proc.pid}/stat", encoding="utf-8") as f:
+        fields = f.read().rsplit(")", 1)[1].split()
+    return int(fields[11]) + int(fields[12])
+
+
+@test({"front": 1})
+async def test_connections_wait_for_a_descriptor(f):
+    """Guards against a process that uses up its processor while connections wait to be accepted and
+    it has no descriptor for them: requests in progress get none of it."""
+    node = f.nodes["front"][0]
+    exhaust_descriptors(node)
+    waiting = [standin.Caller(node.ip, port) for port in (fl.CALLERS, fl.READY, fl.MESH)]
+    for c in waiting:
+        await c.open()
+    before = processor_ticks(node)
+    await asyncio.sleep(1)
+    used = processor_ticks(node) - before
+    check(used < 10, f"{used} hundredths of a second in one second")
+    free_descriptors(node)
+    check((await waiting[0].ask("PUT", "/put/1", "waited", body=b"x")).status == 200, "not accepted")
+    for c in waiting:
+        c.close()
+    await f.until_ready([node], 3)
