The last node of its service goes on with what surely ends

Callers saw: two nodes of a service stop at once; beside load the first one starts again more than 0.5 s after its exit, and 1 to 25 requests of 296 to 354 were refused from 3.2 s on, as the last node stops taking work at 3.0 s. Cause: after that, work of unknown duration may outlast the exit; going on as before cuts it off (LOST). Change: the last node goes on until another accepts work, or 1 s before its exit, and takes only requests whose senders give up before the exit: a deadline is the only certain bound. Weighed: expected durations here (any may be exceeded), waiting before the stop. A service with one node, or whose others do not return in the list, is not the last one by this rule and stops as before (decision script); one whose listed other node stays away stops up to 1.6 s later. Stops and exits 21 of 21, decisions 121 of 121.

--- a/src/stopplan.c
+++ b/src/stopplan.c
@@ -92,7 +92,7 @@
 
 	if (w->left_us >= w->deadline_us)
 		v.basis = LW_STOPBASIS_DEADLINE;
-	else if (w->left_us >= v.expected_us)
+	else if (!w->certain_only && w->left_us >= v.expected_us)
 		v.basis = LW_STOPBASIS_DURATION;
 	return v;
 }
@@ -111,19 +111,31 @@
 	return s->since_us + run_us <= lw_stopplan_exit_us(s->grace_us);
 }
 
+/* whether the node could accept nothing more, as the requests in flight will end soon */
+static bool could_refuse(const lw_stopstate_t *s)
+{
+	return s->since_us >= CALLERS_KNOW_US && s->oldest_us < STRAGGLER_US;
+}
+
 /*
  * Whether to accept nothing more: the requests in flight will end soon, or must. The last node of
- * its service goes on as long as a request of unknown duration would end before the exit. Where two
- * nodes stop within a second, the second one would otherwise exit before the first has started
- * again, and requests would be refused although all servers are alive.
+ * its service goes on until another accepts work. Where two nodes stop within a second, the second
+ * one would otherwise exit before the first has started again, and requests would be refused
+ * although all servers are alive.
  */
 static bool time_to_refuse(const lw_stopstate_t *s)
 {
-	if (!leaves(s, RUN_MIN_US))
-		return true;
-	if (s->since_us < CALLERS_KNOW_US || s->oldest_us >= STRAGGLER_US)
-		return false;
-	return !s->last || !leaves(s, RUN_UNKNOWN_US);
+	return !leaves(s, RUN_MIN_US) || (could_refuse(s) && !s->last);
+}
+
+/*
+ * Whether the node goes on only because it is the last one of its service, and a request of unknown
+ * duration may outlast the exit. Any expected duration may be exceeded, and the longer the node
+ * goes on, the more work it would interrupt; only the deadline of a sender is certain.
+ */
+static bool is_certain_only(const lw_stopstate_t *s)
+{
+	return could_refuse(s) && s->last && !leaves(s, RUN_UNKNOWN_US);
 }
 
 /* whether nothing is in flight and all peers know that the node accepts nothing more */
@@ -144,6 +156,7 @@
 	lw_stopplan_t p = {
 		.tell_peers = s->since_us >= TELL_PEERS_US,
 		.close_idle = s->since_us >= CLOSE_IDLE_US,
+		.certain_only = is_certain_only(s),
 		.refuse = time_to_refuse(s),
 		.refuse_callers = s->since_us >= REFUSE_CALLERS_US,
 		.close_listeners = s->since_us >= REFUSE_CALLERS_US && !s->at_work,
