--- a/tests/mesh/lateorders.py
+++ b/tests/mesh/lateorders.py
@@ -260,3 +260,22 @@
 async def test_young_processes_at_a_slow_server(f):
     """As above, where sender and receiver have seen no work of the kind."""
     await slowed(f, True)
+
+
+@test({"front": 1, "back": 1}, slots=64, rules=RULES)
+async def test_server_slows_down_late_in_the_grace(f):
+    """Guards against orders that are taken later than 3 s after SIGTERM by what their kind has
+    lasted, and cut by the exit because their server has become slow: a request whose answer is
+    lost keeps the node from exiting earlier."""
+    entry, busy = f.nodes["front"][0], f.nodes["back"][0]
+    factor = {}
+    h = History(f, lambda rid: 30 if rid.startswith("read") else 0.4 * factor.get("x", 1))
+    await warm(h, entry, 0.4)
+    h.start = time.monotonic() + 0.2
+    h.send(entry, "GET", "/read/1", deadline=5)
+    h.stop(busy, 0)
+    asyncio.get_event_loop().call_later(
+        h.random.uniform(3, 4.2), lambda: factor.update(x=h.random.uniform(4, 12)))
+    await h.steadily(entry, 5.8, 10)
+    await h.ends()
+    h.verdict()
