An answer of the store without end is given up, and so are pages without end

Callers: the process of a node that reads the store ends by its memory, and the requests of all others on that machine with it: 4.5 GB in 2.5 s of a body without end, by a running node and by a young one. Chunks of one byte with long extensions, or pages with ever new keys, are read for ever, so that the node never hears of a change again. Cause: the body was kept whole whatever its length, neon's timeout is for each read, pages were asked for as long as the store said that there are more; a parsed document takes up to 85 times its length. What is beyond fails as any other call does. Tests: head, interim, body, extensions, items and pages without end.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "linux/clock.h"
 #include "settings.h"
 #include "xalloc.h"
 
@@ -19,6 +20,10 @@
 	ne_session *sess;
 	int read_timeout_s;
 	const char *captured_name; /* header to copy from each answer; may be NULL */
+	size_t body_max; /* longest body that is accepted, in bytes; 0: no limit */
+	uint64_t
+		body_due_ms; /* when the body that is being read has to be complete; 0: not begun */
+	lw_http_reply_t *reply; /* of the call in progress */
 };
 
 static pthread_once_t neon_once = PTHREAD_ONCE_INIT;
@@ -54,10 +59,28 @@
 	free(c);
 }
 
+/*
+ * A faulty server may send a body that never ends, or parts of it so that no read times out. The
+ * reader would keep all of it, or never return.
+ */
+static bool body_too_long(lw_httpc_t *c, size_t len)
+{
+	if (!c->body_max)
+		return false;
+	if (!c->body_due_ms)
+		c->body_due_ms = lw_now_ms() + (uint64_t)c->read_timeout_s * 1000;
+	return c->reply->len + len > c->body_max || lw_now_ms() > c->body_due_ms;
+}
+
 static int body_reader(void *ud, const char *buf, size_t len)
 {
-	lw_http_reply_t *r = ud;
+	lw_httpc_t *c = ud;
+	lw_http_reply_t *r = c->reply;
 
+	if (body_too_long(c, len)) {
+		ne_set_error(c->sess, "the body of the answer does not end");
+		return 1;
+	}
 	r->body = xrealloc(r->body, r->len + len + 1);
 	memcpy(r->body + r->len, buf, len);
 	r->len += len;
@@ -88,6 +111,15 @@
 	c->captured_name = header;
 }
 
+/*
+ * lw_httpc_bound_bodies() - from now on a call fails if the body of its answer has more than
+ * @max_bytes bytes, or is not complete within the timeout of the call after its first byte.
+ */
+void lw_httpc_bound_bodies(lw_httpc_t *c, size_t max_bytes)
+{
+	c->body_max = max_bytes;
+}
+
 /*
  * lw_httpc_call() - send one request and read the complete answer into @out.
  * @timeout_ms: how long to wait for the answer. neon counts whole seconds, so the value is rounded
@@ -105,6 +137,8 @@
 	int rc;
 
 	memset(out, 0, sizeof(*out));
+	c->reply = out;
+	c->body_due_ms = 0;
 	if (secs != c->read_timeout_s) {
 		ne_set_read_timeout(c->sess, secs);
 		c->read_timeout_s = secs;
@@ -115,7 +149,7 @@
 		ne_add_request_header(req, hdrs[i].name, hdrs[i].value);
 	if (body.len)
 		ne_set_request_body_buffer(req, body.ptr, body.len);
-	ne_add_response_body_reader(req, ne_accept_always, body_reader, out);
+	ne_add_response_body_reader(req, ne_accept_always, body_reader, c);
 	rc = ne_request_dispatch(req);
 	if (rc == NE_OK) {
 		out->status = ne_get_status(req)->code;
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -42,6 +42,7 @@
 lw_httpc_t *lw_httpc_new(const char *addr);
 void lw_httpc_free(lw_httpc_t *c);
 void lw_httpc_capture_header(lw_httpc_t *c, const char *header);
+void lw_httpc_bound_bodies(lw_httpc_t *c, size_t max_bytes);
 void lw_httpc_call(lw_httpc_t *c, const char *method, const char *path, const lw_http_hdr_t *hdrs,
 		   size_t nhdr, lw_str_t body, int timeout_ms, bool idempotent,
 		   lw_http_reply_t *out);
--- a/tests/mesh/flood.py
+++ b/tests/mesh/flood.py
@@ -25,14 +25,14 @@
     await f.start(ready)
 
 
-async def others_served(node, seconds, method="GET", path="/get/1"):
+async def others_served(node, seconds, done=lambda: False):
     """Sends requests through the node for a while; returns the longest wait in s."""
     longest, end = 0, time.monotonic() + seconds
-    while time.monotonic() < end:
+    while time.monotonic() < end and not done():
         check(node.proc.poll() is None, f"the process ended with {node.proc.returncode}")
         check(peak_mb(node) < MEMORY_MB, f"{peak_mb(node):.0f} MB of {MEMORY_MB}")
         at = time.monotonic()
-        a = await node.caller().ask(method, path, f"other{at}")
+        a = await node.caller().ask("GET", "/get/1", f"other{at}")
         check(a.status == 200, a)
         longest = max(longest, time.monotonic() - at)
         await asyncio.sleep(0.02)
@@ -93,13 +93,17 @@
 class EndlessStore(Store):
     """A store that answers without end in one way, once `kind` is set."""
     kind = None
-    ended = 0  # answers that the caller closed
+    ended = 0  # answers, or series of pages, that the node gave up
+    pages = 0
 
     async def answer(self, target, writer):
         if not self.kind:
             return await super().answer(target, writer)
+        if self.kind == "pages":
+            return self.one_page(target, writer)
         first, more = {
             "head": (b"HTTP/1.1 200 OK\r\nX-Field: ", b"x" * 8192),
+            "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 400),
             "body": (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", b" " * 65536),
             "extensions": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
                            b"1;" + b"x" * 4000 + b"\r\n \r\n"),
@@ -117,6 +121,19 @@
         self.ended += 1
         raise ConnectionError
 
+    def one_page(self, target, writer):
+        """Answers a watch with 410, so that everything is read, and that with ever more pages."""
+        if "kv-watch" in target:
+            writer.write(b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n")
+            return
+        if "after=" not in target and self.pages:
+            self.ended, self.pages = self.ended + 1, 0
+        self.pages += 1
+        items = ",".join(f'{{"key": "other/{self.pages:06}", "value": "{"A" * 90000}"}}'
+                         for _ in range(10))
+        data = f'{{"store_revision": 9, "truncated": true, "items": [{items}]}}'.encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(data) + data)
+
 
 @test({"front": 1}, start=False)
 async def test_store_that_answers_without_end(f):
@@ -125,9 +142,25 @@
     f.store = EndlessStore()
     await begin(f)
     node = f.nodes["front"][0]
-    for kind in ("head", "body", "extensions", "items"):
+    for kind in ("head", "interim", "body", "extensions", "items", "pages"):
         ended, f.store.kind = f.store.ended, kind
-        longest = await others_served(node, 2.5)
+        longest = await others_served(node, 4, lambda: f.store.ended > ended)
         check(f.store.ended > ended, f"{kind}: read without end, {peak_mb(node):.0f} MB")
         check_calm(node, longest)
     f.store.kind = None
+    f.store.put("op/config", f.document(2, RULES))
+    await until(lambda: any("version=2" in line for line in node.logged("E1200")), bool, 4)
+
+
+@test({"front": 1}, start=False)
+async def test_store_that_answers_a_young_node_without_end(f):
+    """Guards against a node that has no memory left, or never begins, as the first answer of the
+    store that it reads does not end."""
+    f.store = EndlessStore()
+    f.store.kind = "body"
+    await begin(f, False)
+    node = f.nodes["front"][0]
+    await until(lambda: f.store.ended or peak_mb(node) > MEMORY_MB, bool, 3)
+    check(peak_mb(node) < MEMORY_MB, f"{peak_mb(node):.0f} MB of {MEMORY_MB}")
+    f.store.kind = None
+    await f.until_ready(timeout=3)
