History of a load: what each attempt without an answer met

A request that ended "504 no_record" said nothing of the attempt that made it so: "no_record" answers a repeat, and its first attempt left no line. The history now has a line for each attempt that was not answered "done": the node, begin and end, the outcome, and where neon's exchange stopped.

--- a/src/httpc.c
+++ b/src/httpc.c
@@ -134,6 +134,8 @@
 	} else {
 		out->fail = LW_HTTPC_BROKEN;
 	}
+	if (out->fail)
+		snprintf(out->error, sizeof(out->error), "%s", ne_get_error(c->sess));
 	ne_request_destroy(req);
 	if (out->fail)
 		ne_close_connection(c->sess);
--- a/src/httpc.h
+++ b/src/httpc.h
@@ -28,6 +28,7 @@
 	char outcome[16];
 	char reason[24];
 	char index[24];
+	char error[96]; /* on failure: where the exchange stopped, in neon's words */
 	char captured[24]; /* value of the header named with lw_httpc_capture_header() */
 	unsigned retry_after_ms;
 	unsigned retries_used;
--- a/src/lwload.c
+++ b/src/lwload.c
@@ -5,6 +5,7 @@
  * "N done, N not_run, N unknown" per route, goodput, latency percentiles and
  * the recovery time, and can write a history file:
  *   invoke ID ROUTE KEY T_MS
+ *   attempt ID NODE BEGIN_MS END_MS OUTCOME REASON ["ERROR"]   (unless done)
  *   complete ID OUTCOME STATUS T_MS ATTEMPTS REASON
  * Latency and deadline are measured from the time a request was due, not from
  * when a free client sent it, so that saturated clients do not hide the wait.
@@ -127,17 +128,21 @@
 	return NULL;
 }
 
-static lw_httpc_t *client_for(lw_httpc_t **cache, const char *service, uint64_t id)
+/* the node of @service for attempt number @id; -1 if there is none */
+static int target_for(const char *service, uint64_t id)
 {
 	int match[TARGETS_MAX], n = 0;
 
 	for (int i = 0; i < load_run.ntargets; i++)
 		if (strcmp(load_run.targets[i].service, service) == 0)
 			match[n++] = i;
-	if (n == 0)
-		return NULL;
-	int t = match[id % (uint64_t)n];
+	return n ? match[id % (uint64_t)n] : -1;
+}
 
+static lw_httpc_t *client_for(lw_httpc_t **cache, int t)
+{
+	if (t < 0)
+		return NULL;
 	if (!cache[t])
 		cache[t] = lw_httpc_new(load_run.targets[t].addr);
 	return cache[t];
@@ -212,6 +217,21 @@
 	pthread_mutex_unlock(&load_run.lock);
 }
 
+/* what an attempt without the wanted answer met: the key to a request that ends "no_record" */
+static void record_attempt(const char *id, const char *node, uint64_t begin_ms,
+			   const lw_http_reply_t *rep)
+{
+	if (!load_run.history)
+		return;
+	pthread_mutex_lock(&load_run.lock);
+	fprintf(load_run.history, "attempt %s %s %llu %llu %s %s \"%s\"\n", id, node,
+		(unsigned long long)(begin_ms - load_run.t0),
+		(unsigned long long)(lw_now_ms() - load_run.t0),
+		lw_outcome_name((lw_outcome_t)outcome_of(rep)),
+		rep->fail ? "no_answer" : rep->reason, rep->error);
+	pthread_mutex_unlock(&load_run.lock);
+}
+
 static void run_job(lw_httpc_t **cache, const job_t *j)
 {
 	route_t *r = &load_run.routes[j->route];
@@ -238,7 +258,8 @@
 	}
 	/* an aggressive client: it retries immediately and ignores Retry-After */
 	while (v.attempts <= load_run.client_retries) {
-		lw_httpc_t *c = client_for(cache, r->service, j->id + (uint64_t)v.attempts);
+		int t = target_for(r->service, j->id + (uint64_t)v.attempts);
+		lw_httpc_t *c = client_for(cache, t);
 		uint64_t now = lw_now_ms();
 		lw_http_reply_t rep;
 
@@ -254,6 +275,8 @@
 		snprintf(v.reason, sizeof(v.reason), "%s", rep.fail ? "no_answer" : rep.reason);
 		if (v.outcome == LW_DONE)
 			check_own_answer(&rep, h[1].value);
+		else
+			record_attempt(h[1].value, load_run.targets[t].addr, now, &rep);
 		/* the request may have been executed: mark all further attempts as retries */
 		if (v.outcome == LW_UNKNOWN)
 			snprintf(h[2].value, sizeof(h[2].value), "1");
