Test: an exiting node answers what it has accepted (fails)

A drained node stands still until its exit is due, while callers and nodes send requests on kept and new connections.

--- a/tests/faults.sh
+++ b/tests/faults.sh
@@ -250,6 +250,22 @@
 	finish
 }
 
+# Symptom: a renewal ends "504 no_record": its first attempt was sent to a node
+#   that exited without an answer, so no node has a record of it.
+# Sequence: a drained node stands still until its exit is due; callers and nodes
+#   send requests on kept and on new connections, which the kernel accepts.
+# Cause: an exit that closes connections whose requests nobody has read. Every
+#   accepted connection of an exiting node ends with an answer.
+exit_answers_what_was_accepted() {
+	begin exit_answers_what_was_accepted
+	python3 tests/exit_probe.py "$(pid_of node-3-0)" "$(port_of 3 0 0)" "$(port_of 3 0 1)" \
+		>"$DIR/answers.txt" || why="$why; no answer: $(tr '\n' ',' <"$DIR/answers.txt")"
+	FIGURES=$(tr '\n' ',' <"$DIR/answers.txt")
+	wait "$(pid_of node-3-0)"
+	expect "the node did not exit" sh -c "! kill -0 $(pid_of node-3-0) 2>/dev/null"
+	finish
+}
+
 # Symptom: a leaving backend server gets new requests for as long as the
 #   platform's host list lags.
 # Sequence: a billing node drains; its backend server keeps running, and the
@@ -392,7 +408,7 @@
 }
 
 ALL="silent_connections answer_lost kill_node_and_server late_wake planned_stop
-drain_closes_connections leaving_gets_no_work config_stale_and_down cut_and_config_down retry_storm operators_race"
+drain_closes_connections exit_answers_what_was_accepted leaving_gets_no_work config_stale_and_down cut_and_config_down retry_storm operators_race"
 # a run of all tests skips those that KNOWN-RED.txt lists, and prints their names
 red() {
 	[ -f KNOWN-RED.txt ] && grep -q "^$1:" KNOWN-RED.txt
