lwnode logs what a call to a peer met when it got no answer

One line (E1302) for each attempt without an answer: the peer, the request's id, whether it was connected, written, silent or broken, and what that means for the call. Before, a call that ended unknown left only the caller's answer.

--- a/src/outbound.c
+++ b/src/outbound.c
@@ -35,6 +35,14 @@
 	}
 }
 
+static const char *fail_name(lw_pool_fail_t f)
+{
+	static const char *const names[] = { "ok",	     "not_connected", "not_written",
+					     "not_received", "silent",	      "connection_broken" };
+
+	return names[f];
+}
+
 static void reply_to_event(const Lw__Reply *r, lw_event_t *ev)
 {
 	ev->outcome = (unsigned)r->outcome <= LW_UNKNOWN ? (lw_outcome_t)r->outcome : LW_UNKNOWN;
@@ -87,6 +95,10 @@
 	ev->latency_ms = (uint32_t)(lw_now_ms() - now);
 	if (fail) {
 		fail_to_event(fail, ev);
+		lw_log(LW_LOG_request_timeout,
+		       "call=%llu attempt=%u peer=%s request=%s met=%s outcome=%s after_ms=%u",
+		       (unsigned long long)c->id, c->attempt, to->addr, rq->user_id,
+		       fail_name(fail), lw_outcome_name(ev->outcome), ev->latency_ms);
 		return;
 	}
 	reply_to_event(reply->reply, ev);
