Test fleets end only processes that are still theirs

cluster_stop signalled every pid that the fleet had ever started, also those of processes that had ended before. With 32768 pids on a busy machine the kernel gives such a pid away within seconds: a series of 40 drains ended a process of another fleet so (node-1-0 of one stopped in the second in which the other was torn down). Now a pid is signalled only while it is a child of the shell.

--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -184,26 +184,33 @@
 	done
 }
 
+# is_child PID: the process is one that this shell started. The pid of a
+# process that has ended may belong to somebody else's process by now.
+is_child() { [ "$(awk '/^PPid:/ { print $2 }' "/proc/$1/status" 2>/dev/null)" = $$ ]; }
+
+# signal_children SIGNAL: to the processes of this cluster that still run
+signal_children() {
+	for pid in $(all_pids); do
+		is_child "$pid" && kill "-$1" "$pid" 2>/dev/null
+	done
+}
+
 any_alive() {
 	for pid in $(all_pids); do
-		kill -0 "$pid" 2>/dev/null && return 0
+		is_child "$pid" && kill -0 "$pid" 2>/dev/null && return 0
 	done
 	return 1
 }
 
 cluster_stop() {
 	[ -f "$DIR/pids" ] || return 0
-	for pid in $(all_pids); do
-		kill -CONT "$pid" 2>/dev/null
-		kill -TERM "$pid" 2>/dev/null
-	done
+	signal_children CONT
+	signal_children TERM
 	for _ in $(seq 1 50); do
 		any_alive || break
 		sleep 0.1
 	done
-	for pid in $(all_pids); do
-		kill -KILL "$pid" 2>/dev/null
-	done
+	signal_children KILL
 	wait 2>/dev/null
 	: >"$DIR/pids"
 }
