--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -11,6 +11,7 @@
 #include "frame.h"
 #include "httpc.h"
 #include "httpd.h"
+#include "linux/clock.h"
 #include "linux/sock.h"
 #include "lwtest.h"
 #include "pool.h"
@@ -244,6 +245,76 @@
 	lw_pool_free(p);
 }
 
+/* a peer whose first connection went silent; queries are answered */
+typedef struct silent_peer {
+	int lfd;
+	uint64_t done_at; /* ms */
+} silent_peer_t;
+
+static void answer_query(const silent_peer_t *sp, int fd, const Lw__Query *q)
+{
+	Lw__Frame out = LW__FRAME__INIT;
+	Lw__Record rec = LW__RECORD__INIT;
+
+	rec.query_id = q->query_id;
+	rec.has_answer = lw_now_ms() >= sp->done_at;
+	rec.status = 200;
+	rec.state =
+		rec.has_answer ? LW__RECORD_STATE__RECORD_DONE : LW__RECORD_STATE__RECORD_RUNNING;
+	out.body_case = LW__FRAME__BODY_RECORD;
+	out.record = &rec;
+	lw_frame_write(fd, &out);
+}
+
+static void *silent_peer_main(void *arg)
+{
+	silent_peer_t *sp = arg;
+	int fds[64], n = 0;
+	Lw__Frame *in;
+
+	while (n < 64 && (fds[n] = accept(sp->lfd, NULL, NULL)) >= 0) {
+		if (!lw_frame_read(fds[n], 2000, 2000, &in)) {
+			if (in->body_case == LW__FRAME__BODY_QUERY)
+				answer_query(sp, fds[n], in->query);
+			lw_frame_free(in);
+		}
+		n++;
+	}
+	while (n)
+		close(fds[--n]);
+	return NULL;
+}
+
+/*
+ * Guards against an executed call that ends without an answer: its connection goes silent, and
+ * the server takes most of the call's time. The peer must be asked often enough that the answer
+ * is fetched before the deadline.
+ */
+static void answer_of_silent_call_comes_in_time(void)
+{
+	silent_peer_t sp = { .done_at = lw_now_ms() + 800 };
+	lw_pool_t *p = lw_pool_new();
+	lw_pool_call_t to = { .addr = NET_PORT_PEER, .timeout_ms = 1000, .probe_ms = 50 };
+	Lw__Frame f = LW__FRAME__INIT;
+	Lw__Request r = LW__REQUEST__INIT;
+	Lw__Frame *reply = NULL;
+	pthread_t t;
+
+	CU_ASSERT_EQUAL_FATAL(lw_sock_listen(NET_PORT_PEER, &sp.lfd), LW_OK);
+	pthread_create(&t, NULL, silent_peer_main, &sp);
+	r.request_id = 257;
+	r.route = "billing-svc/renew";
+	f.body_case = LW__FRAME__BODY_REQUEST;
+	f.request = &r;
+	CU_ASSERT_EQUAL(lw_pool_call(p, &to, &f, &reply), LW_POOL_OK);
+	CU_ASSERT(lw_pool_queries(p) <= 12);
+	lw_frame_free(reply);
+	shutdown(sp.lfd, SHUT_RDWR);
+	pthread_join(t, NULL);
+	close(sp.lfd);
+	lw_pool_free(p);
+}
+
 void suite_net(void)
 {
 	CU_pSuite s = CU_add_suite("net", NULL, NULL);
@@ -254,4 +325,5 @@
 	CU_add_test(s, "idem_keys_do_not_cross", idem_keys_do_not_cross);
 	CU_add_test(s, "last_reply_answers_a_call", last_reply_answers_a_call);
 	CU_add_test(s, "last_reply_is_no_pong", last_reply_is_no_pong);
+	CU_add_test(s, "answer_of_silent_call_comes_in_time", answer_of_silent_call_comes_in_time);
 }
