A stopping node exits once its peers have replied to its announcement

Cause: the node exits 0.2 s after it announced that it accepts nothing more, whatever the way to its peers takes. Requests sent before the announcement arrived come after the exit if both ways together take longer, on a slow link or where a process gets no processor.

Change: the announcement is a status that awaits a reply. What a peer sent before it knew precedes its reply on the connection, so once all have replied nothing is on its way. The node exits no sooner than before, and 1 s after the announcement at the latest, for peers that are frozen or cut off. Peers send other statuses unasked, so the reply repeats a number (Status.number, field 15); peers of older versions send none and are not waited for.

--- a/src/mesh.h
+++ b/src/mesh.h
@@ -116,6 +116,8 @@
 bool lw_mesh_has_unwritten_answers(const lw_mesh_t *m);
 void lw_mesh_close_all(lw_mesh_t *m);
 void lw_mesh_broadcast_status(lw_mesh_t *m);
+void lw_mesh_announce_exit(lw_mesh_t *m);
+bool lw_mesh_exit_confirmed(const lw_mesh_t *m);
 void lw_mesh_assert_liveness(lw_mesh_t *m, const lw_liveness_t *said);
 void lw_mesh_end_liveness(lw_mesh_t *m);
 void lw_mesh_send_state(lw_mesh_t *m, const char *node);
--- a/src/mesh.pb-c.c
+++ b/src/mesh.pb-c.c
@@ -2597,7 +2597,7 @@
   (ProtobufCMessageInit) lw__failed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lw__status__field_descriptors[13] =
+static const ProtobufCFieldDescriptor lw__status__field_descriptors[14] =
 {
   {
     "is_reply",
@@ -2755,6 +2755,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "number",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lw__Status, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lw__status__field_indices_by_name[] = {
   9,   /* field[9] = fetches */
@@ -2767,6 +2779,7 @@
   5,   /* field[5] = link */
   1,   /* field[1] = load */
   2,   /* field[2] = news_age_ms */
+  13,   /* field[13] = number */
   10,   /* field[10] = read_store */
   8,   /* field[8] = servers_hash */
   3,   /* field[3] = servers_revision */
@@ -2775,7 +2788,7 @@
 {
   { 1, 0 },
   { 3, 1 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor lw__status__descriptor =
 {
@@ -2785,7 +2798,7 @@
   "Lw__Status",
   "lw",
   sizeof(Lw__Status),
-  13,
+  14,
   lw__status__field_descriptors,
   lw__status__field_indices_by_name,
   2,  lw__status__number_ranges,
--- a/src/mesh.pb-c.h
+++ b/src/mesh.pb-c.h
@@ -484,10 +484,15 @@
    * the sender requests documents by Fetch; nodes of older versions are sent whole documents
    */
   protobuf_c_boolean fetches;
+  /*
+   * of this status if it awaits a reply; in the reply the same number. 0: a reply to none, or the
+   * sender is of an older version
+   */
+  uint32_t number;
 };
 #define LW__STATUS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lw__status__descriptor) \
-    , 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -80,6 +80,10 @@
 	/* outgoing: when this node last had something to send to the peer */
 	uint64_t used_us;
 	uint64_t opened_us;
+	uint32_t status_number; /* of the last status that awaits a reply */
+	/* incoming: number of the status that announced the exit; 0: none, or the peer has replied */
+	uint32_t exit_number;
+	bool peer_numbers; /* the peer's replies have the number of the status that they reply to */
 	uint64_t status_request_us; /* time of the unanswered status request; 0: none */
 	uint64_t late_us; /* time by which a host suspend delayed the data in the buffers */
 	uint64_t peer_version; /* configuration version in use at the peer, as far as known */
--- a/src/meshstatus.c
+++ b/src/meshstatus.c
@@ -76,8 +76,11 @@
 	l->mesh->ops->server_alive(l->mesh->ctx, l->node, &said);
 }
 
-/* sends this node's state; @read_store: the peer is asked to read the store */
-static void send_state(lw_link_t *l, bool is_reply, bool read_store)
+/*
+ * sends this node's state; @number: of the status that it replies to; @read_store: the peer is asked
+ * to read the store
+ */
+static void send_state(lw_link_t *l, bool is_reply, uint32_t number, bool read_store)
 {
 	lw_load_t own;
 	lw_meshframe_load_t load;
@@ -87,6 +90,7 @@
 	lw_gate_load(l->mesh->gate, &own);
 	lw_mesh_fill_load(l, &load, &own);
 	status.is_reply = is_reply;
+	status.number = is_reply ? number : ++l->status_number;
 	status.load = &load.load;
 	status.news_age_ms = l->mesh->ops->news_age_ms(l->mesh->ctx);
 	status.servers_revision = own_revision(l->mesh);
@@ -107,7 +111,7 @@
  */
 void lw_mesh_send_status(lw_link_t *l, bool is_reply)
 {
-	send_state(l, is_reply, false);
+	send_state(l, is_reply, 0, false);
 }
 
 /* sends the configuration to a node of an older version that is not known to have it */
@@ -187,6 +191,13 @@
 	lw_mesh_apply_store_read(l);
 }
 
+static void on_reply(lw_link_t *l, uint32_t number)
+{
+	l->peer_numbers |= number != 0;
+	if (number == l->exit_number)
+		l->exit_number = 0;
+}
+
 /* lw_mesh_on_status() - the peer sent its state. */
 void lw_mesh_on_status(lw_link_t *l, const Lw__Status *w)
 {
@@ -216,8 +227,10 @@
 	}
 	apply_peer_documents(l, w);
 	l->mesh->ops->status_received(l->mesh->ctx, l->node, w->read_store);
-	if (!w->is_reply)
-		lw_mesh_send_status(l, true);
+	if (w->is_reply)
+		on_reply(l, w->number);
+	else
+		send_state(l, true, w->number, false);
 }
 
 /*
@@ -249,6 +262,29 @@
 			lw_mesh_send_status(l, true);
 }
 
+/*
+ * lw_mesh_announce_exit() - tells the nodes that may send requests that this one accepts nothing
+ * more. The reply of each follows all requests that it sent before it knew.
+ */
+void lw_mesh_announce_exit(lw_mesh_t *m)
+{
+	for (lw_link_t *l = m->links; l; l = l->next) {
+		if (l->outgoing)
+			continue;
+		lw_mesh_send_status(l, false);
+		l->exit_number = l->peer_numbers ? l->status_number : 0;
+	}
+}
+
+/* lw_mesh_exit_confirmed() - whether all nodes with a connection to this one have replied. */
+bool lw_mesh_exit_confirmed(const lw_mesh_t *m)
+{
+	for (const lw_link_t *l = m->links; l; l = l->next)
+		if (l->exit_number)
+			return false;
+	return true;
+}
+
 /*
  * lw_mesh_send_state() - sends this node's state to @node, which then fetches the documents
  * that it lacks. A node whose connection is still being set up gets the state with the
@@ -319,7 +355,7 @@
 static void delegate_reading(lw_link_t *l, const void *ctx)
 {
 	(void)ctx;
-	send_state(l, true, true);
+	send_state(l, true, 0, true);
 }
 
 /*
--- a/src/proxystop.c
+++ b/src/proxystop.c
@@ -84,6 +84,7 @@
 		.refusing_us = p->refusing_us ? p->evloop.now_us - p->refusing_us : 0,
 		.at_work = p->engine.gate.ncalls || !p->engine.gate.exiting,
 		.last = is_last(p),
+		.unconfirmed = !lw_mesh_exit_confirmed(p->engine.mesh),
 	};
 	lw_stopplan_t plan = lw_stopplan(&state);
 
@@ -99,7 +100,7 @@
 		log_step(p, "refusing", &state);
 		lw_gate_stop_admitting(&p->engine.gate);
 		p->refusing_us = p->evloop.now_us;
-		lw_mesh_broadcast_status(p->engine.mesh);
+		lw_mesh_announce_exit(p->engine.mesh);
 	}
 	p->evloop.callers_refused = plan.refuse_callers;
 	if (plan.close_listeners)
--- a/src/stopplan.c
+++ b/src/stopplan.c
@@ -30,6 +30,12 @@
  * that arrives during the exit may have been executed. In microseconds.
  */
 #define PEERS_KNOW_US 200000
+/*
+ * The same as long as a peer has not replied to the announcement: the peer is far away or slow, and
+ * requests that it sent before are still on their way. One that takes longer is frozen or cut off.
+ * In microseconds.
+ */
+#define PEERS_REPLY_US 1000000
 /* a step may run early by this much, us */
 #define STEP_EARLY_US 20000
 /*
@@ -126,8 +132,10 @@
 /* whether nothing is in flight and all peers know that the node accepts nothing more */
 static bool may_exit(const lw_stopstate_t *s)
 {
+	uint64_t know_us = s->unconfirmed ? PEERS_REPLY_US : PEERS_KNOW_US;
+
 	return s->since_us >= CALLERS_KNOW_US + PEERS_KNOW_US && !s->oldest_us &&
-	       s->refusing_us + STEP_EARLY_US >= PEERS_KNOW_US;
+	       s->refusing_us + STEP_EARLY_US >= know_us;
 }
 
 /*
--- a/src/stopplan.h
+++ b/src/stopplan.h
@@ -31,6 +31,7 @@
 	uint64_t refusing_us; /* time since peers were told that nothing is accepted; 0: not told */
 	bool at_work; /* the backend server executes requests, or may still receive some */
 	bool last; /* no other node of the service accepts work */
+	bool unconfirmed; /* a peer has not replied to the announcement that nothing is accepted */
 } lw_stopstate_t;
 
 /* Why a request is expected to end before the process exits. */
--- a/tests/decide_retry.c
+++ b/tests/decide_retry.c
@@ -341,16 +341,20 @@
 }
 
 /*
- * stop SINCE GRACE OLDEST [at-work | just-refusing MS]: the steps of a
+ * stop SINCE GRACE OLDEST [at-work | just-refusing MS] [last] [unconfirmed]: the steps of a
  * stopping node. OLDEST 0: no request is in flight; at-work: the backend
  * server executes requests or may get some; just-refusing: time since peers
- * were told that nothing is accepted.
+ * were told that nothing is accepted; unconfirmed: a peer has not replied to that.
  */
 static void do_stop(world_t *w, const words_t *a)
 {
-	lw_stopstate_t state = { ms(a, 1),	    ms(a, 2),
-				 ms(a, 3),	    has(a, "just-refusing") ? ms(a, 5) : ms(a, 1),
-				 has(a, "at-work"), has(a, "last") };
+	lw_stopstate_t state = { ms(a, 1),
+				 ms(a, 2),
+				 ms(a, 3),
+				 has(a, "just-refusing") ? ms(a, 5) : ms(a, 1),
+				 has(a, "at-work"),
+				 has(a, "last"),
+				 has(a, "unconfirmed") };
 	lw_stopplan_t p = lw_stopplan(&state);
 
 	emit(w, "%s%s%s%s%s%s", p.tell_peers ? "tell_peers " : "",
