--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	src/frame.c src/lw.pb-c.c src/pool.c src/httpd.c src/httpc.c src/answer.c src/request.c src/cli.c \
 	src/backend.c src/node.c src/inbound.c src/outbound.c src/peersrv.c src/heartbeat.c \
 	src/confwatch.c src/adminpage.c \
-	src/tomlkeys.c src/linux/clock.c src/linux/sock.c
+	src/tomlkeys.c src/linux/clock.c src/linux/fatal.c src/linux/sock.c
 # the streaming node, lwproxy
 PROXY_SRC = src/proxyset.c src/evloop.c src/bytebuf.c src/httphead.c src/call.c src/fleetconf.c \
 	src/serverset.c src/serversetlist.c src/mailbox.c src/admit.c src/level.c src/overload.c src/overloadcost.c src/pathlevels.c src/recentmax.c src/longruns.c src/worktime.c src/slotshare.c src/waitq.c src/leaving.c src/notice.c src/ratelimit.c src/bconn.c src/gate.c src/gatejob.c src/gateanswer.c src/gatereturn.c src/gatestop.c src/handback.c src/gatelevel.c src/gatekind.c src/gateconn.c src/gatecrash.c src/gatenotice.c src/fingerprint.c src/quarantine.c src/place.c src/placestate.c src/placecost.c src/zoneplan.c src/machine.c src/placeindex.c src/placelist.c src/placeleaving.c src/leavinglog.c src/placelevel.c src/lease.c src/removal.c src/probe.c src/proxylease.c \
@@ -84,7 +84,7 @@
 $(BUILD)/lwburn.o $(BUILD)/simplot.o $(BUILD)/fleetplot.o: CFLAGS += $(shell pkg-config --cflags cairo)
 
 TEST_SRC = tests/test_main.c tests/test_policy.c tests/test_config.c tests/test_frame.c tests/test_net.c tests/script.c \
-	tests/decide.c tests/decide_route.c tests/decide_retry.c tests/decide_place.c tests/decide_zone.c tests/decide_lease.c tests/decide_spread.c tests/decide_join.c tests/decide_quarantine.c tests/decide_handback.c tests/decide_gate.c tests/test_lease.c tests/test_quarantine.c tests/test_quota.c tests/test_fairshare.c tests/test_fairfleet.c tests/decide_fair.c tests/test_organisation.c tests/test_notice.c tests/test_leaving.c tests/test_entryorder.c tests/placesim.c tests/test_placement.c tests/test_handback.c tests/test_meshframe.c tests/test_meshclosed.c tests/test_meshoutcomes.c tests/test_documents.c tests/test_docfetch.c
+	tests/decide.c tests/decide_route.c tests/decide_retry.c tests/decide_place.c tests/decide_zone.c tests/decide_lease.c tests/decide_spread.c tests/decide_join.c tests/decide_quarantine.c tests/decide_handback.c tests/decide_gate.c tests/test_lease.c tests/test_quarantine.c tests/test_quota.c tests/test_fairshare.c tests/test_fairfleet.c tests/decide_fair.c tests/test_organisation.c tests/test_notice.c tests/test_leaving.c tests/test_entryorder.c tests/placesim.c tests/test_placement.c tests/test_handback.c tests/test_meshframe.c tests/test_meshclosed.c tests/test_meshoutcomes.c tests/test_fates.c tests/test_documents.c tests/test_docfetch.c
 $(BUILD)/lwtest: $(TEST_SRC) tests/lwtest.h tests/decide.h tests/placesim.h $(PLATFORM_OBJ) $(BUILD)/liblw.a
 	$(CC) $(CFLAGS) -Itests -o $@ $(TEST_SRC) $(PLATFORM_OBJ) $(BUILD)/liblw.a $(LDLIBS) -lcunit
 
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -7,8 +7,12 @@
 
 #include "retryafter.h"
 #include "log.h"
+#include "stopplan.h"
 #include "xalloc.h"
 
+/* a failing process logs at most this many of its requests, oldest first */
+#define INTERRUPTED_LINES_MAX 256
+
 /* lw_engine_oldest_us() - age of the oldest request in progress, at least 1; 0: there is none. */
 uint64_t lw_engine_oldest_us(const lw_engine_t *e)
 {
@@ -208,6 +212,23 @@
 		end_for_exit(e->exchanges);
 }
 
+/*
+ * lw_engine_log_interrupted() - from the handler of a fatal signal: logs the requests whose
+ * connections close without an answer when the process ends now.
+ */
+void lw_engine_log_interrupted(const lw_engine_t *e)
+{
+	uint32_t n = 0;
+
+	for (const lw_exchange_t *x = e->exchanges; x && n < INTERRUPTED_LINES_MAX;
+	     x = x->next, n++)
+		lw_log_emergency(LW_LOG_request_interrupted,
+				 "id=%s route=%s org=%s service=%s given=%u sent=%d", x->request_id,
+				 x->route, lw_exchange_org(x),
+				 x->service ? x->service->name : "unknown", x->attempts.reached,
+				 x->call != NULL);
+}
+
 /* lw_exchange_on_timeout() - timer: the caller's deadline or the route's timeout has passed. */
 void lw_exchange_on_timeout(struct ev_loop *loop, ev_timer *w, int revents)
 {
@@ -234,6 +255,28 @@
 	return lw_bytebuf_len(&x->body) >= 2 * BODY_RETAINED_BYTES;
 }
 
+/* whether the body was incomplete until its latest @bytes, which complete it */
+static bool completes_body(const lw_exchange_t *x, size_t bytes, bool fin)
+{
+	uint64_t received = x->body_base + lw_bytebuf_len(&x->body);
+	uint64_t length = (uint64_t)x->body_length;
+
+	if (x->body_length < 0)
+		return fin;
+	return received >= length && received - bytes < length;
+}
+
+/*
+ * Whether the body is complete so late that the exit would interrupt the execution. A server does
+ * not execute a request whose body is cut short.
+ */
+static bool body_too_late(const lw_exchange_t *x, size_t bytes, bool fin)
+{
+	return completes_body(x, bytes, fin) && !x->answering &&
+	       x->engine->evloop->now_us - x->started_us >= LW_STOPPLAN_SLOW_BODY_US &&
+	       lw_exchange_outlasts_exit(x, true);
+}
+
 /* lw_exchange_body() - add @data to the request body; @fin: the body is complete. */
 void lw_exchange_body(lw_exchange_t *x, lw_str_t data, bool fin)
 {
@@ -242,6 +285,10 @@
 	lw_bytebuf_append_str(&x->body, data);
 	x->fin = fin;
 	lw_fingerprinter_body(&x->print, data, fin);
+	if (body_too_late(x, data.len, fin)) {
+		end_for_exit(x);
+		return;
+	}
 	if (x->awaits_body && x->print.known) {
 		x->awaits_body = false;
 		lw_exchange_attempt(x, LW_FAIL_NO_SERVER);
--- a/src/gatejob.c
+++ b/src/gatejob.c
@@ -110,6 +110,7 @@
 		if (j->body_length < 0)
 			lw_bconn_queue(j->conn, LW_STR("\r\n"));
 		j->unacked += data.len;
+		j->body_sent += data.len;
 	}
 	if (fin && j->body_length < 0)
 		lw_bconn_queue(j->conn, LW_STR("0\r\n\r\n"));
@@ -148,8 +149,11 @@
 					    j->started_us);
 }
 
-/* lw_job_start() - send the request to the backend server. */
-void lw_job_start(lw_job_t *j)
+/*
+ * lw_job_start() - send the request to the backend server. Returns false if no connection to it
+ * can be opened; the job then has to be failed or released.
+ */
+bool lw_job_start(lw_job_t *j)
 {
 	lw_gate_t *g = j->gate;
 	bool is_head =
@@ -161,10 +165,8 @@
 	lw_slotuse_start(&g->use, &j->waiter);
 	g->started_since_report++;
 	lw_ratelimit_take(&g->ratelimit, g->evloop->now_us);
-	if (!j->conn) {
-		lw_job_fail(j, LW_FAIL_NO_SERVER);
-		return;
-	}
+	if (!j->conn)
+		return false;
 	g->stats.started++;
 	count_arrival(j);
 	lw_histogram_add(&g->stats.wait, j->started_us - j->arrived_us);
@@ -181,6 +183,7 @@
 	j->timer.data = j;
 	ev_timer_start(g->evloop->loop, &j->timer);
 	lw_bconn_flush(j->conn);
+	return true;
 }
 
 static void job_body(lw_call_t *call, lw_str_t data, bool fin)
@@ -196,6 +199,11 @@
 		j->gate->queued_bytes += data.len;
 		return;
 	}
+	/* a server does not execute a request whose body is cut short */
+	if (lw_gate_body_too_late(j, data.len, fin)) {
+		lw_job_fail(j, LW_FAIL_BROKEN);
+		return;
+	}
 	send_body(j, data, fin);
 	lw_bconn_flush(j->conn);
 }
