--- a/tests/lwtest.h
+++ b/tests/lwtest.h
@@ -27,6 +27,7 @@
 void suite_handback(void);
 void suite_placement(void);
 bool lw_test_known_red(const char *name);
+void suite_ranges(void);
 void suite_scripts(const char *dir);
 int script_run(const char *path, char *why, size_t whylen);
 
--- a/tests/test_main.c
+++ b/tests/test_main.c
@@ -30,6 +30,7 @@
 	suite_entryorder();
 	suite_handback();
 	suite_placement();
+	suite_ranges();
 	suite_decisions(argc > 2 ? argv[2] : "tests/decisions");
 	suite_scripts(argc > 1 ? argv[1] : "tests/scripts");
 	CU_basic_set_mode(CU_BRM_VERBOSE);
