A promise to a queued request is never shorter because it is out of range

What callers see: a server announces a limit below 0.00024 requests a second, and a request that waits there is promised a pace that is some number of 32 bits, as low as 0 or 5 us (0 means that it is never handed back), on x86-64; on arm64 the longest one.

Cause: the time between two completions, 1e6 / limit, was converted to 32 bits whatever its size; that is undefined above 4,294 s.

--- a/src/handback.c
+++ b/src/handback.c
@@ -98,14 +98,18 @@
 /*
  * lw_handback_usual_us() - the time between two completions that a request queued now is promised:
  * the longest of what the average execution time, the pace measured now, and the rate limit
- * (@paced_us, 0: none) imply. 0: too little is known of the server's process.
+ * (@paced_us, 0: none) imply; UINT32_MAX if it is longer. 0: too little is known of the server's
+ * process.
  */
 uint32_t lw_handback_usual_us(const lw_handback_t *h, uint32_t limit, double service_us,
 			      double paced_us)
 {
+	double usual_us;
+
 	if (h->done_total < DONE_RELIABLE || !limit)
 		return 0;
-	return (uint32_t)ceil(fmax(fmax(service_us / limit, h->each_us), paced_us));
+	usual_us = ceil(fmax(fmax(service_us / limit, h->each_us), paced_us));
+	return usual_us < UINT32_MAX ? (uint32_t)usual_us : UINT32_MAX;
 }
 
 /* lw_handback_returned() - waiter @w was returned; its sender may put it back. */
