Retries far above the allowance count as many, not as none

What callers see: nothing in a sound fleet. With a small retry allowance in the settings, or a load frame with a number of retries that no server has had, the per mille used of the allowance is out of range of 32 bits; on x86-64 the low bits remain, in the test 0, and the nodes go on to send retries; on arm64 it is the largest number.

Cause: the quotient was converted whatever its size, at two places. Both now use one function that bounds it first. No change for values in range: the scripted decisions on retries are the same.

--- a/src/retrylimit.c
+++ b/src/retrylimit.c
@@ -188,6 +188,14 @@
 	return t->ratio * base_requests(l, now) + t->extra / (nodes ? nodes : 1);
 }
 
+/* @retries as per mille of @allowed, at most UINT32_MAX; 0 if nothing is allowed */
+static uint32_t permille_of(uint32_t retries, double allowed)
+{
+	double permille = allowed > 0 ? retries * 1000.0 / allowed : 0;
+
+	return permille < UINT32_MAX ? (uint32_t)permille : UINT32_MAX;
+}
+
 /*
  * lw_retrylimit_used() - per mille of this node's share of the allowance that
  * the retries of the window ending now have used.
@@ -196,14 +204,10 @@
 			    uint64_t now_us)
 {
 	lw_retryslice_t sum;
-	double allowed;
 
 	advance(l, t, now_us);
 	sum = window_sum(l, 0);
-	if (!sum.retries)
-		return 0;
-	allowed = allowance(l, t, sum.requests, nodes);
-	return allowed > 0 ? (uint32_t)(sum.retries * 1000.0 / allowed) : 0;
+	return permille_of(sum.retries, allowance(l, t, sum.requests, nodes));
 }
 
 /* sums over the kept slices: entry i is that of the newest i slices */
@@ -285,9 +289,7 @@
  */
 uint32_t lw_arrivals_used(const lw_arrivals_t *sum, const lw_retryallowance_t *t, double part)
 {
-	double allowed = t->ratio * most_requests(sum) + t->extra * part;
-
-	return allowed > 0 ? (uint32_t)(sum->retries * 1000.0 / allowed) : 0;
+	return permille_of(sum->retries, t->ratio * most_requests(sum) + t->extra * part);
 }
 
 /* whether @rank has one of the most urgent priorities */
