A very high rate limit of an organisation is no low one

What callers see: an organisation whose configuration has a rate limit of 4,294,967,296 (or 858,993,459.2) requests a second and no burst gets 10 of 1000 requests admitted at a node that knows no coordinator, the others 429, on x86-64. On arm64 all are admitted.

Cause: the number of requests allowed in the window, limit times window, was converted to 32 bits whatever its size. The remaining low bits were the limit. The count is compared as a floating-point number now, which needs no conversion; the result is the same wherever the number was in range.

--- a/src/quota.c
+++ b/src/quota.c
@@ -137,7 +137,7 @@
 		     STANDALONE_SLACK_SHARE * q->tolerance.slack;
 
 	return lw_quotawindow_sum(&u->window, q->tolerance.window_s, now_us) <
-	       (uint32_t)(all * share + u->phase);
+	       floor(all * share + u->phase);
 }
 
 /*
