Settings that no time can be computed from are refused

What operators see: [terms] takes nan, inf and 1e300 for its times and factors, at the start and at SIGHUP, as the comparisons with the lower bounds are false for them. What is computed from them by conversion to an integer (the grace time, the expiry of entries, the slices of the windows of retries and quotas) is undefined, and x86-64 and arm64 have different results.

Each number of [terms] has a range now, from one table; the message names the key and its range.

--- a/src/proxyset.c
+++ b/src/proxyset.c
@@ -13,6 +13,19 @@
 		t, k, kind, offsetof(lw_proxy_settings_t, field) \
 	}
 #define NKEYS (sizeof(keys) / sizeof(keys[0]))
+/* bounds of a time, s */
+#define TIME_MIN_S 0.01
+#define TIME_MAX_S 86400
+/* largest ratio or number of requests */
+#define NUMBER_MAX 1e9
+
+/* the range of one setting */
+typedef struct lw_range {
+	const char *key;
+	double value;
+	double least;
+	double most;
+} lw_range_t;
 
 static const lw_key_spec_t keys[] = {
 	KS("host", "ip", LW_KEY_NAME, ip),
@@ -104,6 +117,34 @@
 	return LW_OK;
 }
 
+/*
+ * The numbers of [terms] are finite and in a range in which all times and counts that are computed
+ * from them fit into their types.
+ */
+static lw_status_t check_terms(const char *name, const lw_proxy_settings_t *s)
+{
+	const lw_range_t terms[] = {
+		{ "grace_s", s->grace_s, 1, TIME_MAX_S },
+		{ "drain_s", s->drain_s, TIME_MIN_S, TIME_MAX_S },
+		{ "heartbeat_s", s->heartbeat_s, TIME_MIN_S, TIME_MAX_S },
+		{ "retry_window_s", s->retry_window_s, TIME_MIN_S, TIME_MAX_S },
+		{ "quota_window_s", s->quota_window_s, 1, TIME_MAX_S },
+		{ "quota_overage", s->quota_overage, 0, NUMBER_MAX },
+		{ "quota_slack", s->quota_slack, 0, NUMBER_MAX },
+		/* 0 and 0 turn retries off */
+		{ "retry_ratio", s->retry_ratio, 0, NUMBER_MAX },
+		{ "retry_extra", s->retry_extra, 0, NUMBER_MAX },
+	};
+
+	for (size_t i = 0; i < sizeof(terms) / sizeof(terms[0]); i++)
+		/* false for NaN, too */
+		if (!(terms[i].value >= terms[i].least && terms[i].value <= terms[i].most))
+			return lw_error(LW_ERR_SETTINGS,
+					"%s: [terms] %s must be a number from %g to %g; correct it",
+					name, terms[i].key, terms[i].least, terms[i].most);
+	return LW_OK;
+}
+
 /* lw_proxy_settings_check() - checks the values, whatever source they came from. */
 lw_status_t lw_proxy_settings_check(const char *name, const lw_proxy_settings_t *s)
 {
@@ -122,25 +163,12 @@
 		return lw_error(LW_ERR_SETTINGS,
 				"%s: [host] memory_mb is below 32 or max_fds below 256; raise them",
 				name);
-	if (s->grace_s < 1 || s->drain_s <= 0 || s->heartbeat_s <= 0 || s->retry_window_s <= 0)
-		return lw_error(
-			LW_ERR_SETTINGS,
-			"%s: [terms] grace_s must be >= 1, drain_s, heartbeat_s and retry_window_s > 0",
-			name);
-	if (s->quota_window_s < 1 || s->quota_overage < 0 || s->quota_slack < 0)
-		return lw_error(
-			LW_ERR_SETTINGS,
-			"%s: [terms] quota_window_s must be >= 1, quota_overage and quota_slack >= 0",
-			name);
+	if (check_terms(name, s))
+		return LW_ERR_SETTINGS;
 	if (s->log_request_lines > LW_LOG_REQUEST_LINES_MAX)
 		return lw_error(
 			LW_ERR_SETTINGS,
 			"%s: [log] request_lines_per_s above %d; each line costs CPU time of the host",
 			name, LW_LOG_REQUEST_LINES_MAX);
-	if (s->retry_ratio < 0 || s->retry_extra < 0)
-		return lw_error(
-			LW_ERR_SETTINGS,
-			"%s: [terms] retry_ratio and retry_extra must be >= 0; 0 turns retries off",
-			name);
 	return LW_OK;
 }
