A test of repeats waits until a node has noticed that its server is gone

Trace (3 of 3 failing plays): the first attempt went over a kept connection which the stand-in had just closed, so it counted as broken (given=1), and the order that the test is about (given=0 handed_back=1) did not come about; the call still ran on two servers only.

--- a/tests/mesh/attempts.py
+++ b/tests/mesh/attempts.py
@@ -241,6 +241,7 @@
     for i in range(400):  # these earn the retry allowance, whatever the rank
         await node.caller().ask("GET", "/leaf/1", f"w{i}")
     backs[0].server.stop()  # the nearest: chosen first, returns the call unexecuted
+    await asyncio.sleep(0.1)  # until its node has noticed that its connections are closed
     told = [await ask("back.1", "given=0 handed_back=1")]
     await asyncio.sleep(1)  # until it counts as healthy again
     told.append(await ask("used.1", "given=2 handed_back=1"))
