lwnode: a silent call is asked after until its deadline

A call that was executed could end without an answer: its connection had gone silent, and the intervals between the questions to its peer doubled without bound. A call of one second was asked after at 50, 150, 350 and 750 ms; an execution that ended later was not found. Now the interval grows to an eighth of the call's time only, about ten questions a call at most, whatever its time.

--- a/src/pool.c
+++ b/src/pool.c
@@ -18,6 +18,7 @@
 #define POOL_IDLE_MAX	8 /* idle connections kept per peer */
 #define POOL_CONNECT_MS 200
 #define POOL_QUERY_MS	200 /* a query is answered from memory */
+#define POOL_QUERIES	8 /* parts of a call's time: at most one of them between two queries */
 
 typedef struct idle_conn {
 	int fd;
@@ -280,11 +281,35 @@
 	return LW_POOL_BROKEN;
 }
 
+static void log_settled(const lw_pool_call_t *call, const Lw__Frame *req, uint64_t begin,
+			lw_pool_fail_t verdict)
+{
+	static const char *const names[] = { [LW_POOL_OK] = "done",
+					     [LW_POOL_NOT_RECEIVED] = "not_received",
+					     [LW_POOL_TIMEOUT] = "maybe" };
+
+	lw_log(LW_LOG_fate_heard, "peer=%s request=%s state=%s after_ms=%llu", call->addr,
+	       req->request->trace_id, names[verdict], (unsigned long long)(lw_now_ms() - begin));
+}
+
+/*
+ * An execution may end at any time, and only a query shows it if the connection is silent: the
+ * interval between queries grows only to a part of the call's time, so that the deadline does not
+ * come before the next one.
+ */
+static uint64_t next_probe(uint64_t probe, const lw_pool_call_t *call)
+{
+	uint64_t max = (uint64_t)call->timeout_ms / POOL_QUERIES + 1;
+
+	return probe * 2 < max ? probe * 2 : max;
+}
+
 /* waits until the call is settled, on @fd or, after the connection broke, by queries only */
 static lw_pool_fail_t await_reply(lw_pool_t *p, const lw_pool_call_t *call, const Lw__Frame *req,
 				  int *fd, Lw__Frame **reply)
 {
-	uint64_t until = lw_now_ms() + (uint64_t)call->timeout_ms;
+	uint64_t begin = lw_now_ms();
+	uint64_t until = begin + (uint64_t)call->timeout_ms;
 	uint64_t probe = (uint64_t)call->probe_ms;
 	lw_pool_fail_t verdict = LW_POOL_TIMEOUT;
 
@@ -312,9 +337,10 @@
 				lw_sock_abort(*fd);
 			*fd = -1;
 			drop_idle(p, call->addr);
+			log_settled(call, req, begin, verdict);
 			return verdict;
 		}
-		probe *= 2;
+		probe = next_probe(probe, call);
 	}
 }
 
