Test: requests that arrive at once each get a worker (fails)

Of three requests of 300 ms that arrive before the one idle worker has woken up, two wait behind the first, although the backend server has four slots.

--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "backend.h"
 #include "frame.h"
 #include "httpc.h"
 #include "httpd.h"
@@ -315,6 +316,55 @@
 	lw_pool_free(p);
 }
 
+#define SLOW_MS 300
+
+static int backend_results;
+
+static void slow_handler(void *ctx, const lw_http_req_t *req, lw_http_resp_t *resp)
+{
+	(void)ctx;
+	if (strstr(req->url, "slow"))
+		usleep(SLOW_MS * 1000);
+	lw_http_reply(resp, 200, "ok", 2);
+}
+
+static void count_result(void *ctx, uint64_t id, const lw_backend_result_t *res)
+{
+	(void)ctx;
+	(void)id;
+	CU_ASSERT_EQUAL(res->outcome, LW_DONE);
+	__atomic_add_fetch(&backend_results, 1, __ATOMIC_RELAXED);
+}
+
+static uint64_t run_and_wait(lw_backend_t *b, const lw_request_t *rq, int times)
+{
+	uint64_t begin = lw_now_ms();
+
+	backend_results = 0;
+	for (int i = 0; i < times; i++)
+		lw_backend_run(b, (uint64_t)i, rq, 0, begin + 5000);
+	while (__atomic_load_n(&backend_results, __ATOMIC_RELAXED) < times)
+		usleep(1000);
+	return lw_now_ms() - begin;
+}
+
+/*
+ * Guards against a request that waits behind another one although the backend server has free
+ * slots: both arrive before the one idle worker has woken up.
+ */
+static void requests_at_once_each_get_a_worker(void)
+{
+	lw_request_t quick = { .route = "svc/quick" }, slow = { .route = "svc/slow" };
+	lw_backend_t *b = lw_backend_new(NET_PORT_HTTP, 4, count_result, NULL);
+	lw_httpd_t *h;
+
+	CU_ASSERT_EQUAL_FATAL(lw_httpd_start(NET_PORT_HTTP, slow_handler, NULL, &h), LW_OK);
+	run_and_wait(b, &quick, 1);
+	usleep(20000);
+	CU_ASSERT(run_and_wait(b, &slow, 3) < 2 * SLOW_MS);
+	lw_httpd_stop(h);
+}
+
 void suite_net(void)
 {
 	CU_pSuite s = CU_add_suite("net", NULL, NULL);
@@ -326,4 +376,5 @@
 	CU_add_test(s, "last_reply_answers_a_call", last_reply_answers_a_call);
 	CU_add_test(s, "last_reply_is_no_pong", last_reply_is_no_pong);
 	CU_add_test(s, "answer_of_silent_call_comes_in_time", answer_of_silent_call_comes_in_time);
+	CU_add_test(s, "requests_at_once_each_get_a_worker", requests_at_once_each_get_a_worker);
 }
