lwnode: a request waits for a worker only while all of them are taken

A request could wait behind another one although the backend server had free slots: a worker counts as idle until it has woken up, so requests that arrived in that time were all counted on the one worker. Its next turn came when the first request was over, or when a later one started a worker. Now a worker is started when more requests wait than workers are idle.

--- a/src/backend.c
+++ b/src/backend.c
@@ -23,7 +23,9 @@
 
 struct lw_backend {
 	char addr[LW_NAME_MAX];
-	uint32_t workers, workers_max, idle;
+	uint32_t workers, workers_max;
+	uint32_t idle; /* workers that wait for a job, also those that were woken for one */
+	uint32_t queued; /* jobs that no worker has taken yet */
 	pthread_mutex_t lock;
 	pthread_cond_t more;
 	job_t *head, **tail;
@@ -118,6 +120,7 @@
 		b->idle--;
 		j = b->head;
 		b->head = j->next;
+		b->queued--;
 		if (!b->head)
 			b->tail = &b->head;
 		pthread_mutex_unlock(&b->lock);
@@ -179,7 +182,9 @@
 	pthread_mutex_lock(&b->lock);
 	*b->tail = j;
 	b->tail = &j->next;
-	if (b->idle == 0 && b->workers < b->workers_max)
+	b->queued++;
+	/* a worker that was woken for an earlier job is idle until it has taken that job */
+	if (b->queued > b->idle && b->workers < b->workers_max)
 		start_worker(b);
 	pthread_cond_signal(&b->more);
 	pthread_mutex_unlock(&b->lock);
