--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,11 @@
 CFLAGS += -std=gnu11 -D_GNU_SOURCE -Wall -Wextra -Werror -Isrc -I/usr/include/neon
 CXXFLAGS ?= -O2 -g
 CXXFLAGS += -std=c++17 -Wall -Wextra -Werror -Isrc
-LDLIBS = -lurcu-bp -lurcu-common -lneon -lmicrohttpd -lprotobuf-c -largtable2 -lxxhash -lev -lhttp_parser -ljansson -lzstd -lnettle -lpthread -lm -lstdc++
+# options for compiler and linker, see the target "undefined"
+SANITIZE =
+CFLAGS += $(SANITIZE)
+CXXFLAGS += $(SANITIZE)
+LDLIBS = -lurcu-bp -lurcu-common -lneon -lmicrohttpd -lprotobuf-c -largtable2 -lxxhash -lev -lhttp_parser -ljansson -lzstd -lnettle -lpthread -lm -lstdc++ $(SANITIZE)
 
 BUILD = build
 LIB_SRC = src/xalloc.c src/lwstr.c src/name.c src/status.c src/log.c src/counter.c src/timer.c \
@@ -28,7 +32,7 @@
 BINS = lwproxy lwsim lwnode lwctl lwburn lwfleet lwspread lwload lwstub-config lwstub-backend lwstub-relay
 BIN_PATHS = $(addprefix $(BUILD)/,$(BINS))
 
-.PHONY: all deps demo check lint format bench meshbench soak fuzz clean
+.PHONY: all deps demo check undefined lint format bench meshbench soak fuzz clean
 
 all: $(BIN_PATHS) $(BUILD)/lwtest
 
@@ -94,6 +98,7 @@
 check: deps all
 	$(MAKE) lint
 	$(BUILD)/lwtest tests/scripts tests/decisions
+	$(MAKE) undefined
 	CTL=$(BUILD)/lwctl sh tests/explain.sh
 	CTL=$(BUILD)/lwctl sh tests/account.sh
 	FLEET=$(BUILD)/lwfleet sh tests/fleetlog.sh
@@ -104,6 +109,12 @@
 	LWPROXY=$(BUILD)/lwproxy python3 tests/mesh/run.py
 	LWPROXY=$(BUILD)/lwproxy python3 tests/soak/soak.py --seeds 1,2,18,1001,2002,3001,4002,8006,9002,10001,11001 --seconds 8
 
+# the sanitizer makes the compiler take some texts for longer than they can be
+UNDEFINED = -O1 -fsanitize=undefined,float-divide-by-zero,float-cast-overflow -Wno-format-truncation
+undefined: deps
+	$(MAKE) -j2 BUILD=build-ubsan SANITIZE="$(UNDEFINED)" $(addprefix build-ubsan/,lwtest lwproxy lwsim)
+	@sh tools/undefined.sh build-ubsan
+
 lint:
 	@sh tools/lint.sh
 
@@ -134,4 +145,4 @@
 	@sh tools/fuzz.sh
 
 clean:
-	rm -rf $(BUILD)
+	rm -rf $(BUILD) build-ubsan
