Test of a longer quota window, red

Seen in the audit of arithmetic: the counters of an organisation's window are numbered by the time divided by the window's length. A longer window, set by SIGHUP, gives lower numbers than those counted last.

--- a/tests/test_ranges.c
+++ b/tests/test_ranges.c
@@ -63,6 +63,34 @@
 	lw_quota_free(q);
 }
 
+/* Guards against counters that stand still, and so refuse for good, once the window is longer. */
+static void test_longer_window(void)
+{
+	lw_quota_tolerance_t terms = { .window_s = 5, .overage = 0.25, .slack = 20 };
+	lw_quota_t *q = lw_quota_new(&terms, 1);
+	lw_orgs_t *orgs = lw_orgs_new();
+	lw_organisation_t *org = lw_orgs_add(orgs, lw_str_c("org"));
+	uint64_t now_us = NOW_US;
+	uint32_t admitted = 0;
+
+	org->rate_per_s = 2;
+	for (uint32_t i = 0; i < 1200; i++, now_us += 100000) {
+		lw_quota_decision_t v;
+
+		if (i == 600) {
+			terms.window_s = 10;
+			lw_quota_set_tolerance(q, &terms);
+			admitted = 0;
+		}
+		lw_quota_admit(q, org, now_us, &v);
+		admitted += v.admitted;
+	}
+	/* in 60 s */
+	CU_ASSERT(admitted >= 120);
+	lw_orgs_free(orgs);
+	lw_quota_free(q);
+}
+
 static lw_status_t parse_terms(const char *key, const char *value)
 {
 	lw_proxy_settings_t s;
@@ -112,5 +140,6 @@
 	add(s, "ranges_low_rate_limit", test_low_rate_limit);
 	add(s, "ranges_retries_far_above_the_allowance", test_retries_far_above_the_allowance);
 	add(s, "ranges_high_rate_limit", test_high_rate_limit);
+	add(s, "ranges_longer_window", test_longer_window);
 	add(s, "ranges_settings_out_of_range", test_settings_out_of_range);
 }
