A longer quota window does not stop its counters

What callers see: after a reload with a longer quota_window_s, a node that knows no coordinator refuses nearly all requests of an organisation with 429, until its host has been up for as many windows as before.

Cause: slices are numbered by the time divided by their length. With a longer window the numbers are lower than the newest one counted; nothing moved on any more, and what was counted never left the window.

A jump of the number in either direction now empties the counters, as in the limits of retries. What was admitted in the last window is forgotten then, once for each reload.

--- a/src/quotawindow.c
+++ b/src/quotawindow.c
@@ -12,7 +12,8 @@
 {
 	uint64_t slice = (uint64_t)((double)now_us / (window_s * 1e6 / LW_QUOTAWINDOW_SLICES));
 
-	if (slice > w->newest + LW_QUOTAWINDOW_COUNTERS) {
+	/* also if slices are longer than before and have lower numbers */
+	if (slice - w->newest > LW_QUOTAWINDOW_COUNTERS) {
 		memset(w->count, 0, sizeof(w->count));
 		w->newest = slice;
 	}
