--- a/tests/mesh/run.py
+++ b/tests/mesh/run.py
@@ -45,6 +45,7 @@
 import starts  # noqa: E402,F401
 import stops  # noqa: E402,F401
 import stores  # noqa: E402,F401
+import twofaults  # noqa: E402,F401
 import uploads  # noqa: E402,F401
 from fleet import Fleet  # noqa: E402
 from harness import TESTS  # noqa: E402
