Failing tests: copies of rejections with an id end the next request

A late second copy of a rejection bears the id of its own request, so it is told from the answer to the next request on the connection, and the connection is closed as invalid. The server is at work on that request then: an order is answered 502, and a read too if the same happens at its second server.

--- a/tests/mesh/copies.py
+++ b/tests/mesh/copies.py
@@ -8,7 +8,7 @@
 from harness import check, runs, test
 
 ORDERS = [route("get", "/get/", "front"), route("put", "/put/", "back", "unsafe", 0, 5, 2, attempts=1)]
-READS = [route("read", "/read/", "back")]
+READS = [route("read", "/read/", "back"), route("order", "/order/", "back", "unsafe")]
 REQUESTS = 30
 REFUSALS = (408, 421, 429, 503)
 
@@ -91,18 +91,38 @@
     await asyncio.sleep(0.05)
 
 
-@test({"front": 1, "back": 2}, rules=READS)
-async def test_copy_of_a_rejection_meets_a_read(f):
-    """Guards against a read that is answered 502 or 503 while its servers are at work on it: the
-    late second copies of rejections without an id are taken for the answers to both attempts."""
+async def after_rejections(f, named, method, path):
+    """Sends requests that are rejected with late copies, each followed by one that is not: that one
+    is answered if it runs."""
     node = f.nodes["front"][0]
     for n in f.nodes["back"]:
-        n.server.names_rejections, n.server.behave = False, shed_full
+        n.server.names_rejections, n.server.behave = named, shed_full
     answers = {}
     for i in range(REQUESTS):
         await node.caller().ask("GET", "/read/1", f"full{i}")
-        answers[f"r{i}"] = (await node.caller().ask("GET", "/read/1", f"r{i}")).status
+        answers[f"r{i}"] = (await node.caller().ask(method, path, f"r{i}")).status
     rejected = [a for a in answers if not runs(f, a)]
     bad = [(a, s, runs(f, a)) for a, s in answers.items() if runs(f, a) and s != 200]
-    check(not bad, f"{len(bad)} of {REQUESTS} reads ran and were not answered: {bad[:3]}")
-    check(len(rejected) < REQUESTS / 2, f"{len(rejected)} of {REQUESTS} reads reached no server")
+    check(not bad, f"{len(bad)} of {REQUESTS} requests ran and were not answered: {bad[:3]}")
+    check(len(rejected) < REQUESTS / 2, f"{len(rejected)} of {REQUESTS} requests reached no server")
+    check(not [a for a in answers if method == "POST" and runs(f, a) > 1], "ran twice")
+
+
+@test({"front": 1, "back": 2}, rules=READS)
+async def test_copy_of_a_rejection_meets_a_read(f):
+    """Guards against a read that is answered 502 or 503 while its servers are at work on it: the
+    late second copies of rejections without an id are taken for the answers to both attempts."""
+    await after_rejections(f, False, "GET", "/read/1")
+
+
+@test({"front": 1, "back": 2}, rules=READS)
+async def test_named_copy_meets_a_read(f):
+    """Guards against a read that is answered 502 while its servers are at work on it: the late
+    second copies of rejections, each with the id of its request, end both attempts."""
+    await after_rejections(f, True, "GET", "/read/1")
+
+
+@test({"front": 1, "back": 2}, rules=READS)
+async def test_named_copy_meets_an_order(f):
+    """As above; an order has one attempt."""
+    await after_rejections(f, True, "POST", "/order/1")
