The copy of an earlier answer is passed over, the answer after it is read

Cause: an answer with another id ended the connection, and with it the request at work. Protocol: 'An extra response may arrive late, at the point where the next response is expected. The ID identifies it.'

Change: if the id is that of another request which the connection carried, the answer is read to its end and dropped, and the next one is awaited. Not if its length is unknown or over 16 KiB, or if the connection carried a HEAD request, whose answer has a length without a body: then its end is not certain and the connection is closed as before, as it is for ids that it never carried.

--- a/src/bconn.c
+++ b/src/bconn.c
@@ -19,6 +19,8 @@
  */
 #define FRAMING_MAX_BYTES 65536
 #define FRAMING_FACTOR	  16
+/* longest body of an answer that is passed over */
+#define SKIPPED_BODY_MAX_BYTES 16384
 
 static void watch(lw_bconn_t *c)
 {
@@ -64,7 +66,7 @@
 	lw_bconn_t *c = p->data;
 
 	c->data_bytes += len;
-	if (c->user)
+	if (c->user && !c->skipping)
 		c->ops->body(c->user, (lw_str_t){ at, len });
 	return c->closed;
 }
@@ -94,6 +96,27 @@
 		lw_bconn_close(c);
 }
 
+/* the end of the answer that is passed over: the next one follows; returns whether to parse on */
+static bool skipped(lw_bconn_t *c)
+{
+	c->skipping = false;
+	c->completed = false;
+	c->body_bytes = c->data_bytes = 0;
+	if (!c->keep)
+		end_broken(c);
+	return c->keep;
+}
+
+/* the answer has been read to its end; returns whether to parse on */
+static bool end_answer(lw_bconn_t *c)
+{
+	c->in_body = false;
+	if (c->skipping)
+		return skipped(c);
+	answer_complete(c);
+	return false;
+}
+
 /* processes the head of the next response; returns false to stop parsing for now */
 static bool parse_head(lw_bconn_t *c)
 {
@@ -132,13 +155,10 @@
 	if (c->closed)
 		return false;
 	lw_bytebuf_consume(&c->in, len);
+	if (c->skipping)
+		c->head_bytes += len;
 	c->in_body = true;
-	if (head.body_length == 0) {
-		c->in_body = false;
-		answer_complete(c);
-		return false;
-	}
-	return true;
+	return head.body_length == 0 ? end_answer(c) : true;
 }
 
 /*
@@ -164,11 +184,7 @@
 		return false;
 	}
 	lw_bytebuf_consume(&c->in, used);
-	if (c->completed) {
-		c->in_body = false;
-		answer_complete(c);
-	}
-	return false;
+	return c->completed && end_answer(c);
 }
 
 static void parse(lw_bconn_t *c)
@@ -264,6 +280,8 @@
 	c->ops = ops;
 	c->user = user;
 	c->is_head = is_head;
+	c->carried_head |= is_head;
+	c->skipping = false;
 	c->in_body = false;
 	c->completed = false;
 	c->keep = false;
@@ -294,6 +312,17 @@
 	return false;
 }
 
+/*
+ * lw_bconn_skip_answer() - from within the head callback: the answer with the head @h is not the one
+ * awaited, which comes after it. Returns false if its end cannot be told for certain.
+ */
+bool lw_bconn_skip_answer(lw_bconn_t *c, const lw_httphead_t *h)
+{
+	c->skipping =
+		!c->carried_head && h->body_length >= 0 && h->body_length <= SKIPPED_BODY_MAX_BYTES;
+	return c->skipping;
+}
+
 /*
  * lw_bconn_long_body() - the body of the current request exceeds one window, so the server may
  * legitimately pause reading. The kernel then takes longer to detect a server that vanished
--- a/src/bconn.h
+++ b/src/bconn.h
@@ -51,6 +51,8 @@
 	bool sent; /* bytes of this request were passed to the kernel */
 	bool long_body; /* the server may pause while it reads the long body of the request */
 	bool is_head; /* the answer to a HEAD request has no body */
+	bool carried_head; /* so may the copy of an answer, whatever length it announces */
+	bool skipping; /* the answer being read is passed over */
 	size_t head_bytes; /* of interim answers to the current request */
 	size_t body_bytes; /* of the body of the answer so far, as sent */
 	size_t data_bytes; /* of that: content */
@@ -72,6 +74,7 @@
 void lw_bconn_start(lw_bconn_t *c, const lw_bconn_ops_t *ops, void *user, bool is_head);
 void lw_bconn_remember(lw_bconn_t *c, uint64_t id_digest);
 bool lw_bconn_has_carried(const lw_bconn_t *c, uint64_t id_digest);
+bool lw_bconn_skip_answer(lw_bconn_t *c, const lw_httphead_t *h);
 void lw_bconn_long_body(lw_bconn_t *c);
 void lw_bconn_queue(lw_bconn_t *c, lw_str_t data);
 void lw_bconn_flush(lw_bconn_t *c);
--- a/src/gateanswer.c
+++ b/src/gateanswer.c
@@ -2,6 +2,7 @@
 #include "gate_int.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /*
  * The body of a rejection is read for at most this time and up to this length, so that the
@@ -114,6 +115,12 @@
 	return lw_str_eq_c(id, j->request_id);
 }
 
+/* Whether @id is that of another request which the connection carried before. */
+static bool is_copy(const lw_job_t *j, lw_str_t id)
+{
+	return id.len && lw_bconn_has_carried(j->conn, XXH3_64bits(id.ptr, id.len));
+}
+
 static bool on_head(void *user, const lw_httphead_t *h)
 {
 	lw_job_t *j = user;
@@ -123,7 +130,8 @@
 
 	if (!is_answer_to(j, id, not_executed)) {
 		g->stats.invalid_answers++;
-		return false;
+		/* the server is at work on this request: closing the connection would end it */
+		return is_copy(j, id) && lw_bconn_skip_answer(j->conn, h);
 	}
 	j->conn->answered_without_id = !id.len;
 	lw_gate_learn_load(g, lw_httphead_find(h, LW_HEADER_LOAD));
