A stopping node does not wait for the reply of a peer that had fallen silent

What callers saw: a service without one of its nodes for up to a second longer in each planned stop while some other host is down: the exit waited for the reply of a machine that had failed.

Cause: all connections of others were awaited for 1 s at most, also that of a host from which nothing had come for long and nothing can be on its way. Change: only who has sent something within the last second is awaited.

--- a/src/meshstatus.c
+++ b/src/meshstatus.c
@@ -7,6 +7,8 @@
 
 /* time that a peer has to get a new configuration by itself, us */
 #define CONFIG_PUSH_DELAY_US 600000
+/* the reply of a node that has sent nothing for this long is not awaited, us */
+#define SENDER_QUIET_MAX_US 1000000
 /* minimum interval between frames with admission levels on one connection, us */
 #define LEVELS_INTERVAL_US 20000
 
@@ -262,9 +264,19 @@
 			lw_mesh_send_status(l, true);
 }
 
+/*
+ * Whether the peer may have requests on their way here. One that has been quiet for longer has
+ * none, or has failed: without this a failed host would delay the exit of every other one.
+ */
+static bool sends_to_us(const lw_link_t *l)
+{
+	return l->mesh->evloop->now_us - l->last_recv_us < SENDER_QUIET_MAX_US;
+}
+
 /*
  * lw_mesh_announce_exit() - tells the nodes that may send requests that this one accepts nothing
- * more. The reply of each follows all requests that it sent before it knew.
+ * more. The reply of each follows all requests that it sent before it knew. The replies of those
+ * that sent something lately are awaited, see lw_mesh_exit_confirmed().
  */
 void lw_mesh_announce_exit(lw_mesh_t *m)
 {
@@ -272,11 +284,11 @@
 		if (l->outgoing)
 			continue;
 		lw_mesh_send_status(l, false);
-		l->exit_number = l->peer_numbers ? l->status_number : 0;
+		l->exit_number = l->peer_numbers && sends_to_us(l) ? l->status_number : 0;
 	}
 }
 
-/* lw_mesh_exit_confirmed() - whether all nodes with a connection to this one have replied. */
+/* lw_mesh_exit_confirmed() - whether all nodes that send requests to this one have replied. */
 bool lw_mesh_exit_confirmed(const lw_mesh_t *m)
 {
 	for (const lw_link_t *l = m->links; l; l = l->next)
