From 2.6 s before its exit a stopping machine takes only what surely ends

Callers saw: orders of a kind that had lasted 0.4 s, taken 3.2 to 4.6 s after SIGTERM by a machine that a lost answer held up, ended 502 at its exit with their server at work, as that had become 4 to 12 times slower. The exit cut them, later than LOST excuses (sent more than 3 s after SIGTERM). Cause: recent durations tell nothing of a server that becomes slow later. Change: from 2.6 s before the exit on, by one rule for a machine that is held up and for the last one of its service, a request is taken by its deadline, or if 12 times the longest run of its kind still ends; nothing of an unknown kind.

--- a/src/evloop.h
+++ b/src/evloop.h
@@ -35,7 +35,7 @@
 	uint64_t exit_us;
 	/* only calls made by running requests are still accepted on this host */
 	bool callers_refused;
-	bool certain_only; /* only requests whose senders give up before the exit are accepted */
+	bool cautious; /* stopping: only requests that surely end before the exit are accepted */
 	bool peers_notified; /* other nodes were asked to send requests elsewhere */
 	ev_prepare prepare;
 	ev_check check;
--- a/src/gatestop.c
+++ b/src/gatestop.c
@@ -47,7 +47,7 @@
 		.longest_us = longest_us(g, ask, of_kind_us),
 		.known = of_kind_us > 0,
 		.idempotent = ask->idempotent,
-		.certain_only = evloop->certain_only && !ask->begun,
+		.cautious = evloop->cautious && !ask->begun,
 		.begun = ask->begun,
 	};
 	return lw_stopplan_judge(&work);
--- a/src/proxystop.c
+++ b/src/proxystop.c
@@ -95,9 +95,9 @@
 	}
 	if (plan.close_idle)
 		lw_callers_close_idle(p->callers);
-	if (plan.certain_only && !p->evloop.certain_only)
-		log_step(p, "certain_only", &state);
-	p->evloop.certain_only = plan.certain_only;
+	if (plan.cautious && !p->evloop.cautious)
+		log_step(p, "cautious", &state);
+	p->evloop.cautious = plan.cautious;
 	if (plan.refuse && !p->engine.gate.exiting) {
 		log_step(p, "refusing", &state);
 		lw_gate_stop_admitting(&p->engine.gate);
--- a/src/stopplan.c
+++ b/src/stopplan.c
@@ -58,6 +58,8 @@
 #define RUN_MIN_US	    1000000
 /* the same for a kind of work of which little is known; the longest of all work counts then, us */
 #define RUN_UNKNOWN_US 2600000
+/* how many times longer work may take at a server that becomes slow */
+#define SLOWER_MAX 12
 
 /*
  * lw_stopplan_exit_us() - latest exit of a process that has @grace_us between
@@ -76,7 +78,7 @@
 {
 	uint64_t spare_us = w->longest_us / (w->idempotent ? SPARE_DIVISOR : ORDER_SPARE_DIVISOR);
 	uint64_t least_us = w->known || w->begun ? RUN_MIN_US : RUN_UNKNOWN_US;
-	uint64_t run_us = w->longest_us + spare_us;
+	uint64_t run_us = w->cautious ? w->longest_us * SLOWER_MAX : w->longest_us + spare_us;
 
 	return run_us > least_us ? run_us : least_us;
 }
@@ -92,7 +94,7 @@
 
 	if (w->left_us >= w->deadline_us)
 		v.basis = LW_STOPBASIS_DEADLINE;
-	else if (!w->certain_only && w->left_us >= v.expected_us)
+	else if (w->left_us >= v.expected_us && (w->known || !w->cautious))
 		v.basis = LW_STOPBASIS_DURATION;
 	return v;
 }
@@ -129,13 +131,14 @@
 }
 
 /*
- * Whether the node goes on only because it is the last one of its service, and a request of unknown
- * duration may outlast the exit. Any expected duration may be exceeded, and the longer the node
- * goes on, the more work it would interrupt; only the deadline of a sender is certain.
+ * Whether requests are accepted only by the deadline of their sender, or if they are so short that
+ * they end at a slow server, too: a server may become slow after it took work, so that the exit
+ * interrupts what recent durations allowed. Only nodes that are held up, or the last of their
+ * service, still accept work then; others stopped accepting when work of unknown duration ended.
  */
-static bool is_certain_only(const lw_stopstate_t *s)
+static bool is_cautious(const lw_stopstate_t *s)
 {
-	return could_refuse(s) && s->last && !leaves(s, RUN_UNKNOWN_US);
+	return !time_to_refuse(s) && !leaves(s, RUN_UNKNOWN_US);
 }
 
 /* whether nothing is in flight and all peers know that the node accepts nothing more */
@@ -156,7 +159,7 @@
 	lw_stopplan_t p = {
 		.tell_peers = s->since_us >= TELL_PEERS_US,
 		.close_idle = s->since_us >= CLOSE_IDLE_US,
-		.certain_only = is_certain_only(s),
+		.cautious = is_cautious(s),
 		.refuse = time_to_refuse(s),
 		.refuse_callers = s->since_us >= REFUSE_CALLERS_US,
 		.close_listeners = s->since_us >= REFUSE_CALLERS_US && !s->at_work,
--- a/src/stopplan.h
+++ b/src/stopplan.h
@@ -17,7 +17,7 @@
 typedef struct lw_stopplan {
 	bool tell_peers; /* tell other nodes to send work elsewhere */
 	bool close_idle; /* close idle client connections */
-	bool certain_only; /* accept only requests whose senders give up before the exit */
+	bool cautious; /* accept only requests that end in time even at a server that slows down */
 	bool refuse; /* accept nothing more, reject queued requests unexecuted */
 	bool refuse_callers; /* refuse user requests that enter at this node */
 	bool close_listeners; /* accept no more connections */
@@ -56,7 +56,7 @@
 	uint64_t longest_us; /* longest recent execution; of its kind of work if @known */
 	bool known; /* enough executions of its kind of work are known */
 	bool idempotent; /* may be executed again if it is interrupted */
-	bool certain_only; /* an expected duration is no reason to accept it */
+	bool cautious; /* see lw_stopplan_t */
 	bool begun; /* a server has received a part of its body: it fails if it is refused now */
 } lw_stopwork_t;
 
--- a/tests/decide_retry.c
+++ b/tests/decide_retry.c
@@ -354,16 +354,16 @@
 	lw_stopplan_t p = lw_stopplan(&state);
 
 	emit(w, "%s%s%s%s%s%s%s", p.tell_peers ? "tell_peers " : "",
-	     p.close_idle ? "close_idle " : "", p.certain_only ? "certain_only " : "",
+	     p.close_idle ? "close_idle " : "", p.cautious ? "cautious " : "",
 	     p.refuse ? "refuse " : "", p.refuse_callers ? "refuse_callers " : "",
 	     p.close_listeners ? "close_listeners " : "", p.exit ? "exit" : "go_on");
 }
 
 /*
- * stop-takes LEFT WAIT LONGEST DEADLINE [order] [unknown] [begun] [certain]: whether a stopping node accepts
+ * stop-takes LEFT WAIT LONGEST DEADLINE [order] [unknown] [begun] [cautious]: whether a stopping node accepts
  * such a request. order: it is not idempotent; unknown: LONGEST is that of all kinds of work;
- * begun: its body is complete now, and the server has received a part of it; certain: only the
- * deadline counts
+ * begun: its body is complete now, and the server has received a part of it; cautious: the
+ * server may become slow
  */
 static void do_stop_takes(world_t *w, const words_t *a)
 {
@@ -374,7 +374,7 @@
 		.deadline_us = ms(a, 4),
 		.known = !has(a, "unknown"),
 		.idempotent = !has(a, "order"),
-		.certain_only = has(a, "certain"),
+		.cautious = has(a, "cautious"),
 		.begun = has(a, "begun"),
 	};
 
--- a/tests/mesh/lateorders.py
+++ b/tests/mesh/lateorders.py
@@ -274,8 +274,9 @@
     h.start = time.monotonic() + 0.2
     h.send(entry, "GET", "/read/1", deadline=5)
     h.stop(busy, 0)
+    slow_at = h.random.uniform(3.05, 4.2) - h.now()
     asyncio.get_event_loop().call_later(
-        h.random.uniform(3, 4.2), lambda: factor.update(x=h.random.uniform(4, 12)))
+        slow_at, lambda: factor.update(x=h.random.uniform(4, 12)))
     await h.steadily(entry, 5.8, 10)
     await h.ends()
     h.verdict()
