--- a/tests/mesh/flood.py
+++ b/tests/mesh/flood.py
@@ -9,7 +9,8 @@
 
 MEMORY_MB = 64
 RULES = [route("get", "/get/", "front", timeout=5), route("put", "/put/", "front", "unsafe"),
-         route("up", "/up/", "back", "upload", timeout=30)]
+         route("up", "/up/", "back", "upload", timeout=30, target=15),
+         route("wait", "/wait/", "slow", timeout=10, target=8)]
 
 
 def peak_mb(node):
@@ -90,6 +91,35 @@
         check(a.status == 200 and a.whole, f"answer {i} of a caller that reads late: {a}")
 
 
+def many_kinds(i):
+    """Returns what one of many connections sends: part of an upload, requests behind one that lasts, or
+    a head without end."""
+    head = f" HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: many{i}\r\nX-Deadline-Ms: 9000\r\n"
+    if i % 3 == 0:
+        return f"POST /up/1{head}Content-Length: 1000000\r\n\r\n".encode() + b"x" * 500000
+    if i % 3 == 1:
+        return f"GET /wait/1{head}\r\n".encode() + \
+            f"GET /none{head}X: {'x' * 8000}\r\n\r\n".encode() * 20
+    return f"GET /wait/1{head}X: {'x' * 16000}".encode()
+
+
+@test({"front": 1, "back": 2, "slow": 1}, start=False, rules=RULES)
+async def test_sum_of_what_many_callers_send(f):
+    """Guards against a node that runs out of memory, as each of many connections may fill its buffers
+    and nothing bounds all of them together."""
+    await begin(f)
+    node = f.nodes["front"][0]
+
+    async def lasts(s, head, rid, stage):
+        await asyncio.sleep(2 if stage == "run" and rid.startswith("many") else 0)
+    for n in f.all():
+        n.server.behave = lasts
+    longest, *_ = await asyncio.gather(
+        others_served(node, 2),
+        *[send_without_end((node.ip, CALLERS), b"", 2, many_kinds(i)) for i in range(900)])
+    check_calm(node, longest)
+
+
 class EndlessStore(Store):
     """A store that answers without end in one way, once `kind` is set."""
     kind = None
