The bytes in all buffers are bounded together, by a share of memory_mb

Cause: a bound for each connection and none for the process; nothing enforced memory_mb. Fix: one account of what is in all byte queues (lw_bytebuf_total). Beyond an eighth of memory_mb callers may hold 4 KiB of a body or of further requests, and requests with bodies over 16 KiB or of unknown length are refused, 503, before a byte of the body is kept; beyond a quarter all new requests of callers. Accepted ones and calls of running requests go on. E1650 tells each change and what is held, lw_no_buffers_total the refusals. What a server reads is not held up: only bytes that wait for it count then. Test: 3 of 3 failed before, 3 of 3 passed after (with that upload).

--- a/src/bytebuf.c
+++ b/src/bytebuf.c
@@ -13,9 +13,32 @@
 /* an empty queue releases its memory if it has allocated more than this number of bytes */
 #define BYTEBUF_KEEP 16384
 
+/* bytes in all queues of the process; atomic, as the thread that reads the store has some, too */
+static size_t total;
+
+static void count(size_t len)
+{
+	__atomic_add_fetch(&total, len, __ATOMIC_RELAXED);
+}
+
+/* @len bytes leave @b, which may have fewer: its user may have emptied it since it read them */
+static void uncount(const lw_bytebuf_t *b, size_t len)
+{
+	size_t held = lw_bytebuf_len(b);
+
+	__atomic_sub_fetch(&total, len < held ? len : held, __ATOMIC_RELAXED);
+}
+
+/* lw_bytebuf_total() - number of bytes in all queues of the process. */
+size_t lw_bytebuf_total(void)
+{
+	return __atomic_load_n(&total, __ATOMIC_RELAXED);
+}
+
 /* lw_bytebuf_free() - release the memory; the queue is empty afterwards. */
 void lw_bytebuf_free(lw_bytebuf_t *b)
 {
+	uncount(b, lw_bytebuf_len(b));
 	free(b->data);
 	memset(b, 0, sizeof(*b));
 }
@@ -62,6 +85,7 @@
 void lw_bytebuf_commit(lw_bytebuf_t *b, size_t len)
 {
 	b->end += len;
+	count(len);
 }
 
 /* lw_bytebuf_append() - append a copy of the @len bytes at @src. */
@@ -105,12 +129,14 @@
 /* lw_bytebuf_cut() - drop @len bytes from the end. */
 void lw_bytebuf_cut(lw_bytebuf_t *b, size_t len)
 {
+	uncount(b, len);
 	b->end -= len;
 }
 
 /* lw_bytebuf_consume() - drop @len bytes from the front. */
 void lw_bytebuf_consume(lw_bytebuf_t *b, size_t len)
 {
+	uncount(b, len);
 	b->start += len;
 	if (b->start < b->end)
 		return;
--- a/src/bytebuf.h
+++ b/src/bytebuf.h
@@ -15,6 +15,7 @@
 	size_t cap;
 } lw_bytebuf_t;
 
+size_t lw_bytebuf_total(void);
 void lw_bytebuf_free(lw_bytebuf_t *b);
 size_t lw_bytebuf_len(const lw_bytebuf_t *b);
 char *lw_bytebuf_head(const lw_bytebuf_t *b);
--- a/src/caller.c
+++ b/src/caller.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include "linux/sock.h"
+#include "log.h"
 #include "xalloc.h"
 
 /* limits before a configuration is known */
@@ -29,7 +30,14 @@
  */
 size_t lw_caller_read_ahead(const lw_caller_t *c)
 {
-	return READ_AHEAD_BYTES + c->set->limits.max_header_bytes;
+	uint32_t memory_mb = c->set->evloop->set->memory_mb;
+	size_t head = c->set->limits.max_header_bytes;
+
+	if (c->state == CALLER_BODY)
+		return lw_bufbound_body(memory_mb, READ_AHEAD_BYTES + head);
+	if (lw_bufbound_level(memory_mb) == LW_BUFBOUND_FREE)
+		return READ_AHEAD_BYTES + head;
+	return LW_BUFBOUND_LEAST_BYTES + (c->state == CALLER_HEAD ? head : 0);
 }
 
 /*
@@ -254,6 +262,29 @@
 	}
 }
 
+static lw_bufbound_t buffers(const lw_callers_t *cs)
+{
+	return lw_bufbound_level(cs->evloop->set->memory_mb);
+}
+
+/*
+ * Connections that were not read because the buffers were short are read again. Nothing else may wake
+ * them: the bytes that left the buffers were those of other connections.
+ */
+static void follow_buffers(lw_callers_t *cs)
+{
+	lw_bufbound_t now = buffers(cs);
+
+	if (now != cs->buffers)
+		lw_log(LW_LOG_buffers_held, "level=%d before=%d held=%zu memory_mb=%u callers=%u",
+		       now, cs->buffers, lw_bytebuf_total(), cs->evloop->set->memory_mb, cs->count);
+	if (cs->buffers != LW_BUFBOUND_FREE && now != LW_BUFBOUND_FULL)
+		for (lw_caller_t *c = cs->conns; c; c = c->next)
+			if (!c->lingering && !(c->io.events & EV_READ))
+				ev_feed_event(cs->evloop->loop, &c->io, EV_CUSTOM);
+	cs->buffers = now;
+}
+
 static void on_tick(void *ctx)
 {
 	lw_callers_t *cs = ctx;
@@ -261,6 +292,7 @@
 	lw_caller_t *next;
 
 	read_limits(cs);
+	follow_buffers(cs);
 	for (lw_caller_t *c = cs->conns; c; c = next) {
 		next = c->next;
 		check_timeouts(cs, c, now);
--- a/src/caller_int.h
+++ b/src/caller_int.h
@@ -5,6 +5,7 @@
 #include <ev.h>
 #include <http_parser.h>
 
+#include "bufbound.h"
 #include "bytebuf.h"
 #include "caller.h"
 
@@ -68,6 +69,7 @@
 	lw_fleet_limits_t limits;
 	lw_callers_stats_t stats;
 	ev_check resume_check;
+	lw_bufbound_t buffers; /* state of the buffers at the last tick */
 };
 
 extern const lw_reply_ops_t lw_caller_reply_ops;
--- a/src/callerread.c
+++ b/src/callerread.c
@@ -169,6 +169,10 @@
 		lw_caller_reject(c, 431, "head_too_large");
 		return false;
 	}
+	/* a head that isn't complete is no request yet: nothing is lost with it */
+	if (!len && have > LW_BUFBOUND_LEAST_BYTES &&
+	    lw_bufbound_level(c->set->evloop->set->memory_mb) == LW_BUFBOUND_FULL)
+		lw_caller_reject(c, 503, "busy");
 	if (!len)
 		return false;
 	http_parser_init(&c->parser, HTTP_REQUEST);
@@ -228,12 +232,14 @@
 	if (c->state == CALLER_HEAD && !lw_bytebuf_len(&c->in))
 		c->since_us = c->set->evloop->now_us;
 	while (!c->eof && lw_bytebuf_len(&c->in) < lw_caller_read_ahead(c)) {
-		char *room = lw_bytebuf_reserve(&c->in, READ_BYTES);
-		ssize_t n = recv(c->fd, room, READ_BYTES, 0);
+		size_t most = lw_caller_read_ahead(c) - lw_bytebuf_len(&c->in);
+		size_t want = most < READ_BYTES ? most : READ_BYTES;
+		char *room = lw_bytebuf_reserve(&c->in, want);
+		ssize_t n = recv(c->fd, room, want, 0);
 
 		if (n > 0) {
 			lw_bytebuf_commit(&c->in, (size_t)n);
-			if (n < READ_BYTES)
+			if ((size_t)n < want)
 				break;
 		} else if (n == 0) {
 			c->eof = true;
--- a/src/exchadmit.c
+++ b/src/exchadmit.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <utlist.h>
 
+#include "bufbound.h"
 #include "retryafter.h"
 #include "credential.h"
 #include "log.h"
@@ -257,6 +258,12 @@
 		lw_exchange_refuse(x, LW_FAIL_LEAVING);
 		return false;
 	}
+	if (!x->parent_id.len &&
+	    !lw_bufbound_admits(x->engine->evloop->set->memory_mb, x->body_length)) {
+		x->engine->stats.no_buffers++;
+		lw_exchange_refuse(x, LW_FAIL_BUSY);
+		return false;
+	}
 	if (x->nested)
 		return true;
 	return path_admits(x, org) && (!org || limit_admits(x, org));
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <utlist.h>
 
+#include "bufbound.h"
 #include "retryafter.h"
 #include "log.h"
 #include "xalloc.h"
@@ -227,11 +228,19 @@
 
 /*
  * lw_exchange_body_full() - whether the buffered request body is large enough to stop reading from
- * the caller.
+ * the caller. While the buffers are short, what is kept for a resend does not count once the server
+ * reads: no byte would be dropped, and the request would wait for ever.
  */
 bool lw_exchange_body_full(const lw_exchange_t *x)
 {
-	return lw_bytebuf_len(&x->body) >= 2 * BODY_RETAINED_BYTES;
+	size_t len = lw_bytebuf_len(&x->body);
+	bool server_reads = x->credit > LW_CALL_WINDOW;
+	size_t waiting = server_reads ? len - (size_t)(x->sent - x->body_base) : len;
+
+	return len >= 2 * BODY_RETAINED_BYTES ||
+	       (waiting >= LW_BUFBOUND_LEAST_BYTES &&
+		waiting >= lw_bufbound_body(x->engine->evloop->set->memory_mb,
+					    2 * BODY_RETAINED_BYTES));
 }
 
 /* lw_exchange_body() - add @data to the request body; @fin: the body is complete. */
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -52,6 +52,7 @@
 	uint64_t no_config;
 	uint64_t not_identified; /* requests without an API key or with an unknown one */
 	uint64_t over_limit; /* of those refused: organisation at its rate limit */
+	uint64_t no_buffers; /* of those refused: the buffers of this process are full */
 	uint64_t refused;
 	uint64_t failed;
 	uint64_t timeouts;
--- a/src/log.h
+++ b/src/log.h
@@ -147,7 +147,9 @@
 	X(1630, fair_shares, LOG_NOTICE,                                                           \
 	  "ranking of requests by fair shares among organisations begins or ceases")               \
 	X(1640, request_returned, LOG_INFO,                                                        \
-	  "a queued request was returned to its sender, as the backend server became slower")
+	  "a queued request was returned to its sender, as the backend server became slower")      \
+	X(1650, buffers_held, LOG_WARNING,                                                         \
+	  "bytes of all connections in the buffers pass a share of the memory, or fall below it")
 
 typedef enum lw_event_id {
 #define LW_EV_ENUM(id, name, pri, desc) LW_LOG_##name = id,
--- a/src/proxystats.c
+++ b/src/proxystats.c
@@ -108,6 +108,8 @@
 		"requests received from callers and from the local backend server", e->requests);
 	counter(f, "lw_nested_total", "requests made on behalf of another request", e->nested);
 	counter(f, "lw_answered_total", "requests answered by a backend server", e->answered);
+	counter(f, "lw_no_buffers_total",
+		"requests refused because the buffers of this process are full", e->no_buffers);
 	counter(f, "lw_refused_total", "requests refused: certainly not executed", e->refused);
 	counter(f, "lw_failed_total", "requests failed: may have been executed", e->failed);
 	counter(f, "lw_timeouts_total", "requests not answered in time", e->timeouts);
--- a/tests/mesh/flood.py
+++ b/tests/mesh/flood.py
@@ -114,8 +114,17 @@
         await asyncio.sleep(2 if stage == "run" and rid.startswith("many") else 0)
     for n in f.all():
         n.server.behave = lasts
+    accepted = node.caller()
+    await accepted.raw(b"POST /put/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: accepted\r\n"
+                       b"X-Deadline-Ms: 9000\r\nContent-Length: 300000\r\n\r\n")
+
+    async def goes_on():
+        await asyncio.sleep(1)
+        await accepted.raw(b"x" * 300000)
+        a = await accepted.answer(0.8)
+        check(a.status == 200, f"an upload that was accepted before: {a}")
     longest, *_ = await asyncio.gather(
-        others_served(node, 2),
+        others_served(node, 2), goes_on(),
         *[send_without_end((node.ip, CALLERS), b"", 2, many_kinds(i)) for i in range(900)])
     check_calm(node, longest)
 
