--- a/tests/mesh/flood.py
+++ b/tests/mesh/flood.py
@@ -203,3 +203,15 @@
     check(peak_mb(node) < MEMORY_MB, f"{peak_mb(node):.0f} MB of {MEMORY_MB}")
     f.store.kind = None
     await f.until_ready(timeout=3)
+
+
+@test({"front": 1}, start=False)
+async def test_peer_that_asks_without_end_and_reads_nothing(f):
+    """Guards against answers to small frames that pile up without bound for a node that asks for
+    documents and states over and over and reads nothing."""
+    await begin(f)
+    node = f.nodes["front"][0]
+    fetch, status = (b"\0\0\0\4\x62\2\x08\0" * 2000, b"\0\0\0\2\x3a\0" * 500)
+    await asyncio.gather(others_served(node, 1.2), *[
+        send_without_end((node.ip, MESH), data, 1.2) for data in (fetch, status)])
+    check(peak_mb(node) < MEMORY_MB, f"{peak_mb(node):.0f} MB of {MEMORY_MB}")
