A peer that reads nothing gets no further states and documents

Cause: each small frame was answered with up to 16 KiB, whatever was unwritten to the peer. Fix: both are ignored while over 1 MiB is unwritten on the connection. Frames are read on, so that two nodes can't wait for each other.

--- a/src/mesh_int.h
+++ b/src/mesh_int.h
@@ -16,6 +16,12 @@
 /* lowest id of streams that were moved here from another connection */
 #define LW_STREAM_MOVED_MIN 0x80000000u
 
+/*
+ * Requests of a peer for states and documents are ignored while more than this is unwritten to it, in
+ * bytes. It asks again later; a peer that asks and reads nothing would fill the memory.
+ */
+#define LW_LINK_UNWRITTEN_MAX (1024u * 1024)
+
 typedef struct lw_link lw_link_t;
 
 /*
--- a/src/meshdocs.c
+++ b/src/meshdocs.c
@@ -99,7 +99,7 @@
 	size_t before = lw_bytebuf_len(&l->out);
 	lw_docfetch_chunk_t piece;
 
-	if (!known_kind(w->kind) ||
+	if (!known_kind(w->kind) || before > LW_LINK_UNWRITTEN_MAX ||
 	    !lw_docfetch_chunk(m->ops->document(m->ctx, w->kind), &request, &piece))
 		return;
 	lw_meshframe_append_piece(&l->out, w->kind, &piece);
--- a/src/meshstatus.c
+++ b/src/meshstatus.c
@@ -216,7 +216,7 @@
 	}
 	apply_peer_documents(l, w);
 	l->mesh->ops->status_received(l->mesh->ctx, l->node, w->read_store);
-	if (!w->is_reply)
+	if (!w->is_reply && lw_bytebuf_len(&l->out) <= LW_LINK_UNWRITTEN_MAX)
 		lw_mesh_send_status(l, true);
 }
 
