--- a/src/meshstatus.c
+++ b/src/meshstatus.c
@@ -231,7 +231,7 @@
 	l->mesh->ops->status_received(l->mesh->ctx, l->node, w->read_store);
 	if (w->is_reply)
 		on_reply(l, w->number);
-	else
+	else if (lw_bytebuf_len(&l->out) <= LW_LINK_UNWRITTEN_MAX)
 		send_state(l, true, w->number, false);
 }
 
--- a/tests/mesh/flood.py
+++ b/tests/mesh/flood.py
@@ -9,7 +9,8 @@
 
 MEMORY_MB = 64
 RULES = [route("get", "/get/", "front", timeout=5), route("put", "/put/", "front", "unsafe"),
-         route("up", "/up/", "back", "upload", timeout=30)]
+         route("up", "/up/", "back", "upload", timeout=30, target=15),
+         route("wait", "/wait/", "slow", timeout=10, target=8)]
 
 
 def peak_mb(node):
@@ -90,6 +91,44 @@
         check(a.status == 200 and a.whole, f"answer {i} of a caller that reads late: {a}")
 
 
+def many_kinds(i):
+    """Returns what one of many connections sends: part of an upload, requests behind one that lasts, or
+    a head without end."""
+    head = f" HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: many{i}\r\nX-Deadline-Ms: 9000\r\n"
+    if i % 3 == 0:
+        return f"POST /up/1{head}Content-Length: 1000000\r\n\r\n".encode() + b"x" * 500000
+    if i % 3 == 1:
+        return f"GET /wait/1{head}\r\n".encode() + \
+            f"GET /none{head}X: {'x' * 8000}\r\n\r\n".encode() * 20
+    return f"GET /wait/1{head}X: {'x' * 16000}".encode()
+
+
+@test({"front": 1, "back": 2, "slow": 1}, start=False, rules=RULES)
+async def test_sum_of_what_many_callers_send(f):
+    """Guards against a node that runs out of memory, as each of many connections may fill its buffers
+    and nothing bounds all of them together."""
+    await begin(f)
+    node = f.nodes["front"][0]
+
+    async def lasts(s, head, rid, stage):
+        await asyncio.sleep(2 if stage == "run" and rid.startswith("many") else 0)
+    for n in f.all():
+        n.server.behave = lasts
+    accepted = node.caller()
+    await accepted.raw(b"POST /put/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: accepted\r\n"
+                       b"X-Deadline-Ms: 9000\r\nContent-Length: 300000\r\n\r\n")
+
+    async def goes_on():
+        await asyncio.sleep(1)
+        await accepted.raw(b"x" * 300000)
+        a = await accepted.answer(0.8)
+        check(a.status == 200, f"an upload that was accepted before: {a}")
+    longest, *_ = await asyncio.gather(
+        others_served(node, 2), goes_on(),
+        *[send_without_end((node.ip, CALLERS), b"", 2, many_kinds(i)) for i in range(900)])
+    check_calm(node, longest)
+
+
 class EndlessStore(Store):
     """A store that answers without end in one way, once `kind` is set."""
     kind = None
@@ -164,3 +203,15 @@
     check(peak_mb(node) < MEMORY_MB, f"{peak_mb(node):.0f} MB of {MEMORY_MB}")
     f.store.kind = None
     await f.until_ready(timeout=3)
+
+
+@test({"front": 1}, start=False)
+async def test_peer_that_asks_without_end_and_reads_nothing(f):
+    """Guards against answers to small frames that pile up without bound for a node that asks for
+    documents and states over and over and reads nothing."""
+    await begin(f)
+    node = f.nodes["front"][0]
+    fetch, status = (b"\0\0\0\4\x62\2\x08\0" * 2000, b"\0\0\0\2\x3a\0" * 500)
+    await asyncio.gather(others_served(node, 1.2), *[
+        send_without_end((node.ip, MESH), data, 1.2) for data in (fetch, status)])
+    check(peak_mb(node) < MEMORY_MB, f"{peak_mb(node):.0f} MB of {MEMORY_MB}")
