The last node of its service goes on for 0.4 s more, not for 1.6 s

Cause: bounds the wait by the exit alone. Its own next process is there about 0.6 s after it leaves, so that waiting longer for another node gains nothing.

--- a/src/stopplan.c
+++ b/src/stopplan.c
@@ -64,6 +64,12 @@
 #define RUN_MIN_US	    1000000
 /* the same for a kind of work of which little is known; the longest of all work counts then, us */
 #define RUN_UNKNOWN_US 2600000
+/*
+ * The last node of its service goes on for this long after work of unknown duration would no longer
+ * end. Hardly anything is accepted then, and its own next process would be there as soon as another
+ * node that takes even longer. In microseconds.
+ */
+#define LAST_EXTRA_US 400000
 /* how many times longer work may take at a server that becomes slow */
 #define SLOWER_MAX 12
 
@@ -127,13 +133,15 @@
 
 /*
  * Whether to accept nothing more: the requests in flight will end soon, or must. The last node of
- * its service goes on until another accepts work. Where two nodes stop within a second, the second
- * one would otherwise exit before the first has started again, and requests would be refused
- * although all servers are alive.
+ * its service goes on until another accepts work, for a while. Where two nodes stop within a second,
+ * the second one would otherwise exit before the first has started again, and requests would be
+ * refused although all servers are alive.
  */
 static bool time_to_refuse(const lw_stopstate_t *s)
 {
-	return !leaves(s, RUN_MIN_US) || (could_refuse(s) && !s->last);
+	bool last = s->last && leaves(s, RUN_UNKNOWN_US - LAST_EXTRA_US);
+
+	return !leaves(s, RUN_MIN_US) || (could_refuse(s) && !last);
 }
 
 /*
