A connection between nodes is read four times at most before the others

Cause: a connection was read until nothing was left. Data that a suspension of this host has delayed is still read whole first.

--- a/src/meshlink.c
+++ b/src/meshlink.c
@@ -11,6 +11,8 @@
 #include "xalloc.h"
 
 #define READ_BYTES 65536
+/* reads of one connection before the others have their turn */
+#define READS_MAX 4
 
 static void link_close(lw_link_t *l);
 
@@ -309,7 +311,7 @@
 
 static void on_readable(lw_link_t *l)
 {
-	for (;;) {
+	for (int reads = 0; reads < READS_MAX || requests_delayed(l); reads++) {
 		char *room = lw_bytebuf_reserve(&l->in, READ_BYTES);
 		ssize_t n = recv(l->fd, room, READ_BYTES, 0);
 
