--- a/src/linux/fatal.c
+++ b/src/linux/fatal.c
@@ -13,7 +13,7 @@
 #define STACK_BYTES 65536
 
 /* first byte of the program in memory, set by the linker */
-extern const char __executable_start[];
+extern const char program_start[] __asm__("__executable_start");
 
 static struct {
 	lw_fatal_report_fn report;
@@ -40,7 +40,7 @@
  */
 static void on_fatal_signal(int sig, siginfo_t *info, void *uc)
 {
-	uintptr_t at = instruction_of(uc) - (uintptr_t)__executable_start;
+	uintptr_t at = instruction_of(uc) - (uintptr_t)program_start;
 
 	(void)info;
 	lw_log_begin_emergency();
