--- a/src/caller_int.h
+++ b/src/caller_int.h
@@ -75,6 +75,7 @@
 extern const lw_reply_ops_t lw_caller_reply_ops;
 size_t lw_caller_read_ahead(const lw_caller_t *c);
 bool lw_caller_answers_unread(const lw_caller_t *c);
+void lw_caller_on_io(struct ev_loop *loop, ev_io *w, int revents);
 void lw_caller_watch(lw_caller_t *c);
 void lw_caller_close(lw_caller_t *c);
 void lw_caller_flush(lw_caller_t *c);
--- a/src/meshframe.h
+++ b/src/meshframe.h
@@ -37,6 +37,7 @@
 void lw_meshframe_free(Lw__MeshFrame *f);
 ProtobufCBinaryData lw_meshframe_bytes(lw_str_t s);
 lw_str_t lw_meshframe_str(ProtobufCBinaryData b);
+char *lw_meshframe_text(const char *s);
 void lw_meshframe_append_servers(lw_bytebuf_t *out, const lw_serverlist_t *sl);
 void lw_meshframe_pack_servers(lw_bytebuf_t *out, const lw_serverlist_t *sl);
 lw_status_t lw_meshframe_unpack_servers(lw_str_t bytes, uint64_t revision, lw_serverlist_t **out);
