An upload that was paused in a short shortage of buffers is read on

Cause: how much of a body may be held depends on all buffers. A connection paused while they are short for less than a tick was resumed by nobody: the credit that arrived later compared the body with the bound of that moment, not with that of the pause. Likewise a body that the quarantine waits for had no credit to come at all, and the rest of a body in a connection whose request was answered lay unread.

--- a/src/callerreply.c
+++ b/src/callerreply.c
@@ -15,7 +15,8 @@
 	if (!c->keep || c->set->evloop->leaving)
 		c->closing = c->body_done;
 	lw_caller_flush(c);
-	if (!c->closed && c->body_done && !c->starting)
+	/* the rest of a body that was paused is read and discarded */
+	if (!c->closed && (c->body_done || lw_bytebuf_len(&c->in)) && !c->starting)
 		ev_feed_event(c->set->evloop->loop, &c->io, EV_CUSTOM);
 }
 
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -250,7 +250,8 @@
 /*
  * lw_exchange_body_full() - whether the buffered request body is large enough to stop reading from
  * the caller. While the buffers are short, what is kept for a resend does not count once the server
- * reads: no byte would be dropped, and the request would wait for ever.
+ * reads: no byte would be dropped, and the request would wait for ever. The same holds for what the
+ * quarantine needs before it lets the request begin.
  */
 bool lw_exchange_body_full(const lw_exchange_t *x)
 {
@@ -258,6 +259,8 @@
 	bool server_reads = x->credit > LW_CALL_WINDOW;
 	size_t waiting = server_reads ? len - (size_t)(x->sent - x->body_base) : len;
 
+	if (x->awaits_body && len < LW_FINGERPRINT_BODY_BYTES)
+		return false;
 	return len >= 2 * BODY_RETAINED_BYTES ||
 	       (waiting >= LW_BUFBOUND_LEAST_BYTES &&
 		waiting >= lw_bufbound_body(x->engine->evloop->set->memory_mb,
--- a/src/exchoutcome.c
+++ b/src/exchoutcome.c
@@ -236,11 +236,9 @@
 static void sink_credit(lw_sink_t *s, uint32_t bytes)
 {
 	lw_exchange_t *x = (lw_exchange_t *)s;
-	bool was_full;
 
 	if (x->dead)
 		return;
-	was_full = lw_exchange_body_full(x);
 	x->credit += bytes;
 	if (x->body_base || !x->fin || lw_bytebuf_len(&x->body) > BODY_RETAINED_BYTES) {
 		size_t drop = (size_t)(x->sent - x->body_base);
@@ -252,7 +250,11 @@
 	}
 	if (!(x->fin && x->sent == x->body_base + lw_bytebuf_len(&x->body)))
 		lw_exchange_send_body(x);
-	if (was_full && !lw_exchange_body_full(x) && x->reply)
+	/*
+	 * Also if the body does not look full: how much may be held depends on all buffers, and may
+	 * have risen since the caller's connection was paused. Nothing else would resume it.
+	 */
+	if (!lw_exchange_body_full(x) && x->reply)
 		x->reply->ops->resume(x->reply);
 }
 
--- a/tests/mesh/flood.py
+++ b/tests/mesh/flood.py
@@ -215,3 +215,54 @@
     longest, *_ = await asyncio.gather(others_served(node, 1.2), *[
         send_without_end((node.ip, MESH), data, 1.2) for data in (fetch, status)])
     check_calm(node, longest)
+
+
+async def upload_in_parts(node, rid):
+    """Returns the status of an upload that pauses before its last part, and the seconds it took."""
+    c = node.caller()
+    begin = time.monotonic()
+    await c.raw(f"POST /up/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {rid}\r\n"
+                "X-Deadline-Ms: 8000\r\nContent-Length: 12000\r\n\r\n".encode() + b"x" * 8000)
+    await asyncio.sleep(0.02)
+    await c.raw(b"x" * 4000)
+    status = (await c.answer(9)).status
+    c.close()
+    return status, time.monotonic() - begin
+
+
+async def fill_for_a_moment(node, number):
+    """Sends a part of a large upload and closes 0.2 s later."""
+    c = node.caller()
+    await c.open()
+    c.writer.write(f"POST /big/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: b{number}\r\n"
+                   "Content-Length: 9000000\r\n\r\n".encode() + b"x" * 130000)
+    await asyncio.sleep(0.2)
+    c.close()
+
+
+@test({"front": 1, "other": 1}, start=False,
+      rules=[route("up", "/up/", "front", "upload", timeout=8, target=6),
+             route("big", "/big/", "other", "upload", timeout=8, target=6)])
+async def test_upload_goes_on_after_a_short_shortage(f):
+    """Guards against an accepted upload that is paused while the buffers are short for a moment, and
+    never read again: it ends 504 at its deadline."""
+    await begin(f)
+    node = f.nodes["front"][0]
+    node.server.slots = 4
+
+    async def work(s, head, rid, stage):
+        await asyncio.sleep(0.05 if stage == "run" else 0)
+    node.server.behave = work
+    results, end = [], time.monotonic() + 6
+
+    async def uploads(i):
+        while time.monotonic() < end:
+            results.append(await upload_in_parts(node, f"u{i}.{len(results)}"))
+    tasks = [asyncio.ensure_future(uploads(i)) for i in range(20)]
+    while time.monotonic() < end:
+        await asyncio.gather(*[fill_for_a_moment(node, i) for i in range(90)],
+                             return_exceptions=True)
+        await asyncio.sleep(0.4)
+    await asyncio.gather(*tasks)
+    bad = [r for r in results if r[0] not in (200, 503) or r[1] > 2]
+    check(not bad and len(results) > 100, (len(bad), len(results), bad[:4]))
