--- a/src/log.c
+++ b/src/log.c
@@ -7,6 +7,8 @@
  */
 #include "log.h"
 
+#include <limits.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdbool.h>
@@ -246,6 +248,25 @@
 	}
 }
 
+/*
+ * Writes from the handler of a fatal signal. If nobody reads the log the rest is lost: the process
+ * must end, as it holds its connections and would answer nobody.
+ */
+static void write_unless_blocked(const char *bytes, size_t len)
+{
+	struct pollfd out = { .fd = output.fd >= 0 ? output.fd : STDERR_FILENO, .events = POLLOUT };
+
+	while (len && poll(&out, 1, 0) == 1 && (out.revents & POLLOUT)) {
+		/* a pipe that is ready takes this much at once */
+		ssize_t n = write(out.fd, bytes, len < PIPE_BUF ? len : PIPE_BUF);
+
+		if (n <= 0)
+			return;
+		bytes += n;
+		len -= (size_t)n;
+	}
+}
+
 /*
  * lw_log_begin_emergency() - for the handler of a fatal signal: writes the lines that wait for the
  * writer thread, unless a thread holds them.
@@ -254,7 +275,7 @@
 {
 	if (output.fd < 0 || pthread_mutex_trylock(&output.lock))
 		return;
-	write_all(output.bytes, output.len);
+	write_unless_blocked(output.bytes, output.len);
 	output.len = 0;
 	pthread_mutex_unlock(&output.lock);
 }
@@ -275,9 +296,7 @@
 	va_start(ap, fmt);
 	vsnprintf(fields, sizeof(fields), fmt, ap);
 	va_end(ap);
-	if (write(output.fd >= 0 ? output.fd : STDERR_FILENO, line,
-		  format_line(line, sizeof(line), info, fields)) < 0)
-		return;
+	write_unless_blocked(line, format_line(line, sizeof(line), info, fields));
 }
 
 /* Logs how many lines were dropped since the last such report. */
--- a/tests/mesh/accounts.py
+++ b/tests/mesh/accounts.py
@@ -103,3 +103,25 @@
     check(lines_with(node, "E1319", "id=left-1"), node.logged("E1319"))
     rows, _ = account(f, "--by", "cause")
     check([(r["cause"], r["requests"]) for r in rows] == [("process_failed", "1")], rows)
+
+
+@test({"front": 1})
+async def test_failing_process_ends_while_nobody_reads_its_log(f):
+    """Guards against a process that a fault leaves behind, alive and deaf: the handler of its signal
+    waits for whoever reads the log, and all its connections stay open without an answer."""
+    node = f.nodes["front"][0]
+    node.kill()
+    reader, writer = os.pipe()
+    node.start(out=writer)
+    await f.until_ready([node])
+    os.set_blocking(writer, False)  # of the process, too, as they share it
+    try:
+        while os.write(writer, b"x" * 65536):
+            pass
+    except BlockingIOError:
+        pass
+    os.set_blocking(writer, True)
+    node.signal(signal.SIGSEGV)
+    await until(node.proc.poll, lambda rc: rc == -signal.SIGSEGV, 1)
+    os.close(reader)
+    os.close(writer)
