What a peer sent before it closed is read to its end again

Since a connection between nodes is read 256 KiB at a time, with writes in between. A write that fails then dropped answers that lay unread behind these (seen by the review, by reading; no loss was shown). A connection that failed is now read to its end before it is lost.

--- a/src/meshlink.c
+++ b/src/meshlink.c
@@ -311,7 +311,9 @@
 
 static void on_readable(lw_link_t *l)
 {
-	for (int reads = 0; reads < READS_MAX || requests_delayed(l); reads++) {
+	bool all = l->failed || requests_delayed(l);
+
+	for (int reads = 0; reads < READS_MAX || all; reads++) {
 		char *room = lw_bytebuf_reserve(&l->in, READ_BYTES);
 		ssize_t n = recv(l->fd, room, READ_BYTES, 0);
 
@@ -349,7 +351,10 @@
 
 	(void)loop;
 	if (l->failed) {
-		lw_link_lost(l);
+		/* what the peer sent before it closed its end is read to the end */
+		on_readable(l);
+		if (!l->closed)
+			lw_link_lost(l);
 		return;
 	}
 	if (l->connecting) {
