A request whose server answers already is not judged again by its body

Since a slow body is judged again before its last bytes are passed on. A server may answer before it has the whole body: it is at work then, and ending the request would cut it off (seen by the review, by reading).

--- a/src/gatestop.c
+++ b/src/gatestop.c
@@ -66,7 +66,8 @@
 /*
  * lw_gate_body_too_late() - whether the body of the request @j, which the backend server is
  * receiving, is complete with these @bytes, and so late that the exit would interrupt the
- * execution. The request was accepted by what was known when its head arrived.
+ * execution. The request was accepted by what was known when its head arrived. A server that has
+ * begun to answer executes it already.
  */
 bool lw_gate_body_too_late(lw_job_t *j, size_t bytes, bool fin)
 {
@@ -79,7 +80,8 @@
 		.begun = true,
 	};
 
-	if (!completes_body(j, bytes, fin) || now_us - j->started_us < LW_STOPPLAN_SLOW_BODY_US)
+	if (j->head_sent || !completes_body(j, bytes, fin) ||
+	    now_us - j->started_us < LW_STOPPLAN_SLOW_BODY_US)
 		return false;
 	j->stop = lw_gate_judge_stop(j->gate, &ask);
 	return j->stop.basis == LW_STOPBASIS_NONE;
