--- a/src/httpc.c
+++ b/src/httpc.c
@@ -21,8 +21,7 @@
 	int read_timeout_s;
 	const char *captured_name; /* header to copy from each answer; may be NULL */
 	size_t body_max; /* longest body that is accepted, in bytes; 0: no limit */
-	uint64_t
-		body_due_ms; /* when the body that is being read has to be complete; 0: not begun */
+	uint64_t body_due_ms; /* when the body has to be complete; 0: not begun */
 	lw_http_reply_t *reply; /* of the call in progress */
 };
 
