A stopping node's caution goes by the usual duration, not by the longest run

Cause: takes a request late only if 12 times the longest run of its kind still ends. The longest run is that of the tail, or of a server that is slow already: times 12 it is beyond any exit, so that known kinds of 15 ms were refused.

Change: late in a stop a request has to end by its longest run and the spare, as before, and by 12 times the average of its kind.

--- a/src/gatestop.c
+++ b/src/gatestop.c
@@ -45,6 +45,7 @@
 		.wait_us = ask->wait_us,
 		.deadline_us = ask->deadline_us,
 		.longest_us = longest_us(g, ask, of_kind_us),
+		.usual_us = lw_worktable_us(&g->work, ask->kind, (uint32_t)g->service_us),
 		.known = of_kind_us > 0,
 		.idempotent = ask->idempotent,
 		.cautious = evloop->cautious && !ask->begun,
--- a/src/stopplan.c
+++ b/src/stopplan.c
@@ -70,7 +70,7 @@
  * node that takes even longer. In microseconds.
  */
 #define LAST_EXTRA_US 400000
-/* how many times longer work may take at a server that becomes slow */
+/* how many times longer than usual work may take at a server that becomes slow */
 #define SLOWER_MAX 12
 
 /*
@@ -90,8 +90,10 @@
 {
 	uint64_t spare_us = w->longest_us / (w->idempotent ? SPARE_DIVISOR : ORDER_SPARE_DIVISOR);
 	uint64_t least_us = w->known || w->begun ? RUN_MIN_US : RUN_UNKNOWN_US;
-	uint64_t run_us = w->cautious ? w->longest_us * SLOWER_MAX : w->longest_us + spare_us;
+	uint64_t run_us = w->longest_us + spare_us;
 
+	if (w->cautious && w->usual_us * SLOWER_MAX > run_us)
+		run_us = w->usual_us * SLOWER_MAX;
 	return run_us > least_us ? run_us : least_us;
 }
 
--- a/src/stopplan.h
+++ b/src/stopplan.h
@@ -55,6 +55,7 @@
 	uint64_t wait_us; /* expected wait before it is executed */
 	uint64_t deadline_us; /* time until its sender gives up */
 	uint64_t longest_us; /* longest recent execution; of its kind of work if @known */
+	uint64_t usual_us; /* average execution of its kind of work; used if @cautious */
 	bool known; /* enough executions of its kind of work are known */
 	bool idempotent; /* may be executed again if it is interrupted */
 	bool cautious; /* see lw_stopplan_t */
--- a/tests/decide_retry.c
+++ b/tests/decide_retry.c
@@ -364,10 +364,10 @@
 }
 
 /*
- * stop-takes LEFT WAIT LONGEST DEADLINE [order] [unknown] [begun] [cautious]: whether a stopping node accepts
- * such a request. order: it is not idempotent; unknown: LONGEST is that of all kinds of work;
- * begun: its body is complete now, and the server has received a part of it; cautious: the
- * server may become slow
+ * stop-takes LEFT WAIT LONGEST DEADLINE [order] [unknown] [begun] [cautious [usual MS]]: whether a
+ * stopping node accepts such a request. order: it is not idempotent; unknown: LONGEST is that of all
+ * kinds of work; begun: its body is complete now, and the server has received a part of it; cautious:
+ * the server may become slow; usual: its average, else LONGEST
  */
 static void do_stop_takes(world_t *w, const words_t *a)
 {
@@ -375,6 +375,7 @@
 		.left_us = ms(a, 1),
 		.wait_us = ms(a, 2),
 		.longest_us = ms(a, 3),
+		.usual_us = has(a, "usual") ? ms(a, a->n - 1) : ms(a, 3),
 		.deadline_us = ms(a, 4),
 		.known = !has(a, "unknown"),
 		.idempotent = !has(a, "order"),
