--- a/src/exchoutcome.c
+++ b/src/exchoutcome.c
@@ -250,10 +250,7 @@
 	}
 	if (!(x->fin && x->sent == x->body_base + lw_bytebuf_len(&x->body)))
 		lw_exchange_send_body(x);
-	/*
-	 * Also if the body does not look full: how much may be held depends on all buffers, and may
-	 * have risen since the caller's connection was paused. Nothing else would resume it.
-	 */
+	/* it may have been full when less was allowed: that depends on all buffers of the process */
 	if (!lw_exchange_body_full(x) && x->reply)
 		x->reply->ops->resume(x->reply);
 }
