--- a/review/lib2/bench2.py
+++ b/review/lib2/bench2.py
@@ -1,5 +1,5 @@
-"""What the scripts of this review share: a fleet of the deploy file's program on loopback, a record,
-and the exit code. The store, the network and the callers are the project's stand-ins."""
+"""What the scripts of this review share: a fleet of the deploy file's program on loopback, a
+record, and the exit code. The store, the servers and the callers are the project's stand-ins."""
 import asyncio
 import os
 import shutil
@@ -18,7 +18,7 @@
 
 
 def program():
-    """The command of the deploy file, as a path; it takes its settings' path from the environment."""
+    """The command of the deploy file; the environment names its settings."""
     return os.path.join(ROOT, "target", "lwproxy")
 
 
